--- /dev/null
+++ b/cli/src/main/java/org/waxwingcourse/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.waxwingcourse.cli;
--- /dev/null
+++ b/daemon/src/main/java/org/waxwingcourse/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The node program. */
+package org.waxwingcourse.daemon;
--- /dev/null
+++ b/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
@@ -0,0 +1,183 @@
+package org.waxwingcourse.http;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.model.service.Service;
+import ratpack.exec.ExecController;
+import ratpack.exec.Promise;
+import ratpack.exec.internal.DefaultExecController;
+import ratpack.func.Action;
+import ratpack.http.Headers;
+import ratpack.http.client.HttpClient;
+import ratpack.http.client.ReceivedResponse;
+import ratpack.http.client.RequestSpec;
+
+/**
+ * Sends HTTP requests through Ratpack's client from any thread. Calls end by their deadline; a
+ * failure says whether any byte can have left.
+ *
+ * <p>Two clients share the threads: one pools connections, the other opens one for each request.
+ */
+public final class HttpCaller implements Service {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(20);
+  private static final int POOL_SIZE = 256;
+  private static final int MAX_ANSWER_BYTES = 64 << 20;
+
+  private final InstantSource clock;
+  private final int threads;
+  private ExecController controller;
+  private HttpClient pooled;
+  private HttpClient fresh;
+
+  private HttpCaller(InstantSource clock, int threads) {
+    this.clock = clock;
+    this.threads = threads;
+  }
+
+  /** Returns a caller with that many event loop threads. */
+  public static HttpCaller of(InstantSource clock, int threads) {
+    return new HttpCaller(clock, threads);
+  }
+
+  @Override
+  public void start() {
+    controller = new DefaultExecController(threads);
+    pooled = client(POOL_SIZE);
+    fresh = client(0);
+  }
+
+  @Override
+  public void stop() {
+    if (controller == null) {
+      return;
+    }
+    pooled.close();
+    fresh.close();
+    controller.close();
+    controller = null;
+  }
+
+  /** Sends a request and collects the whole answer. The future never completes exceptionally. */
+  public CompletableFuture<Either<CallFailure, HttpAnswer>> call(HttpRequest request) {
+    CompletableFuture<Either<CallFailure, HttpAnswer>> result = new CompletableFuture<>();
+    Duration left = request.deadline().remaining(clock.instant());
+    if (left.isZero()) {
+      result.complete(Either.left(pastDeadline(request)));
+      return result;
+    }
+    controller
+        .fork()
+        .onError(e -> result.complete(Either.left(failureOf(e))))
+        .start(
+            execution -> {
+              EventLoop loop = execution.getEventLoop();
+              loop.schedule(
+                  () -> result.complete(Either.left(timedOut(request))),
+                  left.toMillis(),
+                  TimeUnit.MILLISECONDS);
+              Promise<ReceivedResponse> answer =
+                  clientFor(request).request(request.uri(), specOf(request, left));
+              answer
+                  .onError(e -> result.complete(Either.left(failureOf(e))))
+                  .then(r -> result.complete(Either.right(answerOf(r))));
+            });
+    return result;
+  }
+
+  /** Sends a request and hands the answer on as it comes. */
+  public StreamCall stream(HttpRequest request, StreamListener listener) {
+    Duration left = request.deadline().remaining(clock.instant());
+    StreamState state = new StreamState(listener);
+    if (left.isZero()) {
+      state.end(Option.some(pastDeadline(request)));
+      return state;
+    }
+    controller
+        .fork()
+        .onError(e -> state.end(Option.some(failureOf(e))))
+        .start(
+            execution -> {
+              state.bind(execution.getEventLoop());
+              state.endAfter(left, timedOut(request));
+              clientFor(request)
+                  .requestStream(request.uri(), specOf(request, left))
+                  .onError(e -> state.end(Option.some(failureOf(e))))
+                  .then(state::accept);
+            });
+    return state;
+  }
+
+  static CallFailure failureOf(Throwable error) {
+    boolean unsent = error instanceof ConnectException || error instanceof ConnectTimeoutException;
+    CallFailure.Kind kind = unsent ? CallFailure.Kind.NOT_SENT : CallFailure.Kind.LOST;
+    String message = error.getMessage() == null ? error.toString() : error.getMessage();
+    return new CallFailure(kind, message);
+  }
+
+  static List<Header> headersOf(Headers headers) {
+    List<Header> list = new ArrayList<>();
+    for (String name : headers.getNames()) {
+      headers.getAll(name).forEach(value -> list.add(Header.of(name, value)));
+    }
+    return list;
+  }
+
+  private HttpClient client(int poolSize) {
+    try {
+      return HttpClient.of(
+          spec ->
+              spec.execController(controller)
+                  .byteBufAllocator(ByteBufAllocator.DEFAULT)
+                  .poolSize(poolSize)
+                  .idleTimeout(IDLE_TIMEOUT)
+                  .connectTimeout(CONNECT_TIMEOUT)
+                  .maxContentLength(MAX_ANSWER_BYTES));
+    } catch (Exception e) {
+      throw new IllegalStateException("the HTTP client could not be built", e);
+    }
+  }
+
+  private HttpClient clientFor(HttpRequest request) {
+    return request.reuse() ? pooled : fresh;
+  }
+
+  private static Action<RequestSpec> specOf(HttpRequest request, Duration left) {
+    return spec -> {
+      spec.method(request.method());
+      spec.redirects(0);
+      spec.readTimeout(left);
+      for (Header header : request.headers()) {
+        spec.getHeaders().add(header.name(), header.value());
+      }
+      if (request.body().length > 0) {
+        spec.getBody().bytes(request.body());
+      }
+    };
+  }
+
+  private static HttpAnswer answerOf(ReceivedResponse response) {
+    return new HttpAnswer(
+        response.getStatusCode(), headersOf(response.getHeaders()), response.getBody().getBytes());
+  }
+
+  private static CallFailure pastDeadline(HttpRequest request) {
+    return new CallFailure(
+        CallFailure.Kind.NOT_SENT, "deadline of " + request.uri() + " passed before sending");
+  }
+
+  private static CallFailure timedOut(HttpRequest request) {
+    return new CallFailure(
+        CallFailure.Kind.TIMED_OUT, request.uri() + " did not answer by the deadline");
+  }
+}
--- /dev/null
+++ b/load/src/main/java/org/waxwingcourse/load/package-info.java
@@ -0,0 +1,2 @@
+/** An open-loop load tool. */
+package org.waxwingcourse.load;
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -0,0 +1,55 @@
+package org.waxwingcourse.model.event;
+
+import org.apache.logging.log4j.Level;
+
+/**
+ * Every event that the system logs, with its number, level and message. Numbers are never reused;
+ * docs/EVENTS.md says what each means and what an operator does about it.
+ */
+public enum Event {
+  // 100: processes
+  NODE_STARTED(100, Level.INFO, "host \"{}\" serves callers on {}"),
+  NODE_STOPPING(101, Level.INFO, "host \"{}\" stops: {}"),
+  NODE_STOPPED(102, Level.INFO, "host \"{}\" has stopped"),
+  SETTINGS_REFUSED(103, Level.ERROR, "{}"),
+  BROKEN_INVARIANT(104, Level.FATAL, "broken invariant: {}"),
+  // 200: configuration and keys
+  CONFIGURATION_APPLIED(200, Level.INFO, "configuration revision {} is in force"),
+  CONFIGURATION_UNREADABLE(201, Level.ERROR, "configuration entry \"{}\" cannot be read: {}"),
+  // 300: rates
+  // 400: membership and connections between hosts
+  // 500: dispatch, engines and plain services
+  // 600: batch jobs
+  // 700: platform store
+  STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
+  STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
+  // 800: caller interface
+  REQUEST_FAILED(800, Level.ERROR, "request {} failed inside the host: {}"),
+  // 900: stand-ins
+  STANDIN_STARTED(900, Level.INFO, "{} stand-in listens on {}");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  Event(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  /** Returns the number that identifies the event in logs and in the catalogue. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the level it is logged at. */
+  public Level level() {
+    return level;
+  }
+
+  /** Returns the message with a placeholder for each argument. */
+  public String template() {
+    return template;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/event/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.waxwingcourse.model.event;
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/fleet/FleetConfiguration.java
@@ -0,0 +1,44 @@
+package org.waxwingcourse.model.fleet;
+
+import java.util.Map;
+import java.util.Optional;
+import org.waxwingcourse.model.id.KeyHash;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
+
+/**
+ * The whole configuration in force at one revision of the store, exceptions already applied.
+ *
+ * @param revision the store's revision that accepted it
+ * @param defaults fleet-wide settings
+ * @param organisations by name
+ * @param engines by name
+ * @param services by name
+ */
+public record FleetConfiguration(
+    Revision revision,
+    Defaults defaults,
+    Map<OrganisationId, Organisation> organisations,
+    Map<UpstreamId, Engine> engines,
+    Map<ServiceName, PlainService> services) {
+  /** Copies the maps. */
+  public FleetConfiguration {
+    organisations = Map.copyOf(organisations);
+    engines = Map.copyOf(engines);
+    services = Map.copyOf(services);
+  }
+
+  /** Returns the organisation that the key belongs to. */
+  public Optional<Organisation> owner(KeyHash key) {
+    return organisations.values().stream()
+        .filter(o -> o.keys().stream().anyMatch(k -> k.matches(key)))
+        .findFirst();
+  }
+
+  /** Returns the same configuration as accepted at {@code accepted}. */
+  public FleetConfiguration at(Revision accepted) {
+    return new FleetConfiguration(accepted, defaults, organisations, engines, services);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' configuration as immutable values. */
+package org.waxwingcourse.model.fleet;
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/DataCentreId.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.model.id;
+
+import java.util.Objects;
+
+/**
+ * Names a data centre.
+ *
+ * @param value the text form, never empty
+ */
+public record DataCentreId(String value) implements Comparable<DataCentreId> {
+  /** Refuses an absent or empty value. */
+  public DataCentreId {
+    Objects.requireNonNull(value);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("DataCentreId must not be empty");
+    }
+  }
+
+  /** Returns the id with the given text form. */
+  public static DataCentreId of(String value) {
+    return new DataCentreId(value);
+  }
+
+  @Override
+  public int compareTo(DataCentreId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/FileId.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.model.id;
+
+import java.util.Objects;
+
+/**
+ * Identifies one uploaded or produced batch file.
+ *
+ * @param value the text form, never empty
+ */
+public record FileId(String value) implements Comparable<FileId> {
+  /** Refuses an absent or empty value. */
+  public FileId {
+    Objects.requireNonNull(value);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("FileId must not be empty");
+    }
+  }
+
+  /** Returns the id with the given text form. */
+  public static FileId of(String value) {
+    return new FileId(value);
+  }
+
+  @Override
+  public int compareTo(FileId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/JobId.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.model.id;
+
+import java.util.Objects;
+
+/**
+ * Identifies one batch job.
+ *
+ * @param value the text form, never empty
+ */
+public record JobId(String value) implements Comparable<JobId> {
+  /** Refuses an absent or empty value. */
+  public JobId {
+    Objects.requireNonNull(value);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("JobId must not be empty");
+    }
+  }
+
+  /** Returns the id with the given text form. */
+  public static JobId of(String value) {
+    return new JobId(value);
+  }
+
+  @Override
+  public int compareTo(JobId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/ModelName.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.model.id;
+
+import java.util.Objects;
+
+/**
+ * Names a model as callers ask for it.
+ *
+ * @param value the text form, never empty
+ */
+public record ModelName(String value) implements Comparable<ModelName> {
+  /** Refuses an absent or empty value. */
+  public ModelName {
+    Objects.requireNonNull(value);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("ModelName must not be empty");
+    }
+  }
+
+  /** Returns the id with the given text form. */
+  public static ModelName of(String value) {
+    return new ModelName(value);
+  }
+
+  @Override
+  public int compareTo(ModelName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/ServiceName.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.model.id;
+
+import java.util.Objects;
+
+/**
+ * Names a plain service as it stands in the request path.
+ *
+ * @param value the text form, never empty
+ */
+public record ServiceName(String value) implements Comparable<ServiceName> {
+  /** Refuses an absent or empty value. */
+  public ServiceName {
+    Objects.requireNonNull(value);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("ServiceName must not be empty");
+    }
+  }
+
+  /** Returns the id with the given text form. */
+  public static ServiceName of(String value) {
+    return new ServiceName(value);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/UpstreamId.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.model.id;
+
+import java.util.Objects;
+
+/**
+ * Names an upstream: a model engine or a plain service instance.
+ *
+ * @param value the text form, never empty
+ */
+public record UpstreamId(String value) implements Comparable<UpstreamId> {
+  /** Refuses an absent or empty value. */
+  public UpstreamId {
+    Objects.requireNonNull(value);
+    if (value.isEmpty()) {
+      throw new IllegalArgumentException("UpstreamId must not be empty");
+    }
+  }
+
+  /** Returns the id with the given text form. */
+  public static UpstreamId of(String value) {
+    return new UpstreamId(value);
+  }
+
+  @Override
+  public int compareTo(UpstreamId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for the names and numbers that identify things. */
+package org.waxwingcourse.model.id;
--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/service/package-info.java
@@ -0,0 +1,2 @@
+/** The life cycle that every long-lived object shares. */
+package org.waxwingcourse.model.service;
--- /dev/null
+++ b/peer/src/main/java/org/waxwingcourse/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between hosts. */
+package org.waxwingcourse.peer;
--- /dev/null
+++ b/policy/src/main/java/org/waxwingcourse/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions: each takes its clock and random source and does no input or output. */
+package org.waxwingcourse.policy;
--- /dev/null
+++ b/standin/src/main/java/org/waxwingcourse/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the outside: platform store, host list, model engine and plain service. */
+package org.waxwingcourse.standin;
--- /dev/null
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Adapters to model engines and plain services. */
+package org.waxwingcourse.upstream;
