--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/member/package-info.java
@@ -0,0 +1,2 @@
+/** Hosts as their peers see them. */
+package org.waxwingcourse.model.member;
