Configuration keeps its exceptions with their reasons

Cause: operators must be able to read why an organisation departs from the defaults. Ruled out: keeping reasons only in the declarations' file; status could not show them. Conclusion: a list beside the values it was applied to.

--- a/model/src/main/java/org/waxwingcourse/model/fleet/FleetConfiguration.java
+++ b/model/src/main/java/org/waxwingcourse/model/fleet/FleetConfiguration.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.model.fleet;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.waxwingcourse.model.id.KeyHash;
@@ -16,18 +17,21 @@
  * @param organisations by name
  * @param engines by name
  * @param services by name
+ * @param exceptions the exceptions that were applied, for operators to read
  */
 public record FleetConfiguration(
     Revision revision,
     Defaults defaults,
     Map<OrganisationId, Organisation> organisations,
     Map<UpstreamId, Engine> engines,
-    Map<ServiceName, PlainService> services) {
-  /** Copies the maps. */
+    Map<ServiceName, PlainService> services,
+    List<DeclaredException> exceptions) {
+  /** Copies the collections. */
   public FleetConfiguration {
     organisations = Map.copyOf(organisations);
     engines = Map.copyOf(engines);
     services = Map.copyOf(services);
+    exceptions = List.copyOf(exceptions);
   }
 
   /** Returns the organisation that the key belongs to. */
@@ -39,6 +43,6 @@
 
   /** Returns the same configuration as accepted at {@code accepted}. */
   public FleetConfiguration at(Revision accepted) {
-    return new FleetConfiguration(accepted, defaults, organisations, engines, services);
+    return new FleetConfiguration(accepted, defaults, organisations, engines, services, exceptions);
   }
 }
