Settings and declarations in TOML, checked against a schema

Cause: nothing may start on a bad file, and an operator needs file, line and remedy. Ruled out: binding TOML to classes with Jackson, which loses the position of a value; tomlj gives line and column.

--- /dev/null
+++ b/config/src/main/java/org/waxwingcourse/config/declaration/DeclarationReader.java
@@ -0,0 +1,185 @@
+package org.waxwingcourse.config.declaration;
+
+import static org.waxwingcourse.config.declaration.DeclarationSchema.ADDRESS;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.ADDRESSES;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.BATCH_TRIES;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.BETWEEN_TOKENS;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.BODY_BYTES;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.BURST;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.CHECKS_FENCING;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.DATA_CENTRE;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.DEFAULTS;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.ENGINE;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.EXCEPTION;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.FIRST_TOKEN;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.ID;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.KEYS;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.LEAVING;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.MODELS;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.NAME;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.ONLINE_TIMEOUT;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.OPEN;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.ORGANISATION;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.RATE;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.REPEATABLE;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.SERVICE;
+import static org.waxwingcourse.config.declaration.DeclarationSchema.SLOTS;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.waxwingcourse.config.toml.CheckedTable;
+import org.waxwingcourse.config.toml.Field;
+import org.waxwingcourse.config.toml.Problem;
+import org.waxwingcourse.config.toml.Section;
+import org.waxwingcourse.config.toml.TomlDocument;
+import org.waxwingcourse.model.fleet.Defaults;
+import org.waxwingcourse.model.fleet.Engine;
+import org.waxwingcourse.model.fleet.FleetConfiguration;
+import org.waxwingcourse.model.fleet.Organisation;
+import org.waxwingcourse.model.fleet.PlainService;
+import org.waxwingcourse.model.fleet.Rate;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.KeyHash;
+import org.waxwingcourse.model.id.ModelName;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
+
+/** Reads declarations and applies their exceptions; any problem refuses the whole file. */
+public final class DeclarationReader {
+  private static final String HASH_PREFIX = "sha256:";
+
+  private final TomlDocument document;
+  private final List<Problem> problems = new ArrayList<>();
+  private final Exceptions exceptions;
+
+  private DeclarationReader(TomlDocument document) {
+    this.document = document;
+    this.exceptions = Exceptions.of(document.tables(EXCEPTION));
+  }
+
+  /** Reads and checks a file. */
+  public static Either<List<Problem>, FleetConfiguration> read(Path path) {
+    return TomlDocument.read(path, DeclarationSchema.sections()).flatMap(DeclarationReader::build);
+  }
+
+  /** Checks a text that was read from {@code file}. */
+  public static Either<List<Problem>, FleetConfiguration> parse(String file, String text) {
+    return TomlDocument.parse(file, text, DeclarationSchema.sections())
+        .flatMap(DeclarationReader::build);
+  }
+
+  private static Either<List<Problem>, FleetConfiguration> build(TomlDocument document) {
+    DeclarationReader reader = new DeclarationReader(document);
+    reader.checkNames();
+    reader.checkKeys();
+    reader.problems.addAll(
+        reader.exceptions.check(
+            reader.names(ORGANISATION, ID).keySet(), reader.names(ENGINE, ID).keySet()));
+    return reader.problems.isEmpty()
+        ? Either.right(reader.configuration())
+        : Either.left(reader.problems.stream().sorted().toList());
+  }
+
+  private void checkNames() {
+    names(ORGANISATION, ID);
+    names(ENGINE, ID);
+    names(SERVICE, NAME);
+  }
+
+  private Map<String, CheckedTable> names(Section section, Field<String> field) {
+    Map<String, CheckedTable> byName = new HashMap<>();
+    for (CheckedTable table : document.tables(section)) {
+      String name = table.get(field);
+      if (byName.put(name, table) != null) {
+        String message = section.name() + " \"" + name + "\" is declared twice";
+        addOnce(table.problemAt(field, message));
+      }
+    }
+    return byName;
+  }
+
+  private void checkKeys() {
+    Set<String> seen = new HashSet<>();
+    for (CheckedTable table : document.tables(ORGANISATION)) {
+      for (String key : table.get(KEYS)) {
+        if (!seen.add(key)) {
+          addOnce(table.problemAt(KEYS, "key " + key.substring(0, 15) + "… is given twice"));
+        }
+      }
+    }
+  }
+
+  private void addOnce(Problem problem) {
+    if (!problems.contains(problem)) {
+      problems.add(problem);
+    }
+  }
+
+  private FleetConfiguration configuration() {
+    Defaults defaults = defaults(document.table(DEFAULTS));
+    return new FleetConfiguration(
+        Revision.NONE,
+        defaults,
+        index(ORGANISATION, t -> organisation(t, defaults), Organisation::id),
+        index(ENGINE, t -> engine(t, defaults), Engine::id),
+        index(SERVICE, DeclarationReader::service, PlainService::name),
+        exceptions.declared());
+  }
+
+  private <K, V> Map<K, V> index(
+      Section section, Function<CheckedTable, V> reader, Function<V, K> key) {
+    return document.tables(section).stream().map(reader).collect(Collectors.toMap(key, v -> v));
+  }
+
+  private static Defaults defaults(CheckedTable table) {
+    return new Defaults(
+        Rate.of(table.get(RATE), table.get(BURST)),
+        table.get(SLOTS),
+        Duration.ofMillis(table.get(ONLINE_TIMEOUT)),
+        Duration.ofMillis(table.get(FIRST_TOKEN)),
+        Duration.ofMillis(table.get(BETWEEN_TOKENS)),
+        table.get(BODY_BYTES),
+        table.get(BATCH_TRIES));
+  }
+
+  private Organisation organisation(CheckedTable table, Defaults defaults) {
+    String id = table.get(ID);
+    Rate rate = exceptions.rateOf(id, defaults.rate());
+    Set<KeyHash> keys =
+        table.get(KEYS).stream()
+            .map(k -> KeyHash.of(k.substring(HASH_PREFIX.length())))
+            .collect(Collectors.toSet());
+    return new Organisation(OrganisationId.of(id), rate, keys);
+  }
+
+  private Engine engine(CheckedTable table, Defaults defaults) {
+    String id = table.get(ID);
+    return new Engine(
+        UpstreamId.of(id),
+        table.get(ADDRESS),
+        DataCentreId.of(table.get(DATA_CENTRE)),
+        table.get(MODELS).stream().map(ModelName::of).collect(Collectors.toSet()),
+        exceptions.slotsOf(id, defaults.engineSlots()),
+        table.get(CHECKS_FENCING),
+        table.get(LEAVING));
+  }
+
+  private static PlainService service(CheckedTable table) {
+    return new PlainService(
+        ServiceName.of(table.get(NAME)),
+        table.get(ADDRESSES),
+        table.get(REPEATABLE),
+        table.get(OPEN));
+  }
+}
--- /dev/null
+++ b/config/src/main/java/org/waxwingcourse/config/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one node. */
+package org.waxwingcourse.config.settings;
--- /dev/null
+++ b/config/src/main/java/org/waxwingcourse/config/toml/CheckedTable.java
@@ -0,0 +1,38 @@
+package org.waxwingcourse.config.toml;
+
+import io.vavr.control.Option;
+import java.util.List;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/** A table whose names and values have been found to fit its section. */
+public final class CheckedTable {
+  private final String file;
+  private final TomlTable table;
+  private final TomlPosition position;
+
+  CheckedTable(String file, TomlTable table, TomlPosition position) {
+    this.file = file;
+    this.table = table;
+    this.position = position;
+  }
+
+  /** Returns the value of a field that is required or has a fallback. */
+  public <T> T get(Field<T> field) {
+    return find(field)
+        .getOrElseThrow(() -> new IllegalStateException(field.name() + " passed the check"));
+  }
+
+  /** Returns the value of a field, its fallback, or nothing. */
+  public <T> Option<T> find(Field<T> field) {
+    Object raw = table.get(List.of(field.name()));
+    return raw == null ? field.fallback() : Option.some(field.parser().apply(raw).get());
+  }
+
+  /** Returns a problem at the position of a field, or of the table where the field is absent. */
+  public Problem problemAt(Field<?> field, String message) {
+    TomlPosition at = table.inputPositionOf(List.of(field.name()));
+    TomlPosition known = at == null ? position : at;
+    return new Problem(file, known.line(), known.column(), message);
+  }
+}
