Callers' HTTP interface in the form of the OpenAI API

Cause: the thin path needs keys checked, rate asked, JSON and streamed answers, errors that say whether a request ran. Ruled out: blocking handlers; one class for all routes. Conclusion: handlers over ports only; parts plug in behind them.

--- /dev/null
+++ b/model/src/main/java/org/waxwingcourse/model/request/ServiceDispatcher.java
@@ -0,0 +1,8 @@
+package org.waxwingcourse.model.request;
+
+/** Runs calls of plain services. */
+@FunctionalInterface
+public interface ServiceDispatcher {
+  /** Submits a call; its answer, and its end, reach the listener. Never blocks. */
+  Call submit(ServiceRequest request, AnswerListener listener);
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/metrics/ServiceLevels.java
@@ -0,0 +1,41 @@
+package org.waxwingcourse.node.metrics;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import org.waxwingcourse.model.id.OrganisationId;
+
+/**
+ * Counts, for each organisation and objective, the events and those of them that met the objective.
+ *
+ * <p>Counters are named {@code slo.<objective>.<organisation>.total} and {@code .good}; latencies
+ * are timers named {@code latency.<objective>.<organisation>}.
+ */
+public final class ServiceLevels {
+  private final MetricRegistry registry;
+
+  private ServiceLevels(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Returns levels that are counted in {@code registry}. */
+  public static ServiceLevels of(MetricRegistry registry) {
+    return new ServiceLevels(registry);
+  }
+
+  /** Counts one event. */
+  public void count(Objective objective, OrganisationId organisation, boolean good) {
+    String name = MetricRegistry.name("slo", objective.wireName(), organisation.value());
+    registry.counter(name + ".total").inc();
+    if (good) {
+      registry.counter(name + ".good").inc();
+    }
+  }
+
+  /** Records a latency and counts whether it was within its bound. */
+  public void time(
+      Objective objective, OrganisationId organisation, Duration latency, Duration bound) {
+    String name = MetricRegistry.name("latency", objective.wireName(), organisation.value());
+    registry.timer(name).update(latency);
+    count(objective, organisation, latency.compareTo(bound) <= 0);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What a node measures about itself. */
+package org.waxwingcourse.node.metrics;
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/web/Gate.java
@@ -0,0 +1,106 @@
+package org.waxwingcourse.node.web;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.waxwingcourse.model.fleet.FleetConfiguration;
+import org.waxwingcourse.model.fleet.Organisation;
+import org.waxwingcourse.model.id.KeyHash;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.node.metrics.Objective;
+import ratpack.exec.Promise;
+import ratpack.handling.Context;
+
+/** The checks that every keyed request passes: configuration known, key, rate, body. */
+public final class Gate {
+  private static final String BEARER = "Bearer ";
+
+  /**
+   * A caller whose key works.
+   *
+   * @param key hash of the key
+   * @param organisation whom it belongs to
+   */
+  public record Caller(KeyHash key, Organisation organisation) {}
+
+  private final CallerPorts ports;
+
+  /** Returns the checks over the node's ports. */
+  public Gate(CallerPorts ports) {
+    this.ports = ports;
+  }
+
+  /** Returns the node's present instant. */
+  public Instant now() {
+    return ports.clock().instant();
+  }
+
+  /** Returns the configuration in force, or a refusal where none has arrived yet. */
+  public Either<Refusal, FleetConfiguration> configuration() {
+    String message = "this host has no configuration yet";
+    return Option.ofOptional(ports.configuration().current())
+        .toEither(() -> new Refusal(RefusalCode.UNAVAILABLE, message, now().plusSeconds(1)));
+  }
+
+  /** Tells whose key came with the request. */
+  public Either<Refusal, Caller> caller(Context context) {
+    String header = context.getRequest().getHeaders().get("Authorization");
+    if (header == null || !header.startsWith(BEARER)) {
+      String message = "give a key in the header \"Authorization: Bearer <key>\"";
+      return Either.left(new Refusal(RefusalCode.INVALID_KEY, message, Instant.EPOCH));
+    }
+    KeyHash key = KeyHash.ofKey(header.substring(BEARER.length()).strip());
+    return ports.authenticator().authenticate(key).map(o -> new Caller(key, o));
+  }
+
+  /** Takes a request out of the organisation's rate; a refusal is sent to the caller. */
+  public void admit(
+      Context context, OrganisationId organisation, Deadline deadline, Runnable then) {
+    Promise.<Option<Refusal>>async(
+            down ->
+                ports
+                    .admission()
+                    .admit(organisation, deadline)
+                    .whenComplete(
+                        (refusal, error) -> {
+                          if (error == null) {
+                            down.success(refusal);
+                          } else {
+                            down.error(error);
+                          }
+                        }))
+        .then(
+            refusal -> {
+              refusal.peek(r -> refuse(context, r));
+              if (refusal.isEmpty()) {
+                ports.levels().count(Objective.ADMISSION, organisation, true);
+                then.run();
+              }
+            });
+  }
+
+  /** Reads the request's body, up to the declared limit. */
+  public void body(Context context, int maxBytes, Consumer<byte[]> then) {
+    context
+        .getRequest()
+        .getBody(
+            maxBytes,
+            () ->
+                refuse(
+                    context,
+                    new Refusal(
+                        RefusalCode.BODY_TOO_LARGE,
+                        "the body exceeds " + maxBytes + " bytes",
+                        Instant.EPOCH)))
+        .then(data -> then.accept(data.getBytes()));
+  }
+
+  /** Answers with a refusal. */
+  public void refuse(Context context, Refusal refusal) {
+    ApiError.of(refusal).send(context, now());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/web/LatencyListener.java
@@ -0,0 +1,60 @@
+package org.waxwingcourse.node.web;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import org.waxwingcourse.model.fleet.Defaults;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.AnswerListener;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.node.metrics.Objective;
+import org.waxwingcourse.node.metrics.ServiceLevels;
+
+/** Measures the time to the first chunk and between chunks of a streamed answer. */
+final class LatencyListener implements AnswerListener {
+  private final AnswerListener next;
+  private final InstantSource clock;
+  private final ServiceLevels levels;
+  private final OrganisationId organisation;
+  private final Defaults defaults;
+  private Instant last;
+  private boolean begun;
+
+  LatencyListener(
+      AnswerListener next,
+      InstantSource clock,
+      ServiceLevels levels,
+      OrganisationId organisation,
+      Defaults defaults) {
+    this.next = next;
+    this.clock = clock;
+    this.levels = levels;
+    this.organisation = organisation;
+    this.defaults = defaults;
+    this.last = clock.instant();
+  }
+
+  @Override
+  public void onStart(int status, String contentType) {
+    next.onStart(status, contentType);
+  }
+
+  @Override
+  public void onChunk(byte[] bytes) {
+    Instant now = clock.instant();
+    Duration latency = Duration.between(last, now);
+    if (begun) {
+      levels.time(Objective.BETWEEN_TOKENS, organisation, latency, defaults.betweenTokens());
+    } else {
+      levels.time(Objective.FIRST_TOKEN, organisation, latency, defaults.firstToken());
+    }
+    begun = true;
+    last = now;
+    next.onChunk(bytes);
+  }
+
+  @Override
+  public void onEnd(Outcome outcome) {
+    next.onEnd(outcome);
+  }
+}
