--- /dev/null
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/package-info.java
@@ -0,0 +1,2 @@
+/** The commands. */
+package org.waxwingcourse.cli.command;
