In-memory store with switchable faults

Thread-safe fake of the platform's store: leases by the clock, rate limits, outage refusing or silent, answers lost after taking effect, watches that lag or go silent, counts by kind. Answers on the caller's thread, so tests with a manual clock wait for nothing.

--- /dev/null
+++ b/standin/src/main/java/org/waxwingcourse/standin/store/EntryTable.java
@@ -0,0 +1,140 @@
+package org.waxwingcourse.standin.store;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.platform.store.Snapshot;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.WriteOutcome;
+
+/** Entries by key with their revisions, and a bounded history of changes. Not thread-safe. */
+final class EntryTable {
+  private static final int MAX_HISTORY_CHANGES = 20_000;
+  private static final long MAX_HISTORY_BYTES = 64L << 20;
+
+  /** One change in the history; a deleted entry has the revision of its deletion. */
+  record Change(Entry entry, boolean deleted, Instant at) {
+    long revision() {
+      return entry.modified().value();
+    }
+  }
+
+  private final NavigableMap<String, Entry> entries = new TreeMap<>();
+  private final ArrayDeque<Change> history = new ArrayDeque<>();
+  private long historyBytes;
+  private long compacted;
+  private long revision = 1;
+
+  Snapshot read(KeyRange range) {
+    return new Snapshot(Revision.of(revision), find(range));
+  }
+
+  WriteOutcome apply(Transaction transaction, Instant now) {
+    boolean holds = transaction.compares().stream().allMatch(this::holds);
+    if (!holds) {
+      return new WriteOutcome.Lost(Revision.of(revision), compared(transaction));
+    }
+    Revision next = Revision.of(revision + 1);
+    boolean changed = false;
+    for (Transaction.Change change : transaction.changes()) {
+      changed |= applyOne(change, next, now);
+    }
+    if (changed) {
+      revision++;
+    }
+    return new WriteOutcome.Done(Revision.of(revision));
+  }
+
+  /** Deletes all entries that hang on a lease, at one revision. */
+  void deleteOf(LeaseId lease, Instant now) {
+    List<String> keys =
+        entries.values().stream().filter(e -> e.lease().equals(lease)).map(Entry::key).toList();
+    if (keys.isEmpty()) {
+      return;
+    }
+    revision++;
+    keys.forEach(key -> delete(key, Revision.of(revision), now));
+  }
+
+  /** Returns the changes of a range after a revision, or nothing if some are forgotten. */
+  Optional<List<Change>> changesAfter(KeyRange range, long after) {
+    if (after < compacted) {
+      return Optional.empty();
+    }
+    List<Change> changes = new ArrayList<>();
+    var newestFirst = history.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Change change = newestFirst.next();
+      if (change.revision() <= after) {
+        break;
+      }
+      if (range.contains(change.entry().key())) {
+        changes.add(change);
+      }
+    }
+    Collections.reverse(changes);
+    return Optional.of(changes);
+  }
+
+  private List<Entry> find(KeyRange range) {
+    if (!range.prefix()) {
+      return Optional.ofNullable(entries.get(range.key())).stream().toList();
+    }
+    return entries.tailMap(range.key(), true).values().stream()
+        .takeWhile(entry -> range.contains(entry.key()))
+        .toList();
+  }
+
+  private boolean holds(Transaction.Compare compare) {
+    Entry entry = entries.get(compare.key());
+    Revision modified = entry == null ? Revision.NONE : entry.modified();
+    return modified.equals(compare.modified());
+  }
+
+  private List<Entry> compared(Transaction transaction) {
+    return transaction.compares().stream()
+        .flatMap(compare -> find(KeyRange.ofKey(compare.key())).stream())
+        .toList();
+  }
+
+  private boolean applyOne(Transaction.Change change, Revision next, Instant now) {
+    if (change instanceof Transaction.Put put) {
+      Entry old = entries.get(put.key());
+      Revision created = old == null ? next : old.created();
+      Entry entry = new Entry(put.key(), put.value(), created, next, put.lease());
+      entries.put(put.key(), entry);
+      remember(new Change(entry, false, now));
+      return true;
+    }
+    return delete(change.key(), next, now);
+  }
+
+  private boolean delete(String key, Revision next, Instant now) {
+    Entry old = entries.remove(key);
+    if (old == null) {
+      return false;
+    }
+    Entry gone = new Entry(key, new byte[0], old.created(), next, LeaseId.NONE);
+    remember(new Change(gone, true, now));
+    return true;
+  }
+
+  private void remember(Change change) {
+    history.addLast(change);
+    historyBytes += change.entry().value().length;
+    while (history.size() > MAX_HISTORY_CHANGES || historyBytes > MAX_HISTORY_BYTES) {
+      Change oldest = history.removeFirst();
+      historyBytes -= oldest.entry().value().length;
+      compacted = oldest.revision();
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/waxwingcourse/standin/store/LeaseTable.java
@@ -0,0 +1,49 @@
+package org.waxwingcourse.standin.store;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.LeaseId;
+
+/** Leases with their deadlines. Not thread-safe. */
+final class LeaseTable {
+  private record Granted(Duration timeToLive, Deadline deadline) {}
+
+  private final Map<LeaseId, Granted> leases = new HashMap<>();
+  private long last;
+
+  Lease grant(Duration timeToLive, Instant now) {
+    LeaseId id = LeaseId.of(++last);
+    return put(id, timeToLive, now);
+  }
+
+  Optional<Lease> renew(LeaseId id, Instant now) {
+    return Optional.ofNullable(leases.get(id)).map(old -> put(id, old.timeToLive(), now));
+  }
+
+  boolean remove(LeaseId id) {
+    return leases.remove(id) != null;
+  }
+
+  boolean isKnown(LeaseId id) {
+    return id.equals(LeaseId.NONE) || leases.containsKey(id);
+  }
+
+  List<LeaseId> lapsed(Instant now) {
+    return leases.entrySet().stream()
+        .filter(entry -> entry.getValue().deadline().isPast(now))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  private Lease put(LeaseId id, Duration timeToLive, Instant now) {
+    Deadline deadline = Deadline.at(now.plus(timeToLive));
+    leases.put(id, new Granted(timeToLive, deadline));
+    return new Lease(id, deadline);
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/waxwingcourse/standin/store/MemoryStoreTest.java
@@ -0,0 +1,96 @@
+package org.waxwingcourse.standin.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.platform.store.WriteOutcome;
+
+class MemoryStoreTest {
+  private final ManualClock clock = ManualClock.at(Instant.EPOCH);
+  private final MemoryStore store = MemoryStore.of(clock);
+  private final List<String> heard = new ArrayList<>();
+
+  private final WatchListener listener =
+      new WatchListener() {
+        @Override
+        public void onChanges(Revision revision, List<Entry> puts, List<String> deletes) {
+          puts.forEach(put -> heard.add("put " + put.key()));
+          deletes.forEach(key -> heard.add("delete " + key));
+        }
+
+        @Override
+        public void onBroken(StoreFailure failure) {
+          heard.add("broken");
+        }
+      };
+
+  @Test
+  void answerLostAfterEffectLeavesTheEntryAndALaterWriterLoses() {
+    store.loseAnswers(1);
+    assertThat(put("/a")).isInstanceOf(WriteOutcome.Unknown.class);
+    assertThat(put("/a")).isInstanceOf(WriteOutcome.Lost.class);
+  }
+
+  @Test
+  void entriesVanishWithTheirLeaseAndARenewalKeepsThem() {
+    Lease lease = store.grantLease(Duration.ofSeconds(3)).join().get();
+    store.watch(KeyRange.ofPrefix("/"), Revision.NONE, listener);
+    store.write(Transaction.builder().put("/a", new byte[0], lease.id()).build());
+    clock.advance(Duration.ofSeconds(2));
+    assertThat(store.renewLease(lease.id()).join().isRight()).isTrue();
+    clock.advance(Duration.ofSeconds(2));
+    store.tick();
+    assertThat(heard).containsExactly("put /a");
+    clock.advance(Duration.ofSeconds(1));
+    store.tick();
+    assertThat(heard).containsExactly("put /a", "delete /a");
+    assertThat(store.renewLease(lease.id()).join().getLeft().kind())
+        .isEqualTo(StoreFailure.Kind.LEASE_GONE);
+  }
+
+  @Test
+  void watchesLagGoSilentAndBreak() {
+    store.setFaults(StoreFaults.NONE.withWatchLag(Duration.ofSeconds(1)));
+    store.watch(KeyRange.ofPrefix("/"), Revision.NONE, listener);
+    put("/a");
+    assertThat(heard).isEmpty();
+    clock.advance(Duration.ofSeconds(1));
+    store.tick();
+    assertThat(heard).containsExactly("put /a");
+    store.setFaults(StoreFaults.NONE.withWatchSilent(true));
+    put("/b");
+    assertThat(heard).containsExactly("put /a");
+    store.setFaults(StoreFaults.NONE);
+    assertThat(heard).containsExactly("put /a", "put /b");
+    store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    assertThat(heard).containsExactly("put /a", "put /b", "broken");
+    assertThat(put("/c")).isInstanceOf(WriteOutcome.NotSent.class);
+  }
+
+  @Test
+  void ratesRefuseAndRefillByTheClock() {
+    store.setFaults(StoreFaults.NONE.withRates(0, 2));
+    assertThat(put("/a")).isInstanceOf(WriteOutcome.Done.class);
+    assertThat(put("/b")).isInstanceOf(WriteOutcome.Done.class);
+    assertThat(put("/c")).isInstanceOf(WriteOutcome.NotSent.class);
+    clock.advance(Duration.ofMillis(500));
+    assertThat(put("/c")).isInstanceOf(WriteOutcome.Done.class);
+    assertThat(store.counts()).isEqualTo(new CallCounts(0, 4, 0, 0));
+  }
+
+  private WriteOutcome put(String key) {
+    return store.write(Transaction.builder().absent(key).put(key, "v").build()).join();
+  }
+}
