Configuration as bucketed store entries and its compare-and-swap writer

Ruled out: one entry for all (a change of one organisation rewrites about 600 KB); an entry for each declaration (4,150 operations, the store takes 128 in a transaction). Conclusion: hashed buckets under a head entry whose revision orders the changes.

--- /dev/null
+++ b/config/src/main/java/org/waxwingcourse/config/store/StoredDocument.java
@@ -0,0 +1,61 @@
+package org.waxwingcourse.config.store;
+
+import java.util.List;
+import java.util.Optional;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.Snapshot;
+import org.waxwingcourse.policy.configuration.Delta;
+import org.waxwingcourse.policy.configuration.Document;
+import org.waxwingcourse.policy.configuration.Part;
+
+/** Builds documents and deltas from entries of the store. */
+public final class StoredDocument {
+  private StoredDocument() {}
+
+  /** Returns the configuration that a read of the whole prefix saw. */
+  public static Document configuration(Snapshot snapshot) {
+    List<Part> parts = configurationParts(snapshot.entries());
+    Revision revision = revision(ConfigurationKeys.HEAD, snapshot.entries()).orElse(Revision.NONE);
+    return Document.EMPTY.with(Delta.whole(revision, parts));
+  }
+
+  /**
+   * Returns the change of the configuration among watched entries, if its head is among them.
+   *
+   * @param base the configuration's revision before the change
+   */
+  public static Optional<Delta> configurationDelta(Revision base, List<Entry> puts) {
+    return revision(ConfigurationKeys.HEAD, puts)
+        .map(target -> Delta.of(base, target, configurationParts(puts)));
+  }
+
+  /** Returns the whole roster if it is among the entries. */
+  public static Optional<Delta> rosterDelta(List<Entry> entries) {
+    List<Part> parts =
+        entries.stream()
+            .filter(e -> e.key().equals(ConfigurationKeys.ROSTER))
+            .map(StoredDocument::part)
+            .toList();
+    return revision(ConfigurationKeys.ROSTER, entries).map(target -> Delta.whole(target, parts));
+  }
+
+  /** Returns the revision of the entry with the given key, if it is among the entries. */
+  public static Optional<Revision> revision(String key, List<Entry> entries) {
+    return entries.stream()
+        .filter(e -> e.key().equals(key))
+        .map(Entry::modified)
+        .reduce((a, b) -> b.isAfter(a) ? b : a);
+  }
+
+  private static List<Part> configurationParts(List<Entry> entries) {
+    return entries.stream()
+        .filter(e -> ConfigurationKeys.isConfiguration(e.key()))
+        .map(StoredDocument::part)
+        .toList();
+  }
+
+  private static Part part(Entry e) {
+    return Part.of(e.key(), e.modified(), e.value());
+  }
+}
--- /dev/null
+++ b/config/src/test/java/org/waxwingcourse/config/store/TinyStore.java
@@ -0,0 +1,90 @@
+package org.waxwingcourse.config.store;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.platform.store.Snapshot;
+import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.Watch;
+import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.platform.store.WriteOutcome;
+
+/** A store with compare-and-swap only, which can lose answers and hold one write back. */
+final class TinyStore implements Store {
+  final SortedMap<String, Entry> entries = new TreeMap<>();
+  long revision;
+  int answersToLose;
+  int writesToLose;
+  Runnable beforeNextWrite = () -> {};
+  Transaction last;
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, Snapshot>> read(KeyRange range) {
+    List<Entry> found = entries.values().stream().filter(e -> range.contains(e.key())).toList();
+    Snapshot snapshot = new Snapshot(Revision.of(revision), found);
+    return CompletableFuture.completedFuture(Either.right(snapshot));
+  }
+
+  @Override
+  public CompletableFuture<WriteOutcome> write(Transaction transaction) {
+    Runnable hook = beforeNextWrite;
+    beforeNextWrite = () -> {};
+    hook.run();
+    last = transaction;
+    if (writesToLose > 0) {
+      writesToLose--;
+      return CompletableFuture.completedFuture(new WriteOutcome.Unknown("timed out"));
+    }
+    WriteOutcome outcome = apply(transaction);
+    if (answersToLose > 0) {
+      answersToLose--;
+      outcome = new WriteOutcome.Unknown("answer lost");
+    }
+    return CompletableFuture.completedFuture(outcome);
+  }
+
+  private WriteOutcome apply(Transaction transaction) {
+    for (Transaction.Compare c : transaction.compares()) {
+      Entry e = entries.get(c.key());
+      if (!c.modified().equals(e == null ? Revision.NONE : e.modified())) {
+        return new WriteOutcome.Lost(Revision.of(revision), List.of());
+      }
+    }
+    Revision next = Revision.of(++revision);
+    for (Transaction.Change c : transaction.changes()) {
+      Transaction.Put put = (Transaction.Put) c;
+      entries.put(put.key(), new Entry(put.key(), put.value(), next, next, LeaseId.NONE));
+    }
+    return new WriteOutcome.Done(next);
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, Lease>> grantLease(Duration timeToLive) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, Lease>> renewLease(LeaseId lease) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, LeaseId>> revokeLease(LeaseId lease) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public Watch watch(KeyRange range, Revision after, WatchListener listener) {
+    throw new UnsupportedOperationException();
+  }
+}
