--- /dev/null
+++ b/policy/src/main/java/org/waxwingcourse/policy/place/package-info.java
@@ -0,0 +1,2 @@
+/** Placement of keys on hosts. */
+package org.waxwingcourse.policy.place;
