waxwing diff and apply

Cause: operators need to see a change before it is in force, and whose change came first. Ruled out: apply without a shown difference.

--- /dev/null
+++ b/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
@@ -0,0 +1,23 @@
+package org.waxwingcourse.cli;
+
+import io.vavr.collection.List;
+import org.waxwingcourse.cli.command.ApplyCommand;
+import org.waxwingcourse.cli.command.CheckCommand;
+import org.waxwingcourse.cli.command.DiffCommand;
+import org.waxwingcourse.cli.command.KeyCommand;
+
+/** The program {@code waxwing}. */
+public final class WaxwingMain {
+  private WaxwingMain() {}
+
+  /** Runs the command that the arguments ask for and exits with its code. */
+  public static void main(String[] arguments) {
+    Terminal terminal = Terminal.ofProcess();
+    ExitCode code = Waxwing.of(commands(), terminal).run(arguments);
+    System.exit(code.code());
+  }
+
+  static List<Command> commands() {
+    return List.of(new CheckCommand(), new DiffCommand(), new ApplyCommand(), new KeyCommand());
+  }
+}
