--- /dev/null
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
@@ -0,0 +1,178 @@
+package org.waxwingcourse.upstream.engine;
+
+import io.vavr.control.Option;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.HttpAnswer;
+import org.waxwingcourse.http.StreamCall;
+import org.waxwingcourse.http.StreamListener;
+import org.waxwingcourse.model.fleet.Engine;
+import org.waxwingcourse.model.request.AnswerListener;
+import org.waxwingcourse.model.request.InferenceRequest;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.time.Deadline;
+
+/**
+ * One answer of an engine on its way to a listener. Streamed answers are handed on in whole events
+ * only and must close with the published final event; an answer that just stops is unknown, never
+ * done. A watchdog ends a streamed answer that keeps silent longer than the limits allow.
+ */
+final class EngineStream implements StreamListener, EngineCall {
+  private static final int RETRY_SECONDS = 1;
+  private static final int MAX_ERROR_BYTES = 4096;
+
+  private final Engine engine;
+  private final InferenceRequest request;
+  private final AnswerListener listener;
+  private final EngineLimits limits;
+  private final InstantSource clock;
+  private final ScheduledExecutorService timer;
+  private final SseEvents events = new SseEvents();
+  private final ByteArrayOutputStream error = new ByteArrayOutputStream();
+  private volatile Deadline silence;
+  private volatile StreamCall call;
+  private volatile int tokens;
+  private int status;
+  private boolean eventStream;
+  private boolean ended;
+
+  EngineStream(
+      Engine engine,
+      InferenceRequest request,
+      AnswerListener listener,
+      EngineLimits limits,
+      InstantSource clock,
+      ScheduledExecutorService timer) {
+    this.engine = engine;
+    this.request = request;
+    this.listener = listener;
+    this.limits = limits;
+    this.clock = clock;
+    this.timer = timer;
+    this.silence =
+        request.stream() ? Deadline.after(clock, limits.firstByte()) : request.deadline();
+  }
+
+  void bind(StreamCall bound) {
+    call = bound;
+    watch();
+  }
+
+  @Override
+  public void cancel() {
+    end(new Outcome.Unknown("request " + request.id() + " was cancelled"));
+    call.cancel();
+  }
+
+  @Override
+  public int tokens() {
+    return tokens;
+  }
+
+  @Override
+  public synchronized void onHead(HttpAnswer head) {
+    heard();
+    timer.execute(this::watch);
+    status = head.status();
+    if (ended || !passes(status)) {
+      return;
+    }
+    String type = head.header("Content-Type").orElse("application/json");
+    eventStream = status < 300 && type.startsWith("text/event-stream");
+    listener.onStart(status, type);
+  }
+
+  @Override
+  public synchronized void onChunk(byte[] bytes) {
+    heard();
+    if (ended) {
+      return;
+    }
+    if (!passes(status)) {
+      error.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - error.size()));
+      return;
+    }
+    byte[] whole = eventStream ? events.take(bytes) : bytes;
+    if (whole.length > 0) {
+      tokens = events.tokens();
+      listener.onChunk(whole);
+    }
+  }
+
+  @Override
+  public void onEnd(Option<CallFailure> failure) {
+    end(failure.map(this::outcomeOf).getOrElse(this::outcomeOfWhole));
+  }
+
+  private synchronized void end(Outcome outcome) {
+    if (!ended) {
+      ended = true;
+      listener.onEnd(outcome);
+    }
+  }
+
+  private void heard() {
+    if (request.stream()) {
+      silence = Deadline.after(clock, limits.nextByte());
+    }
+  }
+
+  private void watch() {
+    Instant now = clock.instant();
+    if (isEnded()) {
+      return;
+    }
+    if (silence.isPast(now)) {
+      end(new Outcome.Unknown("engine \"" + engine.id() + "\" kept silent"));
+      call.cancel();
+      return;
+    }
+    long wait = silence.remaining(now).toMillis() + 1;
+    timer.schedule(this::watch, wait, TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized boolean isEnded() {
+    return ended;
+  }
+
+  private Outcome outcomeOf(CallFailure failure) {
+    String message = "engine \"" + engine.id() + "\": " + failure.message();
+    if (failure.kind() == CallFailure.Kind.NOT_SENT) {
+      return refused(RefusalCode.UNAVAILABLE, message);
+    }
+    return new Outcome.Unknown(message);
+  }
+
+  private Outcome outcomeOfWhole() {
+    if (saysNotRun(status)) {
+      return refused(RefusalCode.OVERLOADED, "engine \"" + engine.id() + "\" is full");
+    }
+    if (!passes(status)) {
+      return new Outcome.Failed(status, error.toString(StandardCharsets.UTF_8));
+    }
+    if (eventStream && !events.done()) {
+      return new Outcome.Unknown("engine \"" + engine.id() + "\" broke its answer off");
+    }
+    return new Outcome.Done();
+  }
+
+  private Outcome refused(RefusalCode code, String message) {
+    return new Outcome.Refused(
+        new Refusal(code, message, clock.instant().plusSeconds(RETRY_SECONDS)));
+  }
+
+  private static boolean saysNotRun(int status) {
+    return status == 429 || status == 503;
+  }
+
+  private static boolean passes(int status) {
+    return !saysNotRun(status) && status < 500;
+  }
+}
