--- /dev/null
+++ b/daemon/src/main/java/org/waxwingcourse/daemon/NodeMain.java
@@ -0,0 +1,81 @@
+package org.waxwingcourse.daemon;
+
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.logging.log4j.LogManager;
+import org.waxwingcourse.config.settings.NodeSettings;
+import org.waxwingcourse.config.settings.NodeSettingsReader;
+import org.waxwingcourse.config.toml.Problem;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.time.MonotonicClock;
+import org.waxwingcourse.node.Node;
+
+/** The program {@code node}: reads its settings, serves until told to stop, then drains. */
+public final class NodeMain {
+  private static final EventLog LOG = EventLog.of(NodeMain.class);
+  private static final int USAGE = 2;
+  private static final int SETTINGS_REFUSED = 3;
+  private static final int INVARIANT_BROKEN = 70;
+  private static final String SETTINGS = "settings";
+  private static final String HELP = "help";
+  private static final String HELP_TEXT =
+      """
+      usage: node --settings FILE
+      Serves callers until SIGTERM, then finishes what it has and stops.
+        --settings FILE  settings in TOML; see docs/SETTINGS.md
+        --help           show this text
+      Exit codes: 0 stopped as planned, 2 wrong command line, 3 settings refused, \
+      70 broken invariant""";
+
+  private NodeMain() {}
+
+  /** Runs a node. */
+  public static void main(String[] arguments) {
+    try {
+      CommandLine line = new DefaultParser().parse(options(), arguments);
+      if (line.hasOption(HELP)) {
+        System.out.println(HELP_TEXT);
+        return;
+      }
+      run(NodeSettingsReader.read(Path.of(line.getOptionValue(SETTINGS, ""))));
+    } catch (ParseException e) {
+      System.err.println("node: " + e.getMessage() + "; see \"node --help\"");
+      System.exit(USAGE);
+    }
+  }
+
+  private static Options options() {
+    Option settings = Option.builder().longOpt(SETTINGS).hasArg().argName("FILE").get();
+    return new Options().addOption(settings).addOption(null, HELP, false, "");
+  }
+
+  private static void run(Either<List<Problem>, NodeSettings> settings) {
+    if (settings.isLeft()) {
+      settings.getLeft().forEach(problem -> LOG.write(Event.SETTINGS_REFUSED, problem));
+      System.exit(SETTINGS_REFUSED);
+    }
+    Thread.setDefaultUncaughtExceptionHandler((thread, error) -> abort(error));
+    Node node = Node.of(settings.get(), MonotonicClock.start(), new SplittableRandom());
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "planned-stop"));
+    node.start();
+  }
+
+  private static void stop(Node node) {
+    node.stop();
+    LogManager.shutdown();
+  }
+
+  private static void abort(Throwable error) {
+    LOG.write(Event.BROKEN_INVARIANT, error.toString());
+    LogManager.shutdown();
+    Runtime.getRuntime().halt(INVARIANT_BROKEN);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -0,0 +1,110 @@
+package org.waxwingcourse.node;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.waxwingcourse.config.settings.NodeSettings;
+import org.waxwingcourse.http.HttpCaller;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.service.Service;
+import org.waxwingcourse.model.service.ServiceGroup;
+import org.waxwingcourse.node.dispatch.DirectDispatcher;
+import org.waxwingcourse.node.metrics.ServiceLevels;
+import org.waxwingcourse.node.web.CallerPorts;
+import org.waxwingcourse.node.web.CallerRoutes;
+import org.waxwingcourse.node.web.HttpServer;
+import org.waxwingcourse.node.web.OperatorRoutes;
+import org.waxwingcourse.platform.etcd.EtcdOptions;
+import org.waxwingcourse.platform.etcd.EtcdStore;
+import org.waxwingcourse.upstream.engine.EngineClient;
+import org.waxwingcourse.upstream.engine.EngineLimits;
+
+/** One node: joins the parts and starts and stops them in order. */
+public final class Node implements Service {
+  private static final EventLog LOG = EventLog.of(Node.class);
+  private static final int CLIENT_THREADS = 2;
+  private static final int SERVER_THREADS = 4;
+  private static final int OPERATOR_THREADS = 1;
+  private static final Duration OPERATOR_IDLE = Duration.ofSeconds(30);
+  private static final Duration CALLER_IDLE = Duration.ofMinutes(10);
+
+  private final NodeSettings settings;
+  private final ServiceGroup services = new ServiceGroup();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final HttpServer callers;
+  private final HttpServer operators;
+
+  private Node(NodeSettings settings, InstantSource clock, RandomGenerator random) {
+    this.settings = settings;
+    HttpCaller http = services.add(HttpCaller.of(clock, CLIENT_THREADS));
+    EtcdStore store = services.add(EtcdStore.of(http, clock, EtcdOptions.of(settings.stores())));
+    StoredConfiguration configuration = services.add(new StoredConfiguration(store));
+    EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
+    CallerPorts ports =
+        new CallerPorts(
+            clock,
+            configuration,
+            configuration,
+            (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
+            DirectDispatcher.of(configuration, engines, clock, random),
+            (request, listener) -> {
+              listener.onEnd(
+                  new Outcome.Refused(
+                      new Refusal(
+                          RefusalCode.UNAVAILABLE,
+                          "plain services are not connected",
+                          clock.instant())));
+              return () -> {};
+            },
+            ServiceLevels.of(metrics));
+    callers = services.add(HttpServer.of(callerOptions(), CallerRoutes.of(ports)));
+    OperatorRoutes status =
+        new OperatorRoutes(metrics, () -> "{}", () -> configuration.current().isPresent());
+    operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
+  }
+
+  /** Returns a node with the given settings. */
+  public static Node of(NodeSettings settings, InstantSource clock, RandomGenerator random) {
+    return new Node(settings, clock, random);
+  }
+
+  @Override
+  public void start() {
+    services.start();
+    LOG.write(Event.NODE_STARTED, settings.host(), settings.callerAddress());
+  }
+
+  @Override
+  public void stop() {
+    services.stop();
+    LOG.write(Event.NODE_STOPPED, settings.host());
+  }
+
+  /** Returns the port that callers connect to. */
+  public int callerPort() {
+    return callers.port();
+  }
+
+  /** Returns the port that operators connect to. */
+  public int operatorPort() {
+    return operators.port();
+  }
+
+  private HttpServer.Options callerOptions() {
+    return new HttpServer.Options(
+        settings.callers(), SERVER_THREADS, settings.limits().headerBytes(), CALLER_IDLE);
+  }
+
+  private HttpServer.Options operatorOptions() {
+    return new HttpServer.Options(
+        settings.operators(), OPERATOR_THREADS, settings.limits().headerBytes(), OPERATOR_IDLE);
+  }
+}
