--- /dev/null
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/service/ServiceCall.java
@@ -0,0 +1,29 @@
+package org.waxwingcourse.upstream.service;
+
+import java.util.List;
+import org.waxwingcourse.http.Header;
+import org.waxwingcourse.model.fleet.PlainService;
+import org.waxwingcourse.model.time.Deadline;
+
+/**
+ * A call for a plain service, as it came from a caller.
+ *
+ * @param service which service
+ * @param method the HTTP method
+ * @param path the path below the service's name with its query, beginning with a slash
+ * @param headers as the caller sent them; only harmless ones go on
+ * @param body the bytes of the body
+ * @param deadline when the caller stops waiting
+ */
+public record ServiceCall(
+    PlainService service,
+    String method,
+    String path,
+    List<Header> headers,
+    byte[] body,
+    Deadline deadline) {
+  /** Copies the headers. */
+  public ServiceCall {
+    headers = List.copyOf(headers);
+  }
+}
--- /dev/null
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/service/package-info.java
@@ -0,0 +1,2 @@
+/** Passes calls through to plain services. */
+package org.waxwingcourse.upstream.service;
