Plain services on the callers' interface

Cause: /services/<name>/ was not connected. Ruled out: a second request type in model; the upstream's call is used as it is. The shared random source is java.util.Random, which several threads may use; a splittable one may not be shared. Conclusion: routes -> port -> service client.

--- a/daemon/src/main/java/org/waxwingcourse/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/waxwingcourse/daemon/NodeMain.java
@@ -3,7 +3,7 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.SplittableRandom;
+import java.util.Random;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -63,7 +63,7 @@
       System.exit(SETTINGS_REFUSED);
     }
     Thread.setDefaultUncaughtExceptionHandler((thread, error) -> abort(error));
-    Node node = Node.of(settings.get(), MonotonicClock.start(), new SplittableRandom());
+    Node node = Node.of(settings.get(), MonotonicClock.start(), new Random());
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node), "planned-stop"));
     node.start();
   }
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -11,12 +11,10 @@
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
-import org.waxwingcourse.model.request.Outcome;
-import org.waxwingcourse.model.request.Refusal;
-import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.service.ServiceGroup;
 import org.waxwingcourse.node.dispatch.DirectDispatcher;
+import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
 import org.waxwingcourse.node.metrics.ServiceLevels;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.CallerRoutes;
@@ -24,8 +22,10 @@
 import org.waxwingcourse.node.web.OperatorRoutes;
 import org.waxwingcourse.platform.etcd.EtcdOptions;
 import org.waxwingcourse.platform.etcd.EtcdStore;
+import org.waxwingcourse.policy.retry.RetryPolicy;
 import org.waxwingcourse.upstream.engine.EngineClient;
 import org.waxwingcourse.upstream.engine.EngineLimits;
+import org.waxwingcourse.upstream.service.ServiceClient;
 
 /** One node: joins the parts and starts and stops them in order. */
 public final class Node implements Service {
@@ -48,6 +48,8 @@
     EtcdStore store = services.add(EtcdStore.of(http, clock, EtcdOptions.of(settings.stores())));
     StoredConfiguration configuration = services.add(new StoredConfiguration(store));
     EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
+    ServiceClient plainServices =
+        ServiceClient.of(http, clock, random, RetryPolicy.of(clock, random));
     CallerPorts ports =
         new CallerPorts(
             clock,
@@ -55,15 +57,7 @@
             configuration,
             (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
             DirectDispatcher.of(configuration, engines, clock, random),
-            (request, listener) -> {
-              listener.onEnd(
-                  new Outcome.Refused(
-                      new Refusal(
-                          RefusalCode.UNAVAILABLE,
-                          "plain services are not connected",
-                          clock.instant())));
-              return () -> {};
-            },
+            new DirectServiceDispatcher(plainServices),
             ServiceLevels.of(metrics));
     callers = services.add(HttpServer.of(callerOptions(), CallerRoutes.of(ports)));
     OperatorRoutes status =
--- a/model/src/main/java/org/waxwingcourse/model/request/ServiceDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/ServiceDispatcher.java
@@ -1,4 +1,7 @@
-package org.waxwingcourse.model.request;
+package org.waxwingcourse.node.dispatch;
+
+import org.waxwingcourse.model.request.AnswerListener;
+import org.waxwingcourse.model.request.Call;
 
 /** Runs calls of plain services. */
 @FunctionalInterface
--- a/node/src/main/java/org/waxwingcourse/node/web/CallerPorts.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/CallerPorts.java
@@ -5,7 +5,7 @@
 import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.request.Authenticator;
 import org.waxwingcourse.model.request.Dispatcher;
-import org.waxwingcourse.model.request.ServiceDispatcher;
+import org.waxwingcourse.node.dispatch.ServiceDispatcher;
 import org.waxwingcourse.node.metrics.ServiceLevels;
 
 /**
--- a/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
@@ -3,7 +3,9 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Instant;
+import java.util.List;
 import java.util.UUID;
+import org.waxwingcourse.http.Header;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.fleet.PlainService;
 import org.waxwingcourse.model.id.RequestId;
@@ -12,8 +14,9 @@
 import org.waxwingcourse.model.request.Call;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.model.request.ServiceRequest;
 import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.node.dispatch.ServiceRequest;
+import org.waxwingcourse.upstream.service.ServiceCall;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 import ratpack.http.Headers;
@@ -87,19 +90,24 @@
       Option<Gate.Caller> caller,
       byte[] body,
       Deadline deadline) {
-    Headers headers = context.getRequest().getHeaders();
     String query = context.getRequest().getQuery();
     String rest = context.getPathTokens().getOrDefault(REST, "");
+    ServiceCall call =
+        new ServiceCall(
+            service,
+            context.getRequest().getMethod().getName(),
+            "/" + rest + (query.isEmpty() ? "" : "?" + query),
+            headers(context.getRequest().getHeaders()),
+            body,
+            deadline);
     return new ServiceRequest(
-        RequestId.of(UUID.randomUUID().toString()),
-        caller.map(c -> c.organisation().id()),
-        service,
-        context.getRequest().getMethod().getName(),
-        "/" + rest + (query.isEmpty() ? "" : "?" + query),
-        Option.of(headers.get("Content-Type")).getOrElse(""),
-        body,
-        Option.of(headers.get("Idempotency-Key")),
-        deadline);
+        RequestId.of(UUID.randomUUID().toString()), caller.map(c -> c.organisation().id()), call);
+  }
+
+  private static List<Header> headers(Headers headers) {
+    return headers.getNames().stream()
+        .flatMap(name -> headers.getAll(name).stream().map(value -> Header.of(name, value)))
+        .toList();
   }
 
   private void dispatch(Context context, Option<Gate.Caller> caller, ServiceRequest request) {
