--- /dev/null
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -0,0 +1,130 @@
+package org.waxwingcourse.node.web;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.waxwingcourse.model.fleet.ConfigurationSource;
+import org.waxwingcourse.model.fleet.Defaults;
+import org.waxwingcourse.model.fleet.Engine;
+import org.waxwingcourse.model.fleet.FleetConfiguration;
+import org.waxwingcourse.model.fleet.Organisation;
+import org.waxwingcourse.model.fleet.Rate;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.KeyHash;
+import org.waxwingcourse.model.id.ModelName;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.model.request.AnswerListener;
+import org.waxwingcourse.model.request.Authenticator;
+import org.waxwingcourse.model.request.Call;
+import org.waxwingcourse.model.request.InferenceRequest;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.node.metrics.ServiceLevels;
+
+/** Small fakes behind the callers' interface; the prompt says how a request is to end. */
+final class FakePorts implements ConfigurationSource, Authenticator {
+  static final String KEY = "wx-test-key";
+  private static final int MAX_BODY = 2048;
+
+  final CompletableFuture<Void> cancelled = new CompletableFuture<>();
+  volatile Runnable withdraw = () -> {};
+
+  HttpServer start() {
+    CallerPorts ports =
+        new CallerPorts(
+            InstantSource.system(),
+            this,
+            this,
+            (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
+            this::submit,
+            (request, listener) -> () -> {},
+            ServiceLevels.of(new MetricRegistry()));
+    HttpServer.Options options =
+        new HttpServer.Options(
+            new InetSocketAddress("127.0.0.1", 0), 2, 8192, Duration.ofSeconds(60));
+    HttpServer server = HttpServer.of(options, CallerRoutes.of(ports));
+    server.start();
+    return server;
+  }
+
+  @Override
+  public Optional<FleetConfiguration> current() {
+    Defaults defaults =
+        new Defaults(
+            Rate.of(10, 10),
+            4,
+            Duration.ofSeconds(30),
+            Duration.ofSeconds(2),
+            Duration.ofMillis(58),
+            MAX_BODY,
+            3);
+    Organisation organisation =
+        new Organisation(OrganisationId.of("parish"), Rate.of(10, 10), Set.of(KeyHash.ofKey(KEY)));
+    Engine engine =
+        new Engine(
+            UpstreamId.of("engine-1"),
+            URI.create("http://127.0.0.1:1"),
+            DataCentreId.of("nile-1"),
+            Set.of(ModelName.of("organ-scribe")),
+            4,
+            true,
+            false);
+    return Optional.of(
+        new FleetConfiguration(
+            Revision.of(1),
+            defaults,
+            Map.of(organisation.id(), organisation),
+            Map.of(engine.id(), engine),
+            Map.of(),
+            List.of()));
+  }
+
+  @Override
+  public void onChange(Consumer<FleetConfiguration> listener) {}
+
+  @Override
+  public Either<Refusal, Organisation> authenticate(KeyHash key) {
+    return Option.ofOptional(current().flatMap(c -> c.owner(key)))
+        .toEither(new Refusal(RefusalCode.INVALID_KEY, "the key does not work", Instant.EPOCH));
+  }
+
+  @Override
+  public Session open(KeyHash key, Runnable onWithdrawn) {
+    withdraw = onWithdrawn;
+    return () -> {};
+  }
+
+  private Call submit(InferenceRequest request, AnswerListener listener) {
+    String prompt = request.promptPrefix();
+    if (prompt.contains("refuse")) {
+      Instant retryAt = Instant.now().plusSeconds(7);
+      listener.onEnd(
+          new Outcome.Refused(new Refusal(RefusalCode.OVERLOADED, "the queue is full", retryAt)));
+    } else if (prompt.contains("lose")) {
+      listener.onEnd(new Outcome.Unknown("the answer was lost"));
+    } else if (prompt.contains("hang")) {
+      listener.onStart(200, "text/event-stream");
+      listener.onChunk("data: {}\n\n".getBytes(StandardCharsets.UTF_8));
+    } else {
+      listener.onStart(200, "application/json");
+      listener.onChunk("{\"object\":\"chat.completion\"}".getBytes(StandardCharsets.UTF_8));
+      listener.onEnd(new Outcome.Done());
+    }
+    return () -> cancelled.complete(null);
+  }
+}
