--- a/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
@@ -41,12 +41,12 @@
       textBlock =
           """
           {"model":"organ-scribe","messages":[{"content":"x"}]} | 200 | chat.completion
-          {                                                     | 400 | not JSON
-          []                                                    | 400 | must be a JSON object
-          {"messages":[{"role":"user","content":"x"}]}          | 400 | \\"model\\" must be
-          {"model":"organ-scribe","messages":[]}                | 400 | \\"messages\\" must be
+          { | 400 | not JSON
+          [] | 400 | must be a JSON object
+          {"messages":[{"role":"user","content":"x"}]} | 400 | \\"model\\" must be
+          {"model":"organ-scribe","messages":[]} | 400 | \\"messages\\" must be
           {"model":"organ-scribe","stream":5,"messages":[{}]} | 400 | \\"stream\\" must be
-          {"model":"none","messages":[{"content":"x"}]}         | 404 | model \\"none\\" does not exist
+          {"model":"none","messages":[{"content":"x"}]} | 404 | model \\"none\\" does not exist
           {"model":"organ-scribe","messages":[{"content":"refuse"}]} | 503 | "run":"not_run"
           {"model":"organ-scribe","messages":[{"content":"lose"}]} | 504 | "run":"unknown"
           """)
