Platform stand-in over HTTP, tests of the store adapter and of the HTTP caller

Timers of finished calls are cancelled; they held the answers until the deadline. Ratpack's read timeout counted as LOST, now as TIMED_OUT.

--- a/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
+++ b/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ConnectTimeoutException;
-import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.net.ConnectException;
@@ -19,6 +19,7 @@
 import ratpack.func.Action;
 import ratpack.http.Headers;
 import ratpack.http.client.HttpClient;
+import ratpack.http.client.HttpClientReadTimeoutException;
 import ratpack.http.client.ReceivedResponse;
 import ratpack.http.client.RequestSpec;
 
@@ -81,11 +82,14 @@
         .onError(e -> result.complete(Either.left(failureOf(e))))
         .start(
             execution -> {
-              EventLoop loop = execution.getEventLoop();
-              loop.schedule(
-                  () -> result.complete(Either.left(timedOut(request))),
-                  left.toMillis(),
-                  TimeUnit.MILLISECONDS);
+              Future<?> timer =
+                  execution
+                      .getEventLoop()
+                      .schedule(
+                          () -> result.complete(Either.left(timedOut(request))),
+                          left.toMillis(),
+                          TimeUnit.MILLISECONDS);
+              result.whenComplete((answered, error) -> timer.cancel(false));
               Promise<ReceivedResponse> answer =
                   clientFor(request).request(request.uri(), specOf(request, left));
               answer
@@ -119,10 +123,17 @@
   }
 
   static CallFailure failureOf(Throwable error) {
-    boolean unsent = error instanceof ConnectException || error instanceof ConnectTimeoutException;
-    CallFailure.Kind kind = unsent ? CallFailure.Kind.NOT_SENT : CallFailure.Kind.LOST;
     String message = error.getMessage() == null ? error.toString() : error.getMessage();
-    return new CallFailure(kind, message);
+    return new CallFailure(kindOf(error), message);
+  }
+
+  private static CallFailure.Kind kindOf(Throwable error) {
+    if (error instanceof ConnectException || error instanceof ConnectTimeoutException) {
+      return CallFailure.Kind.NOT_SENT;
+    }
+    return error instanceof HttpClientReadTimeoutException
+        ? CallFailure.Kind.TIMED_OUT
+        : CallFailure.Kind.LOST;
   }
 
   static List<Header> headersOf(Headers headers) {
--- a/http/src/main/java/org/waxwingcourse/http/StreamState.java
+++ b/http/src/main/java/org/waxwingcourse/http/StreamState.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
   private volatile EventLoop loop;
   private volatile boolean cancelled;
   private Subscription subscription;
+  private Future<?> timer;
   private boolean ended;
 
   StreamState(StreamListener listener) {
@@ -33,7 +35,7 @@
   }
 
   void endAfter(Duration left, CallFailure failure) {
-    loop.schedule(() -> abort(failure), left.toMillis(), TimeUnit.MILLISECONDS);
+    timer = loop.schedule(() -> abort(failure), left.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   void accept(StreamedResponse response) {
@@ -87,6 +89,9 @@
   void end(Option<CallFailure> failure) {
     if (!ended) {
       ended = true;
+      if (timer != null) {
+        timer.cancel(false);
+      }
       listener.onEnd(failure);
     }
   }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -26,7 +26,8 @@
   // 800: caller interface
   REQUEST_FAILED(800, Level.ERROR, "request {} failed inside the host: {}"),
   // 900: stand-ins
-  STANDIN_STARTED(900, Level.INFO, "{} stand-in listens on {}");
+  STANDIN_STARTED(900, Level.INFO, "{} stand-in listens on {}"),
+  STANDIN_FAILED(901, Level.ERROR, "{} stand-in failed on \"{}\": {}");
 
   private final int number;
   private final Level level;
--- /dev/null
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/EtcdFront.java
@@ -0,0 +1,245 @@
+package org.waxwingcourse.standin.platform;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.platform.etcd.EtcdJson;
+import org.waxwingcourse.platform.etcd.EtcdMessages;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.platform.store.Snapshot;
+import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.platform.store.Watch;
+import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.standin.store.StoreFaults;
+import org.waxwingcourse.standin.web.Answers;
+import org.waxwingcourse.standin.web.Connections;
+import org.waxwingcourse.standin.web.PushStream;
+import ratpack.exec.Promise;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+import ratpack.http.ResponseChunks;
+
+/** A memory store behind the JSON form of etcd's gateway. */
+final class EtcdFront {
+  private static final int GRPC_INVALID_ARGUMENT = 3;
+  private static final int GRPC_NOT_FOUND = 5;
+  private static final int GRPC_RESOURCE_EXHAUSTED = 8;
+  private static final int STATUS_BAD_REQUEST = 400;
+  private static final int STATUS_NOT_FOUND = 404;
+  private static final int STATUS_TOO_MANY = 429;
+
+  private final MemoryStore store;
+  private final InstantSource clock;
+
+  EtcdFront(MemoryStore store, InstantSource clock) {
+    this.store = store;
+    this.clock = clock;
+  }
+
+  void handlers(Chain chain) throws Exception {
+    chain
+        .post("v3/kv/range", ctx -> with(ctx, EtcdMessages.RangeRequest.class, this::range))
+        .post("v3/kv/txn", ctx -> with(ctx, EtcdMessages.TxnRequest.class, this::txn))
+        .post("v3/lease/grant", ctx -> with(ctx, EtcdMessages.LeaseGrantRequest.class, this::grant))
+        .post(
+            "v3/lease/keepalive",
+            ctx -> with(ctx, EtcdMessages.LeaseIdRequest.class, this::keepAlive))
+        .post("v3/lease/revoke", ctx -> with(ctx, EtcdMessages.LeaseIdRequest.class, this::revoke))
+        .post("v3/watch", ctx -> with(ctx, EtcdMessages.WatchRequest.class, this::watch));
+  }
+
+  /** Handles one kind of request. */
+  private interface Handling<T> {
+    void handle(Context ctx, T request);
+  }
+
+  private <T> void with(Context ctx, Class<T> type, Handling<T> handling) {
+    ctx.getRequest()
+        .getBody()
+        .then(
+            body ->
+                EtcdJson.read(body.getBytes(), type)
+                    .peek(request -> handling.handle(ctx, request))
+                    .peekLeft(message -> refuse(ctx, STATUS_BAD_REQUEST, message)));
+  }
+
+  private void range(Context ctx, EtcdMessages.RangeRequest request) {
+    KeyRange range = rangeOf(request.key(), request.rangeEnd());
+    answer(ctx, store.read(range), EtcdFront::messageOf);
+  }
+
+  private void txn(Context ctx, EtcdMessages.TxnRequest request) {
+    TxnForm.read(request)
+        .peekLeft(message -> refuse(ctx, STATUS_BAD_REQUEST, message))
+        .peek(
+            transaction ->
+                then(store.write(transaction), outcome -> answerWrite(ctx, request, outcome)));
+  }
+
+  private void answerWrite(Context ctx, EtcdMessages.TxnRequest request, WriteOutcome outcome) {
+    if (outcome instanceof WriteOutcome.Done done) {
+      send(ctx, TxnForm.done(done));
+    } else if (outcome instanceof WriteOutcome.Lost lost) {
+      send(ctx, TxnForm.lost(lost, request.failure()));
+    } else if (outcome instanceof WriteOutcome.NotSent notSent) {
+      fail(ctx, notSent.failure());
+    } else if (isSilent()) {
+      Answers.hang();
+    } else {
+      Connections.reset(ctx);
+    }
+  }
+
+  private void grant(Context ctx, EtcdMessages.LeaseGrantRequest request) {
+    answer(
+        ctx,
+        store.grantLease(Duration.ofSeconds(request.ttl())),
+        lease -> new EtcdMessages.LeaseResponse(null, lease.id().value(), request.ttl()));
+  }
+
+  private void keepAlive(Context ctx, EtcdMessages.LeaseIdRequest request) {
+    then(
+        store.renewLease(LeaseId.of(request.id())),
+        result -> {
+          if (result.isLeft() && result.getLeft().kind() == StoreFailure.Kind.LEASE_GONE) {
+            var gone = new EtcdMessages.LeaseResponse(null, request.id(), 0);
+            send(ctx, new EtcdMessages.LeaseKeepAliveFrame(gone));
+          } else {
+            finish(ctx, result, l -> new EtcdMessages.LeaseKeepAliveFrame(messageOf(l)));
+          }
+        });
+  }
+
+  private void revoke(Context ctx, EtcdMessages.LeaseIdRequest request) {
+    answer(
+        ctx,
+        store.revokeLease(LeaseId.of(request.id())),
+        lease -> new EtcdMessages.LeaseResponse(null, 0, 0));
+  }
+
+  private void watch(Context ctx, EtcdMessages.WatchRequest request) {
+    EtcdMessages.WatchCreate create = request.createRequest();
+    KeyRange range = rangeOf(create.key(), create.rangeEnd());
+    Revision after = Revision.of(Math.max(0, create.startRevision() - 1));
+    AtomicReference<Watch> opened = new AtomicReference<>();
+    PushStream stream =
+        PushStream.create(
+            () -> {
+              Watch watch = opened.get();
+              if (watch != null) {
+                watch.close();
+              }
+            });
+    if (store.faults().outage() == StoreFaults.Outage.REFUSING) {
+      Connections.reset(ctx);
+      return;
+    }
+    if (!isSilent()) {
+      stream.push(frame(new EtcdMessages.WatchResponse(null, true, false, 0, null)));
+    }
+    opened.set(store.watch(range, after, new StreamingListener(stream)));
+    ctx.render(ResponseChunks.bufferChunks("application/json", stream));
+  }
+
+  /** Writes what a watch hears into its stream. */
+  private record StreamingListener(PushStream stream) implements WatchListener {
+    @Override
+    public void onChanges(Revision revision, List<Entry> puts, List<String> deletes) {
+      List<EtcdMessages.WatchEvent> events = new ArrayList<>();
+      for (Entry put : puts) {
+        events.add(new EtcdMessages.WatchEvent(null, EtcdJson.messageOf(put)));
+      }
+      for (String key : deletes) {
+        var kv = new EtcdMessages.KeyValue(EtcdJson.bytesOf(key), 0, revision.value(), null, 0);
+        events.add(new EtcdMessages.WatchEvent(EtcdMessages.EVENT_DELETE, kv));
+      }
+      EtcdMessages.Header header = TxnForm.headerOf(revision);
+      stream.push(frame(new EtcdMessages.WatchResponse(header, false, false, 0, events)));
+    }
+
+    @Override
+    public void onBroken(StoreFailure failure) {
+      stream.push(frame(new EtcdMessages.WatchResponse(null, false, true, 0, null)));
+      stream.complete();
+    }
+  }
+
+  private <T> void answer(
+      Context ctx, CompletableFuture<Either<StoreFailure, T>> future, Function<T, Object> form) {
+    then(future, result -> finish(ctx, result, form));
+  }
+
+  private <T> void finish(Context ctx, Either<StoreFailure, T> result, Function<T, Object> form) {
+    result.peekLeft(failure -> fail(ctx, failure)).peek(value -> send(ctx, form.apply(value)));
+  }
+
+  private void fail(Context ctx, StoreFailure failure) {
+    switch (failure.kind()) {
+      case RATE_LIMITED -> refuse(ctx, STATUS_TOO_MANY, failure.message());
+      case LEASE_GONE -> refuse(ctx, STATUS_NOT_FOUND, failure.message());
+      case REFUSED -> refuse(ctx, STATUS_BAD_REQUEST, failure.message());
+      default -> {
+        if (isSilent()) {
+          Answers.hang();
+        } else {
+          Connections.reset(ctx);
+        }
+      }
+    }
+  }
+
+  private boolean isSilent() {
+    return store.faults().outage() == StoreFaults.Outage.SILENT;
+  }
+
+  private EtcdMessages.LeaseResponse messageOf(Lease lease) {
+    Duration left = lease.deadline().remaining(clock.instant());
+    long seconds = Math.max(1, (left.toMillis() + 999) / 1000);
+    return new EtcdMessages.LeaseResponse(null, lease.id().value(), seconds);
+  }
+
+  private static Object messageOf(Snapshot snapshot) {
+    List<EtcdMessages.KeyValue> kvs = snapshot.entries().stream().map(EtcdJson::messageOf).toList();
+    return new EtcdMessages.RangeResponse(TxnForm.headerOf(snapshot.revision()), kvs);
+  }
+
+  private static KeyRange rangeOf(byte[] key, byte[] rangeEnd) {
+    String text = EtcdJson.keyOf(key);
+    return rangeEnd == null ? KeyRange.ofKey(text) : KeyRange.ofPrefix(text);
+  }
+
+  private static <T> void then(CompletableFuture<T> future, Consumer<T> action) {
+    Promise.<T>async(downstream -> downstream.accept(future)).then(action::accept);
+  }
+
+  private static void send(Context ctx, Object message) {
+    Answers.send(ctx, 200, EtcdJson.write(message));
+  }
+
+  private static void refuse(Context ctx, int status, String message) {
+    int code =
+        switch (status) {
+          case STATUS_TOO_MANY -> GRPC_RESOURCE_EXHAUSTED;
+          case STATUS_NOT_FOUND -> GRPC_NOT_FOUND;
+          default -> GRPC_INVALID_ARGUMENT;
+        };
+    var error = new EtcdMessages.ErrorMessage(message, code, message);
+    Answers.send(ctx, status, EtcdJson.write(error));
+  }
+
+  private static String frame(EtcdMessages.WatchResponse response) {
+    return EtcdJson.write(new EtcdMessages.WatchFrame(response)) + "\n";
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/TxnForm.java
@@ -0,0 +1,65 @@
+package org.waxwingcourse.standin.platform;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.platform.etcd.EtcdJson;
+import org.waxwingcourse.platform.etcd.EtcdMessages;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.WriteOutcome;
+
+/** Reads transactions from etcd's form and writes their answers. */
+final class TxnForm {
+  private TxnForm() {}
+
+  static Either<String, Transaction> read(EtcdMessages.TxnRequest request) {
+    Transaction.Builder builder = Transaction.builder();
+    for (EtcdMessages.CompareMessage compare : request.compare()) {
+      if (!EtcdMessages.TARGET_MOD.equals(compare.target())
+          || !EtcdMessages.RESULT_EQUAL.equals(compare.result())) {
+        return Either.left("the stand-in compares only MOD with EQUAL");
+      }
+      builder.unchanged(EtcdJson.keyOf(compare.key()), Revision.of(compare.modRevision()));
+    }
+    for (EtcdMessages.Operation operation : request.success()) {
+      if (operation.requestPut() != null) {
+        EtcdMessages.PutRequest put = operation.requestPut();
+        byte[] value = put.value() == null ? new byte[0] : put.value();
+        builder.put(EtcdJson.keyOf(put.key()), value, LeaseId.of(put.lease()));
+      } else if (operation.requestDeleteRange() != null) {
+        builder.delete(EtcdJson.keyOf(operation.requestDeleteRange().key()));
+      } else {
+        return Either.left("the stand-in takes only puts and deletes on success");
+      }
+    }
+    return Either.right(builder.build());
+  }
+
+  static EtcdMessages.TxnResponse done(WriteOutcome.Done done) {
+    return new EtcdMessages.TxnResponse(headerOf(done.revision()), true, List.of());
+  }
+
+  static EtcdMessages.TxnResponse lost(WriteOutcome.Lost lost, List<EtcdMessages.Operation> reads) {
+    EtcdMessages.Header header = headerOf(lost.revision());
+    List<EtcdMessages.OperationResponse> responses =
+        reads.stream()
+            .filter(read -> read.requestRange() != null)
+            .map(read -> rangeOf(header, lost.current(), read.requestRange()))
+            .toList();
+    return new EtcdMessages.TxnResponse(header, false, responses);
+  }
+
+  static EtcdMessages.Header headerOf(Revision revision) {
+    return new EtcdMessages.Header(revision.value());
+  }
+
+  private static EtcdMessages.OperationResponse rangeOf(
+      EtcdMessages.Header header, List<Entry> current, EtcdMessages.RangeRequest read) {
+    String key = EtcdJson.keyOf(read.key());
+    List<EtcdMessages.KeyValue> found =
+        current.stream().filter(entry -> entry.key().equals(key)).map(EtcdJson::messageOf).toList();
+    return new EtcdMessages.OperationResponse(new EtcdMessages.RangeResponse(header, found));
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/waxwingcourse/standin/web/Connections.java
@@ -0,0 +1,90 @@
+package org.waxwingcourse.standin.web;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.AttributeKey;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import ratpack.handling.Context;
+
+/** The open connections of a stand-in, which can be reset or go silent for good. */
+public final class Connections {
+  private static final AttributeKey<Boolean> KNOWN = AttributeKey.valueOf("waxwing.known");
+
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Duration oneWayDelay;
+
+  Connections(Duration oneWayDelay) {
+    this.oneWayDelay = oneWayDelay;
+  }
+
+  /** Resets one connection without an answer. */
+  public static void reset(Context ctx) {
+    reset(channelOf(ctx));
+  }
+
+  /** Resets all open connections. */
+  public void resetAll() {
+    channels.forEach(Connections::reset);
+  }
+
+  /** Makes the connections open now swallow all that is sent either way. */
+  public void silenceAll() {
+    channels.forEach(channel -> channel.pipeline().addFirst(new Silence()));
+  }
+
+  void note(Context ctx) {
+    Channel channel = channelOf(ctx);
+    if (channel.attr(KNOWN).getAndSet(true) == null) {
+      channels.add(channel);
+      if (!oneWayDelay.isZero()) {
+        channel.pipeline().addFirst(new OutboundDelay(oneWayDelay));
+      }
+    }
+  }
+
+  private static Channel channelOf(Context ctx) {
+    return ctx.getDirectChannelAccess().getChannel();
+  }
+
+  private static void reset(Channel channel) {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.unsafe().closeForcibly();
+    channel.close();
+  }
+
+  private static final class Silence extends ChannelDuplexHandler {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      ReferenceCountUtil.release(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      ReferenceCountUtil.release(message);
+      promise.trySuccess();
+    }
+  }
+
+  private static final class OutboundDelay extends ChannelDuplexHandler {
+    private final Duration delay;
+
+    OutboundDelay(Duration delay) {
+      this.delay = delay;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      ctx.executor()
+          .schedule(
+              () -> ctx.writeAndFlush(message, promise), delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/waxwingcourse/standin/platform/EtcdStoreTest.java
@@ -0,0 +1,202 @@
+package org.waxwingcourse.standin.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.http.HttpCaller;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.time.MonotonicClock;
+import org.waxwingcourse.platform.etcd.EtcdOptions;
+import org.waxwingcourse.platform.etcd.EtcdStore;
+import org.waxwingcourse.platform.hosts.HostList;
+import org.waxwingcourse.platform.hosts.HttpHostList;
+import org.waxwingcourse.platform.hosts.ListedHost;
+import org.waxwingcourse.platform.hosts.ListedHostCodec;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.standin.store.StoreFaults;
+
+class EtcdStoreTest {
+  private static final KeyRange ALL = KeyRange.ofPrefix("/");
+  private static final long WAIT_SECONDS = 30;
+
+  private final MonotonicClock clock = MonotonicClock.start();
+  private final HttpCaller http = HttpCaller.of(clock, 2);
+  private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+  private PlatformStandIn platform;
+  private MemoryStore behind;
+
+  private final WatchListener listener =
+      new WatchListener() {
+        @Override
+        public void onChanges(Revision revision, List<Entry> puts, List<String> deletes) {
+          puts.forEach(put -> heard.add("put " + put.key()));
+          deletes.forEach(key -> heard.add("delete " + key));
+        }
+
+        @Override
+        public void onBroken(StoreFailure failure) {
+          heard.add("broken");
+        }
+      };
+
+  @BeforeEach
+  void start() {
+    platform = PlatformStandIn.start(new PlatformOptions(0, Duration.ZERO, 0, 0, Duration.ZERO));
+    behind = platform.store();
+    http.start();
+  }
+
+  @AfterEach
+  void stop() {
+    http.stop();
+    platform.stop();
+  }
+
+  @Test
+  void writesEndAsDoneOrLostWithTheCurrentEntries() {
+    EtcdStore store = store(platform.address());
+    assertThat(create(store, "/a")).isInstanceOf(WriteOutcome.Done.class);
+    WriteOutcome second = create(store, "/a");
+    assertThat(second).isInstanceOf(WriteOutcome.Lost.class);
+    Entry held = behind.peek(KeyRange.ofKey("/a")).first().get();
+    assertThat(((WriteOutcome.Lost) second).current()).containsExactly(held);
+    assertThat(store.read(ALL).join().get().entries()).containsExactly(held);
+  }
+
+  @Test
+  void unsentAndRefusedWritesAreNotSent() throws Exception {
+    URI closed;
+    try (ServerSocket socket = new ServerSocket()) {
+      socket.bind(new InetSocketAddress("127.0.0.1", 0));
+      closed = URI.create("http://127.0.0.1:" + socket.getLocalPort());
+    }
+    assertThat(create(store(closed), "/a")).isInstanceOf(WriteOutcome.NotSent.class);
+    assertThat(create(store(closed, platform.address()), "/a"))
+        .as("the next address is tried when nothing was sent")
+        .isInstanceOf(WriteOutcome.Done.class);
+    behind.setFaults(StoreFaults.NONE.withRates(0, 1));
+    EtcdStore store = store(platform.address());
+    create(store, "/b");
+    WriteOutcome limited = create(store, "/c");
+    assertThat(limited).isInstanceOf(WriteOutcome.NotSent.class);
+    assertThat(((WriteOutcome.NotSent) limited).failure().kind())
+        .isEqualTo(StoreFailure.Kind.RATE_LIMITED);
+  }
+
+  @Test
+  void answerLostAfterEffectIsUnknownAndSentOnce() {
+    EtcdStore store = store(platform.address(), platform.address());
+    behind.loseAnswers(1);
+    assertThat(create(store, "/a")).isInstanceOf(WriteOutcome.Unknown.class);
+    assertThat(behind.peek(ALL).first()).isPresent();
+    assertThat(behind.counts().writes()).isEqualTo(1);
+  }
+
+  @Test
+  void silentStoreIsUnknownByTheDeadline() {
+    EtcdOptions options =
+        new EtcdOptions(List.of(platform.address()), Duration.ofMillis(200), Duration.ofSeconds(5));
+    EtcdStore store = EtcdStore.of(http, clock, options);
+    behind.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.SILENT));
+    assertThat(create(store, "/a")).isInstanceOf(WriteOutcome.Unknown.class);
+    assertThat(store.read(ALL).join().getLeft().kind()).isEqualTo(StoreFailure.Kind.UNREACHABLE);
+  }
+
+  @Test
+  void watchHearsEachChangeOnceOverRenewalsAndReportsABreak() throws Exception {
+    EtcdOptions options =
+        new EtcdOptions(List.of(platform.address()), Duration.ofSeconds(5), Duration.ofMillis(100));
+    EtcdStore store = EtcdStore.of(http, clock, options);
+    create(store, "/0");
+    store.watch(ALL, Revision.NONE, listener);
+    assertThat(next()).isEqualTo("put /0");
+    for (int i = 1; i <= 3; i++) {
+      awaitWatches(behind.counts().watches() + 1);
+      create(store, "/" + i);
+      assertThat(next()).isEqualTo("put /" + i);
+    }
+    behind.write(Transaction.builder().delete("/0").build());
+    assertThat(next()).isEqualTo("delete /0");
+    behind.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    assertThat(next()).isEqualTo("broken");
+    assertThat(heard).isEmpty();
+  }
+
+  @Test
+  void leaseDeadlineIsCountedFromBeforeTheCallAndALapsedLeaseIsGone() throws Exception {
+    EtcdStore store = store(platform.address());
+    behind.setFaults(StoreFaults.NONE.withDelay(Duration.ofMillis(300)));
+    Instant before = clock.instant();
+    Lease lease = store.grantLease(Duration.ofSeconds(1)).join().get();
+    assertThat(lease.deadline().at()).isBefore(clock.instant().plusMillis(701));
+    assertThat(lease.deadline().at()).isAfterOrEqualTo(before.plusSeconds(1));
+    behind.setFaults(StoreFaults.NONE);
+    byte[] none = new byte[0];
+    behind.write(Transaction.builder().put("/l", none, lease.id()).build());
+    behind.watch(ALL, Revision.NONE, listener);
+    assertThat(next()).isEqualTo("put /l");
+    assertThat(next()).isEqualTo("delete /l");
+    assertThat(store.renewLease(lease.id()).join().getLeft().kind())
+        .isEqualTo(StoreFailure.Kind.LEASE_GONE);
+    assertThat(store.write(Transaction.builder().put("/m", none, lease.id()).build()).join())
+        .isInstanceOf(WriteOutcome.NotSent.class);
+  }
+
+  @Test
+  void hostListShowsRegisteredHosts() throws Exception {
+    ListedHost host =
+        new ListedHost(
+            HostId.of("a"),
+            DataCentreId.of("cairo"),
+            URI.create("http://127.0.0.1:1"),
+            InetSocketAddress.createUnresolved("127.0.0.1", 2),
+            ListedHost.State.LIVE);
+    String value = ListedHostCodec.write(host);
+    behind.write(Transaction.builder().put(HostList.KEY_PREFIX + "a", value).build());
+    HostList list = HttpHostList.of(http, clock, platform.address());
+    Instant end = clock.instant().plusSeconds(WAIT_SECONDS);
+    while (list.hosts().join().get().isEmpty() && clock.instant().isBefore(end)) {
+      Thread.onSpinWait();
+    }
+    assertThat(list.hosts().join().get()).containsExactly(host);
+  }
+
+  private EtcdStore store(URI... addresses) {
+    return EtcdStore.of(http, clock, EtcdOptions.of(List.of(addresses)));
+  }
+
+  private static WriteOutcome create(EtcdStore store, String key) {
+    return store.write(Transaction.builder().absent(key).put(key, "v").build()).join();
+  }
+
+  private String next() throws InterruptedException {
+    return heard.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private void awaitWatches(long count) {
+    Instant end = clock.instant().plusSeconds(WAIT_SECONDS);
+    while (behind.counts().watches() < count && clock.instant().isBefore(end)) {
+      Thread.onSpinWait();
+    }
+  }
+}
