Agreement on versions, evidence that they are current, and trust in keys

Cause: a withdrawn key must stop within 5 s on hosts that cannot know of it, and an accepted configuration must be in force everywhere within 7 s and never revert. Ruled out: trust without a deadline (a cut host serves a withdrawn key for ever); evidence from the store alone (a store outage ends all keyed traffic after 4 s); evidence from any peer (two cut hosts extend each other for ever); ages counted from the arrival of an answer (a chain of hosts renews itself). Conclusion: pull gossip, evidence as an age counted from the ask, a majority of the stored roster in place of the store while it is out.

--- /dev/null
+++ b/policy/src/main/java/org/waxwingcourse/policy/trust/TrustPort.java
@@ -0,0 +1,20 @@
+package org.waxwingcourse.policy.trust;
+
+import java.util.List;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
+
+/** What the agreement of versions needs from outside. No call blocks. */
+public interface TrustPort {
+  /** Sends a message, which may be lost, doubled or late. */
+  void send(HostId to, TrustMessage message);
+
+  /** Reads both heads from the store; the result goes to {@link Agreement#onHeads}. */
+  void readHeads();
+
+  /** Reads both documents from the store and offers them to the followers. */
+  void readDocuments();
+
+  /** Replaces the roster by compare-and-swap. */
+  void writeRoster(Revision expected, List<Holder> holders);
+}
