Transport between hosts: proven TCP connections, heartbeats, bounded backlog

Cause: hosts must take no frames from strangers and must find connections that go silent. One connection for each direction, opened by the sender; ruled out: one per pair (both ends dial at once and must agree which to keep). Heartbeats follow traffic, so an idle connection costs nothing.

--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -18,6 +18,19 @@
   CONFIGURATION_UNREADABLE(201, Level.ERROR, "configuration entry \"{}\" cannot be read: {}"),
   // 300: rates
   // 400: membership and connections between hosts
+  PEER_REFUSED(400, Level.WARN, "connection from {} is cut: it {}"),
+  PEER_SILENT(401, Level.WARN, "connection to host \"{}\" went silent and is replaced"),
+  PEER_CONNECTION_BROKEN(402, Level.WARN, "connection with host \"{}\" is cut: {}"),
+  PEER_MESSAGE_REFUSED(403, Level.ERROR, "{} message to host \"{}\" of {} bytes is not sent"),
+  PEER_MESSAGE_FAILED(404, Level.ERROR, "message on channel {} from host \"{}\" failed: {}"),
+  MEMBER_JOINED(410, Level.INFO, "host \"{}\" is alive, incarnation {}"),
+  MEMBER_SUSPECTED(411, Level.WARN, "host \"{}\" is suspected, incarnation {}"),
+  MEMBER_LEAVING(412, Level.INFO, "host \"{}\" leaves, incarnation {}"),
+  MEMBER_DEAD(413, Level.WARN, "host \"{}\" is dead, incarnation {}"),
+  MEMBER_REFUTED(414, Level.WARN, "this host was thought {} and refutes with incarnation {}"),
+  MEMBER_PAUSED(415, Level.WARN, "this host stood still for {} ms"),
+  STOP_PHASE(420, Level.INFO, "planned stop is in phase {}"),
+  STOP_CUT(421, Level.ERROR, "planned stop ends by its deadline with {} requests in flight"),
   // 500: dispatch, engines and plain services
   // 600: batch jobs
   // 700: platform store
--- /dev/null
+++ b/peer/src/main/java/org/waxwingcourse/peer/HandlerTable.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.peer;
+
+import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
+
+/** The handler of each channel. Messages of a channel without one are dropped. */
+final class HandlerTable {
+  private static final EventLog LOG = EventLog.of(HandlerTable.class);
+  private static final int SIZE =
+      1 + Arrays.stream(Channel.values()).mapToInt(Channel::number).max().orElseThrow();
+
+  private final AtomicReferenceArray<PeerHandler> handlers = new AtomicReferenceArray<>(SIZE);
+
+  void put(Channel channel, PeerHandler handler) {
+    handlers.set(channel.number(), handler);
+  }
+
+  /** Hands a message over; a handler's exception is logged and ends nothing else. */
+  void deliver(HostId from, int channel, byte[] payload) {
+    PeerHandler handler = channel > 0 && channel < SIZE ? handlers.get(channel) : null;
+    if (handler == null) {
+      return;
+    }
+    try {
+      handler.onMessage(from, payload);
+    } catch (RuntimeException e) {
+      LOG.write(Event.PEER_MESSAGE_FAILED, channel, from, e.toString());
+    }
+  }
+}
