Batch jobs: accept, claim, run, commit, read and cancel over the store

A job is create-if-absent on organisation and key; a chunk's claim hangs on the host's one lease; its commit is one compare-and-swap over the claim's revision and the manifest's revision and is the only thing that makes results exist. Items that may not be repeated are sent in waves, each under a stored mark. A write whose answer was lost is sent again as it was, and the entry it loses to tells whether it was ours.

Ruled out: progress counted in the manifest (commits side by side would race); results read before the commit; a lease per chunk (350 hosts renewing each).

--- /dev/null
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs as callers and operators see them: accept, read, list, cancel, results. */
+package org.waxwingcourse.batch.job;
--- /dev/null
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -0,0 +1,242 @@
+package org.waxwingcourse.batch.run;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.waxwingcourse.batch.job.Jobs;
+import org.waxwingcourse.batch.job.Results;
+import org.waxwingcourse.batch.store.StoreCalls;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.request.Admission;
+import org.waxwingcourse.model.request.Dispatcher;
+import org.waxwingcourse.model.service.Service;
+import org.waxwingcourse.policy.batch.Backoff;
+
+/**
+ * Runs batch work on one host. One thread talks to the store; items are sent and answered on the
+ * dispatcher's threads. After a failure of the store the thread comes back by backoff with jitter,
+ * while items that are held go on for as long as the lease does.
+ */
+public final class BatchRunner implements Service {
+  private static final EventLog LOG = EventLog.of(BatchRunner.class);
+  private static final Backoff STORE_BACKOFF =
+      new Backoff(Duration.ofSeconds(2), Duration.ofSeconds(30));
+  private static final Duration IDLE = Duration.ofSeconds(5);
+  private static final Duration BUSY = Duration.ofSeconds(1);
+
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final LeaseKeeper lease;
+  private final LiveJobs live;
+  private final ItemPump pump;
+  private final HeldChunks held;
+  private final WorkFinder finder;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition wake = lock.newCondition();
+  private Instant storeRetryAt = Instant.MIN;
+  private int storeFailures;
+  private boolean woken;
+  private boolean stopping;
+  private Thread thread;
+
+  /**
+   * What the runner works with.
+   *
+   * @param host this host
+   * @param calls calls to the store with the runner's own budget
+   * @param dispatcher runs items
+   * @param admission holds organisations to their rates
+   * @param clock gives the time
+   * @param random gives jitter and starting points
+   * @param mostTries tries of an item as now configured
+   * @param settings how much is held at once
+   */
+  public record Parts(
+      HostId host,
+      StoreCalls calls,
+      Dispatcher dispatcher,
+      Admission admission,
+      InstantSource clock,
+      RandomGenerator random,
+      IntSupplier mostTries,
+      RunSettings settings) {}
+
+  /** Creates a runner that holds nothing. */
+  public BatchRunner(Parts parts) {
+    this.clock = parts.clock();
+    this.random = parts.random();
+    StoreCalls calls = parts.calls();
+    RunSettings settings = parts.settings();
+    this.lease = new LeaseKeeper(calls.store(), clock, settings.leaseTime());
+    this.live = new LiveJobs(calls, clock, this::onJobsChanged);
+    this.pump = new ItemPump(parts.dispatcher(), parts.admission(), clock, settings, this::wakeUp);
+    Claims claims = new Claims(calls, parts.host(), () -> UUID.randomUUID().toString());
+    Results results = new Results(calls);
+    this.held = new HeldChunks(claims, results, pump, live, clock, settings, parts.mostTries());
+    this.finder =
+        new WorkFinder(
+            new Jobs(calls, clock), claims, held, live, parts.host(), clock, random, settings);
+  }
+
+  @Override
+  public void start() {
+    lock.lock();
+    try {
+      if (thread == null) {
+        thread = new Thread(this::run, "batch-runner");
+        thread.setDaemon(true);
+        thread.start();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Stops sending, and gives all claims back so that other hosts go on at once. */
+  @Override
+  public void stop() {
+    Thread running;
+    lock.lock();
+    try {
+      running = thread;
+      thread = null;
+      stopping = true;
+      wake.signalAll();
+    } finally {
+      lock.unlock();
+    }
+    if (running != null) {
+      joinQuietly(running);
+      close(live);
+    }
+  }
+
+  private void close(LiveJobs jobs) {
+    pump.runs().forEach(ChunkRun::stop);
+    jobs.close();
+    lease.release();
+  }
+
+  private static void joinQuietly(Thread running) {
+    try {
+      running.join(TimeUnit.SECONDS.toMillis(10));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    while (!isStopping()) {
+      Duration wait;
+      try {
+        wait = step();
+      } catch (RuntimeException e) {
+        LOG.write(Event.BROKEN_INVARIANT, "batch runner: " + e);
+        wait = IDLE;
+      }
+      await(wait);
+    }
+  }
+
+  private boolean isStopping() {
+    lock.lock();
+    try {
+      return stopping;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void await(Duration wait) {
+    lock.lock();
+    try {
+      long left = wait.toNanos();
+      while (!woken && !stopping && left > 0) {
+        left = wake.awaitNanos(left);
+      }
+      woken = false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void wakeUp() {
+    lock.lock();
+    try {
+      woken = true;
+      wake.signalAll();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Stops the chunks of a cancelled job on the thread of the watch, without waiting for a step. */
+  private void onJobsChanged() {
+    for (ChunkRun run : pump.runs()) {
+      Claim claim = run.claim();
+      boolean inForce =
+          live.find(run.job().id()).exists(j -> j.revision().equals(claim.job().revision()));
+      if (!inForce) {
+        run.stop();
+      }
+    }
+    wakeUp();
+  }
+
+  /** Does all that can be done now; returns how long nothing more is expected to be due. */
+  public Duration step() {
+    held.check(clock.instant());
+    if (!clock.instant().isBefore(storeRetryAt)) {
+      boolean answered = talkToStore();
+      noteStore(answered);
+    }
+    pump.pump();
+    return held.size() > 0 ? BUSY : IDLE;
+  }
+
+  private void noteStore(boolean answered) {
+    if (answered) {
+      storeFailures = 0;
+      return;
+    }
+    storeFailures++;
+    Duration wait = STORE_BACKOFF.wait(storeFailures, random);
+    storeRetryAt = clock.instant().plus(wait);
+    LOG.write(Event.BATCH_STORE_WAIT, wait, held.size());
+  }
+
+  private boolean talkToStore() {
+    if (!live.refresh()) {
+      return false;
+    }
+    if (held.size() == 0 && live.jobs().isEmpty()) {
+      return true;
+    }
+    Option<LeaseTerm> term = lease.keep();
+    if (term.isEmpty()) {
+      return false;
+    }
+    Either<HeldChunks.Step, List<JobId>> gone = held.advance(term.get());
+    gone.forEach(jobs -> jobs.forEach(finder::lookAgain));
+    return gone.isRight() && finder.claimMore(term.get()) && loadNew(term.get());
+  }
+
+  /** Loads what was just claimed, so that its items are sent in this step. */
+  private boolean loadNew(LeaseTerm term) {
+    return held.advance(term).isRight();
+  }
+}
--- /dev/null
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunk.java
@@ -0,0 +1,17 @@
+package org.waxwingcourse.batch.run;
+
+import io.vavr.control.Option;
+
+/** A chunk that this host holds; its items are loaded after the claim. Used by one thread. */
+final class HeldChunk {
+  Claim claim;
+  Option<ChunkRun> run = Option.none();
+
+  HeldChunk(Claim claim) {
+    this.claim = claim;
+  }
+
+  boolean is(org.waxwingcourse.model.id.JobId job, int chunk) {
+    return claim.job().job().id().equals(job) && claim.chunk() == chunk;
+  }
+}
--- /dev/null
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -0,0 +1,191 @@
+package org.waxwingcourse.batch.run;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.waxwingcourse.batch.intake.BatchItem;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.request.Admission;
+import org.waxwingcourse.model.request.AnswerListener;
+import org.waxwingcourse.model.request.Dispatcher;
+import org.waxwingcourse.model.request.InferenceRequest;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.WorkClass;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.policy.batch.JobOrder;
+import org.waxwingcourse.policy.batch.JobProgress;
+
+/**
+ * Sends items of the chunks that this host holds, in the order of {@link JobOrder}, inside their
+ * organisations' rates and a bound on items in flight. Any thread may call it; one sends at a time.
+ */
+final class ItemPump {
+  private final Dispatcher dispatcher;
+  private final Admission admission;
+  private final InstantSource clock;
+  private final RunSettings settings;
+  private final Runnable onProgress;
+  private final JobOrder order = new JobOrder(1);
+  private final List<ChunkRun> runs = new CopyOnWriteArrayList<>();
+  private final AtomicInteger requests = new AtomicInteger();
+
+  ItemPump(
+      Dispatcher dispatcher,
+      Admission admission,
+      InstantSource clock,
+      RunSettings settings,
+      Runnable onProgress) {
+    this.dispatcher = dispatcher;
+    this.admission = admission;
+    this.clock = clock;
+    this.settings = settings;
+    this.onProgress = onProgress;
+  }
+
+  void add(ChunkRun run) {
+    runs.add(run);
+  }
+
+  void remove(ChunkRun run) {
+    runs.remove(run);
+  }
+
+  Collection<ChunkRun> runs() {
+    return runs;
+  }
+
+  /** Sends what may be sent now. A call while another thread is at it makes that one look again. */
+  void pump() {
+    if (requests.getAndIncrement() != 0) {
+      return;
+    }
+    int missed = 1;
+    while (missed != 0) {
+      sendAll();
+      missed = requests.addAndGet(-missed);
+    }
+  }
+
+  private void sendAll() {
+    boolean more = true;
+    while (more) {
+      more = sendOne();
+    }
+  }
+
+  private boolean sendOne() {
+    int active = runs.stream().mapToInt(ChunkRun::active).sum();
+    if (active >= settings.itemsInFlight()) {
+      return false;
+    }
+    Instant now = clock.instant();
+    Map<JobId, ChunkRun> ready = new HashMap<>();
+    for (ChunkRun run : runs) {
+      if (run.ready(now).isPresent()) {
+        ready.putIfAbsent(run.job().id(), run);
+      }
+    }
+    List<JobProgress> jobs =
+        ready.values().stream().map(r -> r.job().progress(r.job().counts(), 0, 0)).toList();
+    return order.next(jobs, 1, now).map(j -> send(ready.get(j.job()), now)).orElse(false);
+  }
+
+  private boolean send(ChunkRun run, Instant now) {
+    int i = run.ready(now).orElse(-1);
+    if (i < 0) {
+      return true;
+    }
+    Deadline giveUp = Deadline.at(now.plus(settings.itemTimeout())).earlier(run.job().due());
+    int attempt = run.begin(i, giveUp);
+    admission
+        .admit(run.job().organisation(), giveUp)
+        .whenComplete(
+            (refusal, failure) -> {
+              if (failure != null) {
+                finish(run, i, attempt, new Outcome.Unknown("admission failed: " + failure), 0, "");
+              } else if (refusal.isDefined()) {
+                finish(run, i, attempt, new Outcome.Refused(refusal.get()), 0, "");
+              } else {
+                submit(run, i, attempt, giveUp);
+              }
+            });
+    return true;
+  }
+
+  private void submit(ChunkRun run, int i, int attempt, Deadline giveUp) {
+    if (!run.maySend(i, attempt, clock.instant())) {
+      return;
+    }
+    BatchItem item = run.item(i);
+    InferenceRequest request =
+        new InferenceRequest(
+            RequestId.of("batch-" + UUID.randomUUID()),
+            run.job().organisation(),
+            item.model(),
+            WorkClass.BATCH,
+            item.body(),
+            false,
+            item.promptPrefix(),
+            giveUp);
+    run.sent(i, attempt, dispatcher.submit(request, new Answer(run, i, attempt)));
+  }
+
+  private void finish(ChunkRun run, int i, int attempt, Outcome outcome, int status, String body) {
+    run.ended(i, attempt, outcome, status, body, clock.instant());
+    pump();
+    if (run.finished() || run.awaitsMark() || run.quiet()) {
+      onProgress.run();
+    }
+  }
+
+  /** Collects the answer to one attempt. */
+  private final class Answer implements AnswerListener {
+    private final ChunkRun run;
+    private final int item;
+    private final int attempt;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private boolean tooLarge;
+
+    Answer(ChunkRun run, int item, int attempt) {
+      this.run = run;
+      this.item = item;
+      this.attempt = attempt;
+    }
+
+    @Override
+    public synchronized void onStart(int newStatus, String contentType) {
+      status = newStatus;
+    }
+
+    @Override
+    public synchronized void onChunk(byte[] bytes) {
+      tooLarge |= body.size() + bytes.length > settings.maxAnswerBytes();
+      if (!tooLarge) {
+        body.writeBytes(bytes);
+      }
+    }
+
+    @Override
+    public void onEnd(Outcome outcome) {
+      Outcome end = outcome;
+      String text;
+      synchronized (this) {
+        text = body.toString(StandardCharsets.UTF_8);
+        if (tooLarge && outcome instanceof Outcome.Done) {
+          end = new Outcome.Failed(413, "the answer exceeds " + settings.maxAnswerBytes() + " B");
+        }
+      }
+      finish(run, item, attempt, end, status, text);
+    }
+  }
+}
--- /dev/null
+++ b/batch/src/main/java/org/waxwingcourse/batch/store/Pause.java
@@ -0,0 +1,23 @@
+package org.waxwingcourse.batch.store;
+
+import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
+
+/** Lets the calling thread wait. */
+@FunctionalInterface
+public interface Pause {
+  /** Returns after {@code duration}, or early if the thread is interrupted. */
+  void await(Duration duration);
+
+  /** Returns the pause that parks the thread. */
+  static Pause parking() {
+    return duration -> {
+      long end = System.nanoTime() + duration.toNanos();
+      long left = duration.toNanos();
+      while (left > 0 && !Thread.currentThread().isInterrupted()) {
+        LockSupport.parkNanos(left);
+        left = end - System.nanoTime();
+      }
+    };
+  }
+}
--- /dev/null
+++ b/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
@@ -0,0 +1,107 @@
+package org.waxwingcourse.batch;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.platform.store.Snapshot;
+import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.Watch;
+import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.platform.store.WriteOutcome;
+
+/** One host's way to the store; the host dies at its n-th call, before or after the effect. */
+final class KillableStore implements Store {
+  private final Store store;
+  private final boolean afterEffect;
+  private int callsLeft;
+  private boolean dead;
+
+  KillableStore(Store store, int killAtCall, boolean afterEffect) {
+    this.store = store;
+    this.callsLeft = killAtCall;
+    this.afterEffect = afterEffect;
+  }
+
+  boolean isDead() {
+    return dead;
+  }
+
+  void kill() {
+    dead = true;
+  }
+
+  private <T> T call(Supplier<T> action) {
+    callsLeft--;
+    if (dead || callsLeft == 0 && !afterEffect) {
+      dead = true;
+      throw new HostKilled();
+    }
+    T answer = action.get();
+    if (callsLeft == 0) {
+      dead = true;
+      throw new HostKilled();
+    }
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, Snapshot>> read(KeyRange range) {
+    return call(() -> store.read(range));
+  }
+
+  @Override
+  public CompletableFuture<WriteOutcome> write(Transaction transaction) {
+    return call(() -> store.write(transaction));
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, Lease>> grantLease(Duration timeToLive) {
+    return call(() -> store.grantLease(timeToLive));
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, Lease>> renewLease(LeaseId lease) {
+    return call(() -> store.renewLease(lease));
+  }
+
+  @Override
+  public CompletableFuture<Either<StoreFailure, LeaseId>> revokeLease(LeaseId lease) {
+    return call(() -> store.revokeLease(lease));
+  }
+
+  @Override
+  public Watch watch(KeyRange range, Revision after, WatchListener listener) {
+    return call(() -> store.watch(range, after, new WhileAlive(listener)));
+  }
+
+  private final class WhileAlive implements WatchListener {
+    private final WatchListener listener;
+
+    WhileAlive(WatchListener listener) {
+      this.listener = listener;
+    }
+
+    @Override
+    public void onChanges(Revision revision, List<Entry> puts, List<String> deletes) {
+      if (!dead) {
+        listener.onChanges(revision, puts, deletes);
+      }
+    }
+
+    @Override
+    public void onBroken(StoreFailure failure) {
+      if (!dead) {
+        listener.onBroken(failure);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/batch/src/test/java/org/waxwingcourse/batch/World.java
@@ -0,0 +1,195 @@
+package org.waxwingcourse.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.waxwingcourse.batch.intake.Upload;
+import org.waxwingcourse.batch.intake.UploadLimits;
+import org.waxwingcourse.batch.job.Jobs;
+import org.waxwingcourse.batch.job.NewJob;
+import org.waxwingcourse.batch.job.Results;
+import org.waxwingcourse.batch.record.BatchFile;
+import org.waxwingcourse.batch.record.Job;
+import org.waxwingcourse.batch.run.BatchRunner;
+import org.waxwingcourse.batch.run.RunSettings;
+import org.waxwingcourse.batch.store.StoreCalls;
+import org.waxwingcourse.model.id.FileId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.ModelName;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.standin.store.MemoryStore;
+
+/** Hosts, a store and an engine on one thread and one clock; the same seed gives the same run. */
+final class World {
+  static final OrganisationId ORGANISATION = OrganisationId.of("diwan_a");
+  static final RunSettings SETTINGS =
+      new RunSettings(
+          2,
+          8,
+          Duration.ofSeconds(120),
+          Duration.ofSeconds(30),
+          Duration.ofSeconds(60),
+          10_000,
+          50_000,
+          4);
+  static final int CHUNK_ITEMS = 8;
+  static final int NEVER = Integer.MAX_VALUE;
+  private static final UploadLimits LIMITS = new UploadLimits(1 << 26, 200_000, CHUNK_ITEMS, 4000);
+
+  final ManualClock clock = ManualClock.at(Instant.parse("2026-01-01T00:00:00Z"));
+  final MemoryStore store = MemoryStore.of(clock);
+  final FakeEngine engine = new FakeEngine();
+  final History history = new History();
+  final Random random;
+  private int uploads;
+
+  World(long seed) {
+    random = new Random(seed);
+  }
+
+  /** One host; everything in it dies with its store. */
+  final class Host {
+    final KillableStore way;
+    final Jobs jobs;
+    final Results results;
+    final StoreCalls calls;
+    final BatchRunner runner;
+
+    Host(String name, int killAtCall, boolean afterEffect, RunSettings settings) {
+      way = new KillableStore(store, killAtCall, afterEffect);
+      calls = new StoreCalls(way, clock, random, World.this::advance);
+      jobs = new Jobs(calls, clock);
+      results = new Results(calls);
+      runner =
+          new BatchRunner(
+              new BatchRunner.Parts(
+                  HostId.of(name),
+                  calls,
+                  engine.dispatcherOf(way::isDead),
+                  (o, d) -> CompletableFuture.completedFuture(Option.none()),
+                  clock,
+                  random,
+                  () -> 3,
+                  settings));
+    }
+
+    /** Takes a step; false if the host is dead or dies in it. */
+    boolean step() {
+      if (way.isDead()) {
+        return false;
+      }
+      try {
+        runner.step();
+        return true;
+      } catch (HostKilled e) {
+        return false;
+      }
+    }
+
+    Either<Outcome, BatchFile> upload(String text) {
+      uploads++;
+      Upload.Target target =
+          new Upload.Target(
+              FileId.of("file_" + ORGANISATION + "_" + uploads),
+              ORGANISATION,
+              "items.jsonl",
+              "upload-" + uploads);
+      Upload upload =
+          new Upload(calls, clock, target, Set.of(ModelName.of("organ-scribe")), LIMITS);
+      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+      for (int i = 0; i < bytes.length; i += 1000) {
+        upload.write(bytes, i, Math.min(1000, bytes.length - i));
+      }
+      return upload.finish();
+    }
+  }
+
+  Host host(String name) {
+    return host(name, NEVER, false);
+  }
+
+  Host host(String name, int killAtCall, boolean afterEffect) {
+    return new Host(name, killAtCall, afterEffect, SETTINGS);
+  }
+
+  void advance(Duration step) {
+    clock.advance(step);
+    store.tick();
+  }
+
+  static String lines(int from, int to) {
+    StringBuilder text = new StringBuilder();
+    for (int i = from; i < to; i++) {
+      text.append(line("item-" + i, "organ-scribe")).append('\n');
+    }
+    return text.toString();
+  }
+
+  static String line(String id, String model) {
+    return "{\"custom_id\":\""
+        + id
+        + "\",\"method\":\"POST\",\"url\":\"/v1/chat/completions\",\"body\":{\"model\":\""
+        + model
+        + "\",\"messages\":[{\"role\":\"user\",\"content\":\""
+        + id
+        + "\"}]}}";
+  }
+
+  static NewJob newJob(BatchFile file, boolean repeatable) {
+    return newJob(file, repeatable, "24h", Optional.of("key"));
+  }
+
+  static NewJob newJob(BatchFile file, boolean repeatable, String window, Optional<String> key) {
+    Map<String, String> metadata = repeatable ? Map.of() : Map.of("repeatable", "false");
+    return new NewJob(
+        ORGANISATION, new Job.JobSpec(file.id(), "/v1/chat/completions", window, metadata), key);
+  }
+
+  /** Uploads and creates a job on a host that stays alive. */
+  Job accepted(Host host, int items, boolean repeatable) {
+    BatchFile file = host.upload(lines(0, items)).get();
+    return host.jobs.create(newJob(file, repeatable)).get();
+  }
+
+  /** Reads all results from a host and checks them against what was read before. */
+  void observe(Host host, Job job) {
+    List<String> lines = new ArrayList<>();
+    for (int i = 0; i < job.input().chunks(); i++) {
+      lines.addAll(host.results.chunk(job, i, Results.SUCCEEDED).get());
+      lines.addAll(host.results.chunk(job, i, Results.FAILED).get());
+    }
+    history.read(lines);
+  }
+
+  /** Lets hosts run until the job has ended, as seen by an onlooker that reads all along. */
+  Job finish(Host onlooker, JobId id, List<Host> hosts) {
+    for (int i = 0; i < 2000; i++) {
+      hosts.forEach(Host::step);
+      engine.answerWaiting(5);
+      advance(Duration.ofSeconds(1 + random.nextInt(10)));
+      if (i % 5 == 0) {
+        observe(onlooker, onlooker.jobs.find(id).get().job());
+      }
+      Job job = onlooker.jobs.find(id).get().job();
+      if (job.state().ended()) {
+        observe(onlooker, job);
+        return job;
+      }
+    }
+    throw new AssertionError("job has not ended: " + assertThat(id));
+  }
+}
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -20,6 +20,10 @@
   // 400: membership and connections between hosts
   // 500: dispatch, engines and plain services
   // 600: batch jobs
+  BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" is {}"),
+  BATCH_CLAIM_LOST(601, Level.WARN, "chunk {} of job \"{}\" is no longer held under number {}"),
+  BATCH_STORE_WAIT(602, Level.WARN, "batch work waits {} for the store and holds {} chunks"),
+  BATCH_ENTRY_REMOVED(603, Level.INFO, "{} \"{}\" was removed after its retention deadline"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
