--- a/standin/src/main/java/org/waxwingcourse/standin/platform/EtcdFront.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/EtcdFront.java
@@ -136,6 +136,7 @@
     AtomicReference<Watch> opened = new AtomicReference<>();
     PushStream stream =
         PushStream.create(
+            ctx,
             () -> {
               Watch watch = opened.get();
               if (watch != null) {
--- a/standin/src/main/java/org/waxwingcourse/standin/web/Connections.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/web/Connections.java
@@ -56,7 +56,6 @@
 
   private static void reset(Channel channel) {
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.unsafe().closeForcibly();
     channel.close();
   }
 
--- a/standin/src/main/java/org/waxwingcourse/standin/web/PushStream.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/web/PushStream.java
@@ -9,6 +9,7 @@
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 import ratpack.exec.Execution;
+import ratpack.handling.Context;
 
 /**
  * A streamed body that any thread can add to. It is fed to its single subscriber on one event loop,
@@ -16,6 +17,7 @@
  */
 public final class PushStream implements Publisher<ByteBuf>, Subscription {
   private final EventLoop loop;
+  private final Context ctx;
   private final Runnable onCancelled;
   private final ArrayDeque<String> waiting = new ArrayDeque<>();
   private Subscriber<? super ByteBuf> subscriber;
@@ -23,18 +25,20 @@
   private boolean completed;
   private boolean ended;
 
-  private PushStream(EventLoop loop, Runnable onCancelled) {
+  private PushStream(EventLoop loop, Context ctx, Runnable onCancelled) {
     this.loop = loop;
+    this.ctx = ctx;
     this.onCancelled = onCancelled;
   }
 
   /**
    * Returns a stream on the event loop of the present execution.
    *
+   * @param ctx the request that the stream answers
    * @param onCancelled run once if the receiver goes away before the end
    */
-  public static PushStream create(Runnable onCancelled) {
-    return new PushStream(Execution.current().getEventLoop(), onCancelled);
+  public static PushStream create(Context ctx, Runnable onCancelled) {
+    return new PushStream(Execution.current().getEventLoop(), ctx, onCancelled);
   }
 
   /** Adds text. */
@@ -55,6 +59,17 @@
         });
   }
 
+  /** Resets the connection in the middle of the body; an error would end the body as whole. */
+  public void fail() {
+    loop.execute(
+        () -> {
+          if (!ended) {
+            ended = true;
+            Connections.reset(ctx);
+          }
+        });
+  }
+
   /** Called by the server on the event loop; it needs the subscription at once. */
   @Override
   public void subscribe(Subscriber<? super ByteBuf> newSubscriber) {
