--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -116,6 +116,20 @@
     assertThat(world.engine.started).isEqualTo(startedAtAnswer).isLessThan(80);
   }
 
+  @Test
+  void lateCommitLosesToTheCancel() {
+    world.engine.answersAtOnce = false;
+    World.Host a = world.host("a");
+    Job job = world.accepted(a, 40, true);
+    a.step();
+    world.store.setFaults(StoreFaults.NONE.withWatchSilent(true));
+    world.host("b").jobs.cancel(job.id());
+    world.engine.answerWaiting(50);
+    a.step();
+    world.observe(a, job);
+    assertThat(world.history.size()).as("results that came after the cancel").isZero();
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"REFUSING", "SILENT"})
   void heldWorkGoesOnInAnOutageAndAllIsCaughtUpWithoutBurst(String kind) {
--- a/batch/src/test/java/org/waxwingcourse/batch/KillTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/KillTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -50,6 +51,41 @@
         repeatable, after, lostAnswers, kills, again, unknown);
   }
 
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void eachItemHasOneResultWhereverTheHostIsPausedInACall(boolean repeatable) {
+    int pauses = 0;
+    for (int n = 1; n < 200; n++) {
+      World world = new World(n);
+      world.engine.answersAtOnce = n % 2 == 0;
+      World.Host b = world.host("b");
+      Job job = world.accepted(b, ITEMS, repeatable);
+      boolean[] paused = {false};
+      World.Host a = world.host("a", n, false);
+      a.way.pausingFor(
+          () -> {
+            paused[0] = true;
+            world.advance(Duration.ofSeconds(121));
+            for (int i = 0; i < 30; i++) {
+              b.step();
+              world.engine.answerWaiting(world.random.nextInt(9));
+              world.advance(Duration.ofSeconds(5));
+              world.observe(b, job);
+            }
+          });
+      world.finish(b, job.id(), List.of(a, b));
+      world.history.complete(ITEMS);
+      if (!repeatable) {
+        assertThat(world.engine.runs.values()).as("runs, paused at %d", n).allMatch(r -> r <= 1);
+      }
+      if (!paused[0]) {
+        break;
+      }
+      pauses++;
+    }
+    assertThat(pauses).isGreaterThan(15);
+  }
+
   /** The client sends again to the other host whenever it got no answer. */
   private Job acceptedDespiteKill(World world, World.Host a, World.Host b, boolean repeatable) {
     BatchFile file = null;
@@ -87,7 +123,7 @@
       Job ended = world.finish(runner, job.id(), List.of(runner, canceller));
       int started = world.engine.started;
       for (int i = 0; i < 20; i++) {
-        world.advance(java.time.Duration.ofSeconds(30));
+        world.advance(Duration.ofSeconds(30));
         runner.step();
         canceller.step();
       }
--- a/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
@@ -24,6 +24,7 @@
   private final boolean afterEffect;
   private int callsLeft;
   private boolean dead;
+  private Runnable pause;
 
   KillableStore(Store store, int killAtCall, boolean afterEffect) {
     this.store = store;
@@ -31,6 +32,12 @@
     this.afterEffect = afterEffect;
   }
 
+  /** Lets the host sleep inside its n-th call, before the effect, in place of dying there. */
+  KillableStore pausingFor(Runnable whatOthersDo) {
+    pause = whatOthersDo;
+    return this;
+  }
+
   boolean isDead() {
     return dead;
   }
@@ -41,6 +48,10 @@
 
   private <T> T call(Supplier<T> action) {
     callsLeft--;
+    if (callsLeft == 0 && pause != null) {
+      pause.run();
+      callsLeft = World.NEVER;
+    }
     if (dead || callsLeft == 0 && !afterEffect) {
       dead = true;
       throw new HostKilled();
