waxwing job and status

Cause: operators ask why a job is late and which host lags. Ruled out: reading jobs through a node; the store has all of them, and works while nodes do not. Conclusion: two commands.

--- a/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
@@ -4,7 +4,9 @@
 import org.waxwingcourse.cli.command.ApplyCommand;
 import org.waxwingcourse.cli.command.CheckCommand;
 import org.waxwingcourse.cli.command.DiffCommand;
+import org.waxwingcourse.cli.command.JobCommand;
 import org.waxwingcourse.cli.command.KeyCommand;
+import org.waxwingcourse.cli.command.StatusCommand;
 
 /** The program {@code waxwing}. */
 public final class WaxwingMain {
@@ -18,6 +20,12 @@
   }
 
   static List<Command> commands() {
-    return List.of(new CheckCommand(), new DiffCommand(), new ApplyCommand(), new KeyCommand());
+    return List.of(
+        new CheckCommand(),
+        new DiffCommand(),
+        new ApplyCommand(),
+        new StatusCommand(),
+        new KeyCommand(),
+        new JobCommand());
   }
 }
--- /dev/null
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/JobCommand.java
@@ -0,0 +1,124 @@
+package org.waxwingcourse.cli.command;
+
+import io.vavr.collection.List;
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.Random;
+import java.util.function.Function;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.waxwingcourse.batch.job.JobReader;
+import org.waxwingcourse.batch.job.Jobs;
+import org.waxwingcourse.batch.record.Job;
+import org.waxwingcourse.batch.store.Pause;
+import org.waxwingcourse.batch.store.StoreCalls;
+import org.waxwingcourse.cli.Command;
+import org.waxwingcourse.cli.ExitCode;
+import org.waxwingcourse.cli.Flags;
+import org.waxwingcourse.cli.StoreSession;
+import org.waxwingcourse.cli.Terminal;
+import org.waxwingcourse.model.fleet.FleetConfiguration;
+import org.waxwingcourse.model.fleet.Organisation;
+import org.waxwingcourse.model.fleet.Rate;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.platform.store.Store;
+
+/** {@code waxwing job}: lists batch jobs, shows one, cancels one, says why one is late. */
+public final class JobCommand implements Command {
+  private static final String VERBS = "\"list\", \"show\", \"cancel\" or \"why\"";
+
+  @Override
+  public String name() {
+    return "job";
+  }
+
+  @Override
+  public String arguments() {
+    return "list ORGANISATION | show JOB | cancel JOB | why JOB";
+  }
+
+  @Override
+  public String summary() {
+    return "list batch jobs, show or cancel one, or say why it is late";
+  }
+
+  @Override
+  public Options options() {
+    return new Options().addOption(Flags.store());
+  }
+
+  @Override
+  public ExitCode run(CommandLine line, List<String> arguments, Terminal terminal) {
+    if (arguments.size() != 2) {
+      return terminal.fail(ExitCode.USAGE, "give %s and a name", VERBS);
+    }
+    return StoreSession.run(
+        line, terminal, store -> run(arguments.get(0), arguments.get(1), store, terminal));
+  }
+
+  private static ExitCode run(String verb, String name, Store store, Terminal terminal) {
+    InstantSource clock = InstantSource.system();
+    StoreCalls calls = new StoreCalls(store, clock, new Random(), Pause.parking());
+    JobReader reader = new JobReader(new Jobs(calls, clock), clock);
+    return switch (verb) {
+      case "list" -> print(reader.list(OrganisationId.of(name)), JobCommand::lines, terminal);
+      case "show" -> print(reader.describe(JobId.of(name)), Function.identity(), terminal);
+      case "cancel" -> print(reader.cancel(JobId.of(name)), JobCommand::line, terminal);
+      case "why" -> print(why(reader, JobId.of(name), store), Function.identity(), terminal);
+      default -> terminal.fail(ExitCode.USAGE, "\"%s\" is not one of %s", verb, VERBS);
+    };
+  }
+
+  private static Either<Outcome, String> why(JobReader reader, JobId id, Store store) {
+    return reader
+        .show(id)
+        .flatMap(
+            job ->
+                rate(store, job.organisation())
+                    .mapLeft(message -> (Outcome) new Outcome.Unknown(message))
+                    .flatMap(rate -> reader.why(id, rate)));
+  }
+
+  private static Either<String, Rate> rate(Store store, OrganisationId organisation) {
+    return StoreSession.configuration(store)
+        .flatMap(
+            stored ->
+                stored
+                    .map(FleetConfiguration::organisations)
+                    .flatMap(all -> io.vavr.control.Option.of(all.get(organisation)))
+                    .map(Organisation::rate)
+                    .toEither("organisation \"" + organisation + "\" is not declared"));
+  }
+
+  private static <T> ExitCode print(
+      Either<Outcome, T> answer, Function<T, String> text, Terminal terminal) {
+    return answer.fold(
+        problem -> fail(problem, terminal),
+        value -> {
+          terminal.print("%s", text.apply(value));
+          return ExitCode.OK;
+        });
+  }
+
+  private static ExitCode fail(Outcome problem, Terminal terminal) {
+    if (problem instanceof Outcome.Refused refused) {
+      return terminal.fail(ExitCode.FAILED, "%s", refused.refusal().message());
+    }
+    if (problem instanceof Outcome.Unknown unknown) {
+      return terminal.fail(ExitCode.UNKNOWN, "%s", unknown.message());
+    }
+    return terminal.fail(ExitCode.FAILED, "%s", problem);
+  }
+
+  private static String lines(java.util.List<Job> jobs) {
+    return jobs.isEmpty()
+        ? "no jobs"
+        : String.join("\n", jobs.stream().map(JobCommand::line).toList());
+  }
+
+  private static String line(Job job) {
+    return "%s %s due %s".formatted(job.id(), job.state().wireName(), job.due().at());
+  }
+}
