--- a/standin/src/main/java/org/waxwingcourse/standin/StandIn.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/StandIn.java
@@ -2,84 +2,111 @@
 
 import java.time.Duration;
 import java.util.Arrays;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.Option;
-import org.apache.commons.cli.Options;
+import java.util.List;
 import org.apache.commons.cli.ParseException;
 import org.waxwingcourse.model.service.Service;
+import org.waxwingcourse.standin.engine.EngineOptions;
+import org.waxwingcourse.standin.engine.EngineStandIn;
+import org.waxwingcourse.standin.plain.ServiceOptions;
+import org.waxwingcourse.standin.plain.ServiceStandIn;
 import org.waxwingcourse.standin.platform.PlatformOptions;
 import org.waxwingcourse.standin.platform.PlatformStandIn;
 
 /** Runs one stand-in as a process: {@code platform}, {@code engine} or {@code service}. */
 public final class StandIn {
   private static final int EXIT_USAGE = 2;
+  private static final Arguments PLATFORM =
+      Arguments.of("platform")
+          .number("port", "port to listen on, 0 for any free one")
+          .number("host-list-lag-millis", "how far the host list lags behind")
+          .number("reads-per-second", "limit for reads and watches, 0 for none")
+          .number("writes-per-second", "limit for writes and lease calls, 0 for none")
+          .number("delay-millis", "network delay one way");
+  private static final Arguments ENGINE =
+      Arguments.of("engine")
+          .number("port", "port to listen on, 0 for any free one")
+          .texts("model", "a model it serves; may be repeated")
+          .number("step-millis", "time of a decoding step with an empty batch")
+          .number("sequence-micros", "added to a step for each sequence")
+          .number("prefill-micros", "added to a step for each uncached prompt token")
+          .number("cache-tokens", "size of the prefix cache")
+          .number("report-lag-millis", "how far load and cache events lag behind")
+          .number("event-gap", "one cache event in so many is lost, 0 for none")
+          .number("delay-millis", "network delay one way")
+          .flag("unfenced", "takes orders with an old fencing number");
+  private static final Arguments SERVICE =
+      Arguments.of("service")
+          .number("port", "port to listen on, 0 for any free one")
+          .number("delay-millis", "network delay one way")
+          .flag("repeatable", "a call with a known idempotency key only repeats the answer");
 
   private StandIn() {}
 
   /** Starts the stand-in that the first argument names; it runs until the process is ended. */
   public static void main(String[] arguments) {
-    if (arguments.length == 0 || arguments[0].equals("--help")) {
+    if (arguments.length == 0 || Arrays.asList(arguments).contains("--help")) {
       printUsage();
       return;
     }
-    String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
     try {
-      switch (arguments[0]) {
-        case "platform" -> startPlatform(rest);
-        default -> throw new ParseException("there is no stand-in \"" + arguments[0] + "\"");
-      }
+      run(create(arguments[0], Arrays.copyOfRange(arguments, 1, arguments.length)));
     } catch (ParseException e) {
       System.err.println(e.getMessage());
-      printUsage();
       System.exit(EXIT_USAGE);
     }
   }
 
-  private static void startPlatform(String[] arguments) throws ParseException {
-    Options options =
-        new Options()
-            .addOption(number("port", "port to listen on, 0 for any free one"))
-            .addOption(number("host-list-lag-millis", "lag of the host list"))
-            .addOption(number("reads-per-second", "limit for reads and watches, 0 for none"))
-            .addOption(number("writes-per-second", "limit for writes and leases, 0 for none"))
-            .addOption(number("delay-millis", "network delay one way"));
-    CommandLine line = new DefaultParser().parse(options, arguments);
-    PlatformOptions usual = PlatformOptions.onPort(intOf(line, "port", 0));
-    Duration lag = millisOf(line, "host-list-lag-millis", usual.hostListLag());
-    run(
-        PlatformStandIn.create(
-            new PlatformOptions(
-                usual.port(),
-                lag,
-                intOf(line, "reads-per-second", usual.readsPerSecond()),
-                intOf(line, "writes-per-second", usual.writesPerSecond()),
-                millisOf(line, "delay-millis", usual.oneWayDelay()))));
+  static Service create(String name, String[] rest) throws ParseException {
+    return switch (name) {
+      case "platform" -> platform(PLATFORM.parse(rest));
+      case "engine" -> engine(ENGINE.parse(rest));
+      case "service" -> service(SERVICE.parse(rest));
+      default -> throw new ParseException("there is no stand-in \"" + name + "\"");
+    };
   }
 
-  private static void run(Service service) {
-    Runtime.getRuntime().addShutdownHook(new Thread(service::stop));
-    service.start();
+  private static Service platform(Arguments.Parsed line) throws ParseException {
+    PlatformOptions usual = PlatformOptions.onPort(line.number("port", 0));
+    return PlatformStandIn.create(
+        new PlatformOptions(
+            usual.port(),
+            line.millis("host-list-lag-millis", usual.hostListLag()),
+            line.number("reads-per-second", usual.readsPerSecond()),
+            line.number("writes-per-second", usual.writesPerSecond()),
+            line.millis("delay-millis", usual.oneWayDelay())));
   }
 
-  private static Option number(String name, String description) {
-    return Option.builder().longOpt(name).hasArg().type(Number.class).desc(description).get();
+  private static Service engine(Arguments.Parsed line) throws ParseException {
+    EngineOptions usual = EngineOptions.of("model");
+    List<String> models = line.texts("model", usual.models());
+    return EngineStandIn.create(
+        new EngineOptions(
+            line.number("port", 0),
+            models,
+            line.millis("step-millis", usual.baseStep()),
+            line.micros("sequence-micros", usual.sequenceStep()),
+            line.micros("prefill-micros", usual.prefillToken()),
+            line.number("cache-tokens", usual.cacheTokens()),
+            line.millis("report-lag-millis", usual.reportLag()),
+            line.number("event-gap", usual.eventGap()),
+            !line.flag("unfenced"),
+            line.millis("delay-millis", usual.oneWayDelay())));
   }
 
-  private static int intOf(CommandLine line, String name, int usual) throws ParseException {
-    Number value = line.getParsedOptionValue(name);
-    return value == null ? usual : value.intValue();
+  private static Service service(Arguments.Parsed line) throws ParseException {
+    return ServiceStandIn.create(
+        new ServiceOptions(
+            line.number("port", 0),
+            line.flag("repeatable"),
+            line.millis("delay-millis", Duration.ZERO)));
   }
 
-  private static Duration millisOf(CommandLine line, String name, Duration usual)
-      throws ParseException {
-    Number value = line.getParsedOptionValue(name);
-    return value == null ? usual : Duration.ofMillis(value.longValue());
+  private static void run(Service service) {
+    Runtime.getRuntime().addShutdownHook(new Thread(service::stop));
+    service.start();
   }
 
   private static void printUsage() {
-    System.out.println("usage: standin platform [--port N] [--host-list-lag-millis N]");
-    System.out.println(
-        "         [--reads-per-second N] [--writes-per-second N] [--delay-millis N]");
+    List.of(PLATFORM, ENGINE, SERVICE).forEach(Arguments::print);
   }
 }
