Connections gone silent cost one call, and one watch renewal at most

Cause: a pool can hold several connections that went silent together; each would cost a call its whole deadline. Ruled out: dropping the pool, for which Ratpack has no call. A stream cancelled before it is sent is now not sent at all.

--- a/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
+++ b/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
@@ -28,6 +28,8 @@
  * failure says whether any byte can have left.
  *
  * <p>Two clients share the threads: one pools connections, the other opens one for each request.
+ * After a pooled connection has left a call without an answer, requests to that receiver take new
+ * connections for a while, because an open connection can go silent for good while new ones work.
  */
 public final class HttpCaller implements Service {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
@@ -37,6 +39,7 @@
 
   private final InstantSource clock;
   private final int threads;
+  private final SuspectPools suspects;
   private ExecController controller;
   private HttpClient pooled;
   private HttpClient fresh;
@@ -44,6 +47,7 @@
   private HttpCaller(InstantSource clock, int threads) {
     this.clock = clock;
     this.threads = threads;
+    this.suspects = new SuspectPools(clock, IDLE_TIMEOUT);
   }
 
   /** Returns a caller with that many event loop threads. */
@@ -54,8 +58,8 @@
   @Override
   public void start() {
     controller = new DefaultExecController(threads);
-    pooled = client(POOL_SIZE);
-    fresh = client(0);
+    pooled = build(POOL_SIZE);
+    fresh = build(0);
   }
 
   @Override
@@ -77,6 +81,10 @@
       result.complete(Either.left(pastDeadline(request)));
       return result;
     }
+    boolean pool = isPooled(request);
+    if (pool) {
+      result.thenAccept(answer -> answer.peekLeft(f -> suspects.note(request.uri(), f)));
+    }
     controller
         .fork()
         .onError(e -> result.complete(Either.left(failureOf(e))))
@@ -91,7 +99,7 @@
                           TimeUnit.MILLISECONDS);
               result.whenComplete((answered, error) -> timer.cancel(false));
               Promise<ReceivedResponse> answer =
-                  clientFor(request).request(request.uri(), specOf(request, left));
+                  client(pool).request(request.uri(), specOf(request, left));
               answer
                   .onError(e -> result.complete(Either.left(failureOf(e))))
                   .then(r -> result.complete(Either.right(answerOf(r))));
@@ -102,7 +110,15 @@
   /** Sends a request and hands the answer on as it comes. */
   public StreamCall stream(HttpRequest request, StreamListener listener) {
     Duration left = request.deadline().remaining(clock.instant());
-    StreamState state = new StreamState(listener);
+    boolean pool = isPooled(request);
+    StreamState state =
+        new StreamState(
+            listener,
+            failure -> {
+              if (pool) {
+                suspects.note(request.uri(), failure);
+              }
+            });
     if (left.isZero()) {
       state.end(Option.some(pastDeadline(request)));
       return state;
@@ -112,9 +128,11 @@
         .onError(e -> state.end(Option.some(failureOf(e))))
         .start(
             execution -> {
-              state.bind(execution.getEventLoop());
+              if (!state.bind(execution.getEventLoop())) {
+                return;
+              }
               state.endAfter(left, timedOut(request));
-              clientFor(request)
+              client(pool)
                   .requestStream(request.uri(), specOf(request, left))
                   .onError(e -> state.end(Option.some(failureOf(e))))
                   .then(state::accept);
@@ -144,7 +162,7 @@
     return list;
   }
 
-  private HttpClient client(int poolSize) {
+  private HttpClient build(int poolSize) {
     try {
       return HttpClient.of(
           spec ->
@@ -159,8 +177,12 @@
     }
   }
 
-  private HttpClient clientFor(HttpRequest request) {
-    return request.reuse() ? pooled : fresh;
+  private boolean isPooled(HttpRequest request) {
+    return request.reuse() && !suspects.isSuspect(request.uri());
+  }
+
+  private HttpClient client(boolean pool) {
+    return pool ? pooled : fresh;
   }
 
   private static Action<RequestSpec> specOf(HttpRequest request, Duration left) {
--- a/http/src/main/java/org/waxwingcourse/http/StreamState.java
+++ b/http/src/main/java/org/waxwingcourse/http/StreamState.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 import ratpack.http.client.StreamedResponse;
@@ -17,21 +18,25 @@
  */
 final class StreamState implements StreamCall, Subscriber<ByteBuf> {
   private final StreamListener listener;
+  private final Consumer<CallFailure> onFailure;
   private volatile EventLoop loop;
   private volatile boolean cancelled;
   private Subscription subscription;
   private Future<?> timer;
   private boolean ended;
 
-  StreamState(StreamListener listener) {
+  StreamState(StreamListener listener, Consumer<CallFailure> onFailure) {
     this.listener = listener;
+    this.onFailure = onFailure;
   }
 
-  void bind(EventLoop eventLoop) {
+  /** Ties the call to its event loop; returns whether it is still wanted. */
+  boolean bind(EventLoop eventLoop) {
     loop = eventLoop;
     if (cancelled) {
       cancelNow();
     }
+    return !ended;
   }
 
   void endAfter(Duration left, CallFailure failure) {
@@ -92,6 +97,7 @@
       if (timer != null) {
         timer.cancel(false);
       }
+      failure.peek(onFailure);
       listener.onEnd(failure);
     }
   }
--- a/standin/src/main/java/org/waxwingcourse/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/PlatformStandIn.java
@@ -18,8 +18,8 @@
 /**
  * The platform's store and host list over HTTP.
  *
- * <p>Besides etcd's paths and {@code GET /hosts} it answers {@code POST /control/faults} and {@code
- * GET /control/counts}.
+ * <p>Besides etcd's paths and {@code GET /hosts} it answers {@code POST /control/faults}, {@code
+ * POST /control/silence} and {@code GET /control/counts}.
  */
 public final class PlatformStandIn implements Service {
   private static final long TICK_MILLIS = 50;
@@ -89,6 +89,16 @@
     return store;
   }
 
+  /** Makes the connections that are open now silent for good. */
+  public void silence() {
+    server.connections().silenceAll();
+  }
+
+  private void silence(Context ctx) {
+    Answers.json(ctx, store.counts());
+    ctx.getDirectChannelAccess().getChannel().eventLoop().execute(this::silence);
+  }
+
   private void tick() {
     store.tick();
     hosts.tick();
@@ -98,6 +108,7 @@
     chain
         .get("hosts", ctx -> Answers.send(ctx, 200, ListedHostCodec.writeAll(hosts.hosts())))
         .get("control/counts", ctx -> Answers.json(ctx, store.counts()))
+        .post("control/silence", this::silence)
         .post("control/faults", ctx -> Answers.withBody(ctx, FaultOrder.class, o -> set(ctx, o)));
   }
 
--- a/standin/src/test/java/org/waxwingcourse/standin/platform/EtcdStoreTest.java
+++ b/standin/src/test/java/org/waxwingcourse/standin/platform/EtcdStoreTest.java
@@ -9,8 +9,10 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -142,6 +144,24 @@
     assertThat(heard).isEmpty();
   }
 
+  @Test
+  void connectionsGoneSilentHideAChangeForOneRenewalAndFailOneCallOnly() throws Exception {
+    EtcdOptions options =
+        new EtcdOptions(
+            List.of(platform.address()), Duration.ofMillis(500), Duration.ofMillis(500));
+    EtcdStore store = EtcdStore.of(http, clock, options);
+    Stream.generate(() -> store.read(ALL)).limit(4).toList().forEach(CompletableFuture::join);
+    store.watch(ALL, Revision.NONE, listener);
+    awaitWatches(1);
+    platform.silence();
+    behind.write(Transaction.builder().put("/a", "v").build());
+    assertThat(next()).isEqualTo("put /a");
+    assertThat(store.read(ALL).join().isLeft()).isTrue();
+    for (int i = 0; i < 4; i++) {
+      assertThat(store.read(ALL).join().isRight()).isTrue();
+    }
+  }
+
   @Test
   void leaseDeadlineIsCountedFromBeforeTheCallAndALapsedLeaseIsGone() throws Exception {
     EtcdStore store = store(platform.address());
