--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -39,6 +39,7 @@
   private final NodeSettings settings;
   private final ServiceGroup services = new ServiceGroup();
   private final MetricRegistry metrics = new MetricRegistry();
+  private final StoredConfiguration configuration;
   private final HttpServer callers;
   private final HttpServer operators;
 
@@ -46,7 +47,7 @@
     this.settings = settings;
     HttpCaller http = services.add(HttpCaller.of(clock, CLIENT_THREADS));
     EtcdStore store = services.add(EtcdStore.of(http, clock, EtcdOptions.of(settings.stores())));
-    StoredConfiguration configuration = services.add(new StoredConfiguration(store));
+    configuration = services.add(new StoredConfiguration(store));
     EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
     ServiceClient plainServices =
         ServiceClient.of(http, clock, random, RetryPolicy.of(clock, random));
@@ -60,8 +61,7 @@
             new DirectServiceDispatcher(plainServices),
             ServiceLevels.of(metrics));
     callers = services.add(HttpServer.of(callerOptions(), CallerRoutes.of(ports)));
-    OperatorRoutes status =
-        new OperatorRoutes(metrics, () -> "{}", () -> configuration.current().isPresent());
+    OperatorRoutes status = new OperatorRoutes(metrics, () -> "{}", this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
 
@@ -82,6 +82,11 @@
     LOG.write(Event.NODE_STOPPED, settings.host());
   }
 
+  /** Tells whether the node has a configuration, without which it refuses every request. */
+  public boolean isReady() {
+    return configuration.current().isPresent();
+  }
+
   /** Returns the port that callers connect to. */
   public int callerPort() {
     return callers.port();
