--- /dev/null
+++ b/peer/src/main/java/org/waxwingcourse/peer/member/package-info.java
@@ -0,0 +1,2 @@
+/** Membership messages on the wire between hosts. */
+package org.waxwingcourse.peer.member;
