--- /dev/null
+++ b/load/src/main/java/org/waxwingcourse/load/plan/Arrival.java
@@ -0,0 +1,15 @@
+package org.waxwingcourse.load.plan;
+
+import java.time.Duration;
+
+/**
+ * One request of a plan.
+ *
+ * @param at when it arrives, counted from the start of the run
+ * @param organisation who sends it
+ * @param number counts the organisation's requests from zero
+ * @param prompt what it asks
+ * @param streamed whether the answer is to be streamed
+ */
+public record Arrival(
+    Duration at, OrganisationLoad organisation, int number, String prompt, boolean streamed) {}
--- a/standin/src/main/java/org/waxwingcourse/standin/StandIn.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/StandIn.java
@@ -33,7 +33,7 @@
           .number("report-lag-millis", "how far load and cache events lag behind")
           .number("event-gap", "one cache event in so many is lost, 0 for none")
           .number("delay-millis", "network delay one way")
-          .flag("unfenced", "takes orders with an old fencing number");
+          .flag("check-fencing", "refuses orders with an old fencing number");
   private static final Arguments SERVICE =
       Arguments.of("service")
           .number("port", "port to listen on, 0 for any free one")
@@ -89,7 +89,7 @@
             line.number("cache-tokens", usual.cacheTokens()),
             line.millis("report-lag-millis", usual.reportLag()),
             line.number("event-gap", usual.eventGap()),
-            !line.flag("unfenced"),
+            line.flag("check-fencing"),
             line.millis("delay-millis", usual.oneWayDelay())));
   }
 
