Limits on connections, requests in progress and slow bodies

Cause: the settings named these limits but nothing enforced them; a sender of one byte a minute held its request for ever. Seen before: the socket of the slow-sender test stayed open until the idle timeout. Ruled out: Ratpack's idle timeout alone (a dribble never idles). Conclusion: 408 at the body's deadline, 503 at once over the host's limits.

--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -19,7 +20,9 @@
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.CallerRoutes;
 import org.waxwingcourse.node.web.HttpServer;
+import org.waxwingcourse.node.web.LimitRoutes;
 import org.waxwingcourse.node.web.OperatorRoutes;
+import org.waxwingcourse.node.web.Routes;
 import org.waxwingcourse.platform.etcd.EtcdOptions;
 import org.waxwingcourse.platform.etcd.EtcdStore;
 import org.waxwingcourse.policy.retry.RetryPolicy;
@@ -34,7 +37,7 @@
   private static final int SERVER_THREADS = 4;
   private static final int OPERATOR_THREADS = 1;
   private static final Duration OPERATOR_IDLE = Duration.ofSeconds(30);
-  private static final Duration CALLER_IDLE = Duration.ofMinutes(10);
+  private static final Duration CALLER_IDLE = Duration.ofMinutes(3);
 
   private final NodeSettings settings;
   private final ServiceGroup services = new ServiceGroup();
@@ -59,8 +62,13 @@
             (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
             DirectDispatcher.of(configuration, engines, clock, random),
             new DirectServiceDispatcher(plainServices),
+            Duration.ofMillis(settings.limits().requestBodyMillis()),
             ServiceLevels.of(metrics));
-    callers = services.add(HttpServer.of(callerOptions(), CallerRoutes.of(ports)));
+    List<Routes> routes = new ArrayList<>();
+    routes.add(
+        new LimitRoutes(clock, settings.limits().connections(), settings.limits().requests()));
+    routes.addAll(CallerRoutes.of(ports));
+    callers = services.add(HttpServer.of(callerOptions(), routes));
     OperatorRoutes status = new OperatorRoutes(metrics, () -> "{}", this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
--- a/node/src/main/java/org/waxwingcourse/node/web/CallerPorts.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/CallerPorts.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.node.web;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import org.waxwingcourse.model.fleet.ConfigurationSource;
 import org.waxwingcourse.model.request.Admission;
@@ -17,6 +18,7 @@
  * @param admission holds organisations to their rates
  * @param dispatcher runs inference requests
  * @param services runs calls of plain services
+ * @param bodyPatience time in which a request's body must arrive
  * @param levels counts objectives met and missed
  */
 public record CallerPorts(
@@ -26,4 +28,5 @@
     Admission admission,
     Dispatcher dispatcher,
     ServiceDispatcher services,
+    Duration bodyPatience,
     ServiceLevels levels) {}
--- a/node/src/main/java/org/waxwingcourse/node/web/Gate.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/Gate.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Instant;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.fleet.Organisation;
@@ -28,10 +29,12 @@
   public record Caller(KeyHash key, Organisation organisation) {}
 
   private final CallerPorts ports;
+  private final BodyDeadline bodyDeadline;
 
   /** Returns the checks over the node's ports. */
   public Gate(CallerPorts ports) {
     this.ports = ports;
+    this.bodyDeadline = new BodyDeadline(ports.bodyPatience());
   }
 
   /** Returns the node's present instant. */
@@ -85,18 +88,25 @@
 
   /** Reads the request's body, up to the declared limit. */
   public void body(Context context, int maxBytes, Consumer<byte[]> then) {
+    Future<?> late = bodyDeadline.start(context);
     context
         .getRequest()
         .getBody(
             maxBytes,
-            () ->
-                refuse(
-                    context,
-                    new Refusal(
-                        RefusalCode.BODY_TOO_LARGE,
-                        "the body exceeds " + maxBytes + " bytes",
-                        Instant.EPOCH)))
-        .then(data -> then.accept(data.getBytes()));
+            () -> {
+              late.cancel(false);
+              refuse(context, tooLarge(maxBytes));
+            })
+        .then(
+            data -> {
+              late.cancel(false);
+              then.accept(data.getBytes());
+            });
+  }
+
+  private static Refusal tooLarge(int maxBytes) {
+    String message = "the body exceeds " + maxBytes + " bytes";
+    return new Refusal(RefusalCode.BODY_TOO_LARGE, message, Instant.EPOCH);
   }
 
   /** Answers with a refusal. */
--- a/node/src/main/java/org/waxwingcourse/node/web/HttpServer.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/HttpServer.java
@@ -13,6 +13,7 @@
 import ratpack.error.ServerErrorHandler;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
+import ratpack.http.ConnectionClosedException;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfigBuilder;
 
@@ -98,6 +99,9 @@
   }
 
   private static void serverError(Context context, Throwable error) {
+    if (error instanceof ConnectionClosedException) {
+      return;
+    }
     LOG.write(Event.REQUEST_FAILED, context.getRequest().getPath(), error.toString());
     new ApiError(500, "internal_error", "the host failed", ApiError.Run.UNKNOWN, null)
         .send(context, Instant.EPOCH);
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/web/LimitRoutes.java
@@ -0,0 +1,69 @@
+package org.waxwingcourse.node.web;
+
+import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
+import java.time.InstantSource;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+
+/**
+ * Bounds the caller connections and the requests in progress; stands before all other routes. A
+ * connection counts from its first request on.
+ */
+public final class LimitRoutes implements Routes {
+  private static final AttributeKey<Boolean> COUNTED = AttributeKey.valueOf("waxwing.counted");
+  private static final int RETRY_SECONDS = 1;
+
+  private final InstantSource clock;
+  private final int maxConnections;
+  private final int maxRequests;
+  private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger requests = new AtomicInteger();
+
+  /** Creates the limits, counted in connections and requests. */
+  public LimitRoutes(InstantSource clock, int maxConnections, int maxRequests) {
+    this.clock = clock;
+    this.maxConnections = maxConnections;
+    this.maxRequests = maxRequests;
+  }
+
+  @Override
+  public void addTo(Chain chain) {
+    chain.all(this::check);
+  }
+
+  /** Returns the requests in progress. */
+  public int requestsInProgress() {
+    return requests.get();
+  }
+
+  private void check(Context context) {
+    countConnection(context.getDirectChannelAccess().getChannel());
+    requests.incrementAndGet();
+    context.onClose(outcome -> requests.decrementAndGet());
+    if (connections.get() > maxConnections) {
+      context.getResponse().getHeaders().set("Connection", "close");
+      refuse(context, "this host has its " + maxConnections + " connections");
+    } else if (requests.get() > maxRequests) {
+      refuse(context, "this host has its " + maxRequests + " requests in progress");
+    } else {
+      context.next();
+    }
+  }
+
+  private void countConnection(Channel channel) {
+    if (channel.attr(COUNTED).setIfAbsent(true) == null) {
+      connections.incrementAndGet();
+      channel.closeFuture().addListener(closed -> connections.decrementAndGet());
+    }
+  }
+
+  private void refuse(Context context, String message) {
+    Refusal refusal =
+        new Refusal(RefusalCode.OVERLOADED, message, clock.instant().plusSeconds(RETRY_SECONDS));
+    ApiError.of(refusal).send(context, clock.instant());
+  }
+}
--- a/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -103,6 +104,29 @@
     ports.cancelled.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
   }
 
+  @Test
+  void slowSenderIsToldAndItsConnectionClosed() throws Exception {
+    try (Socket socket = new Socket("127.0.0.1", server.port())) {
+      String head =
+          "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+              + FakePorts.KEY
+              + "\r\nContent-Length: 100\r\n\r\n{";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(answer).startsWith("HTTP/1.1 408").contains("body_too_slow");
+    }
+  }
+
+  @Test
+  void requestsOverTheHostsLimitAreRefusedAtOnce() throws Exception {
+    for (int i = 0; i < FakePorts.MAX_REQUESTS; i++) {
+      stream().body().read();
+    }
+    HttpResponse<String> answer = post(chat("x", false), FakePorts.KEY);
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.body()).contains("requests in progress").contains("not_run");
+  }
+
   private HttpResponse<InputStream> stream() throws IOException, InterruptedException {
     HttpRequest request = request(chat("hang", true), FakePorts.KEY).build();
     return client.send(request, HttpResponse.BodyHandlers.ofInputStream());
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,6 +40,7 @@
 /** Small fakes behind the callers' interface; the prompt says how a request is to end. */
 final class FakePorts implements ConfigurationSource, Authenticator {
   static final String KEY = "wx-test-key";
+  static final int MAX_REQUESTS = 3;
   private static final int MAX_BODY = 2048;
 
   final CompletableFuture<Void> cancelled = new CompletableFuture<>();
@@ -53,15 +55,23 @@
             (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
             this::submit,
             (request, listener) -> () -> {},
+            Duration.ofMillis(300),
             ServiceLevels.of(new MetricRegistry()));
     HttpServer.Options options =
         new HttpServer.Options(
             new InetSocketAddress("127.0.0.1", 0), 2, 8192, Duration.ofSeconds(60));
-    HttpServer server = HttpServer.of(options, CallerRoutes.of(ports));
+    HttpServer server = HttpServer.of(options, routes(ports));
     server.start();
     return server;
   }
 
+  private static List<Routes> routes(CallerPorts ports) {
+    List<Routes> routes = new ArrayList<>();
+    routes.add(new LimitRoutes(ports.clock(), 100, MAX_REQUESTS));
+    routes.addAll(CallerRoutes.of(ports));
+    return routes;
+  }
+
   @Override
   public Optional<FleetConfiguration> current() {
     Defaults defaults =
