--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -31,6 +31,7 @@
   MEMBER_PAUSED(415, Level.WARN, "this host stood still for {} ms"),
   STOP_PHASE(420, Level.INFO, "planned stop is in phase {}"),
   STOP_CUT(421, Level.ERROR, "planned stop ends by its deadline with {} requests in flight"),
+  STOP_STEP_FAILED(422, Level.ERROR, "a step of the planned stop failed: {}"),
   // 500: dispatch, engines and plain services
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" is {}"),
--- a/policy/src/main/java/org/waxwingcourse/policy/member/Swim.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/member/Swim.java
@@ -17,6 +17,7 @@
 import org.waxwingcourse.model.member.MemberState;
 import org.waxwingcourse.model.member.MembershipView;
 import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.policy.hosts.PlannedStop;
 import org.waxwingcourse.policy.member.GossipMessage.Ack;
 import org.waxwingcourse.policy.member.GossipMessage.IndirectProbe;
 import org.waxwingcourse.policy.member.GossipMessage.Probe;
@@ -38,7 +39,7 @@
  *
  * <p>One lock guards the tables; messages and listeners are called after it is released.
  */
-public final class Swim implements MembershipView {
+public final class Swim implements MembershipView, PlannedStop.Departure {
   private static final EventLog LOG = EventLog.of(Swim.class);
 
   private final MembershipSettings settings;
@@ -221,7 +222,7 @@
     act(now -> sync.seed(listed));
   }
 
-  /** Announces a planned stop: this host gets nothing new from now on. */
+  @Override
   public void leave() {
     act(
         now -> {
@@ -234,12 +235,12 @@
     publish();
   }
 
-  /** Tells whether every other member has acknowledged that this host leaves, or is dead. */
+  @Override
   public synchronized boolean leaveKnown() {
     return announcement != null && announcement.complete();
   }
 
-  /** Says that this host is gone, at the end of a planned stop. */
+  @Override
   public void left() {
     act(
         now -> {
