The published batch API: files and batches, and a key withdrawn in mid-stream

Cancelling one chunk's calls let the other chunk of the same job start 8 items in their place (FailureTest.cancelEndsWhatRunsAtTheEngineAtOnce: 16 cancelled in place of 8); all runs of a job are now halted before any call is cancelled.

With a fake that ends a cancelled call, as the contract says, a caller whose key was withdrawn in mid-stream saw the stream end without the reason: Delivery cancelled before it wrote the last chunk. It now writes first.

--- a/batch/src/main/java/org/waxwingcourse/batch/intake/Upload.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/intake/Upload.java
@@ -39,7 +39,7 @@
 
   private final StoreCalls calls;
   private final InstantSource clock;
-  private final Target target;
+  private Target target;
   private final Set<ModelName> known;
   private final UploadLimits limits;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -95,6 +95,11 @@
     return ended;
   }
 
+  /** Gives the caller's name for the file, which may come after its bytes. */
+  public void named(String name) {
+    target = new Target(target.file(), target.organisation(), name, target.upload());
+  }
+
   /** Stores the file's record; until this returns the file nothing was accepted. */
   public Either<Outcome, BatchFile> finish() {
     if (ended.isEmpty() && line.size() > 0) {
--- a/batch/src/main/java/org/waxwingcourse/batch/job/Jobs.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/Jobs.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.JobState;
 import org.waxwingcourse.batch.record.Keys;
+import org.waxwingcourse.batch.store.Pause;
 import org.waxwingcourse.batch.store.StoreCalls;
 import org.waxwingcourse.model.id.FileId;
 import org.waxwingcourse.model.id.JobId;
@@ -34,6 +35,7 @@
   private static final Duration RESULTS_KEPT = Duration.ofDays(30);
   private static final Duration INPUT_OUTLIVES_RESULTS = Duration.ofDays(1);
   private static final Duration COME_BACK = Duration.ofSeconds(30);
+  private static final Duration CANCEL_POLL = Duration.ofMillis(300);
   private static final int RACES = 8;
 
   private final StoreCalls calls;
@@ -233,6 +235,16 @@
     return unavailable("job \"" + id + "\" changes all the time");
   }
 
+  /** Cancels a job and waits until it has stopped, or until {@code patience}. */
+  public Either<Outcome, Job> cancel(JobId id, Deadline patience, Pause pause) {
+    Either<Outcome, Job> job = cancel(id);
+    while (job.exists(j -> !j.state().ended()) && !patience.isPast(clock.instant())) {
+      pause.await(CANCEL_POLL);
+      job = cancel(id);
+    }
+    return job;
+  }
+
   /**
    * Ends the job if all its chunks are committed, or if it is being cancelled and no host holds a
    * chunk. Returns the ended job, or none if it goes on or the store did not answer.
--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -188,11 +188,8 @@
 
   /** Stops the chunks of a cancelled job on the thread of the watch, without waiting for a step. */
   private void onJobsChanged() {
-    for (ChunkRun run : pump.runs()) {
-      if (!live.isInForce(run.claim().job())) {
-        run.stop();
-      }
-    }
+    ChunkRun.stopAll(
+        pump.runs().stream().filter(run -> !live.isInForce(run.claim().job())).toList());
     wakeUp();
   }
 
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
@@ -197,16 +197,23 @@
 
   /** Sends nothing more and cancels what was sent. */
   void stop() {
+    stopAll(List.of(this));
+  }
+
+  /** Stops several runs; no item of one starts in the place of a cancelled one of another. */
+  static void stopAll(List<ChunkRun> runs) {
     List<Call> calls = new ArrayList<>();
-    synchronized (this) {
-      stopped = true;
-      for (ItemSlot slot : slots) {
-        if (slot.state == ItemSlot.State.ACTIVE && slot.call != null) {
-          calls.add(slot.call);
-        }
+    runs.forEach(run -> run.halt(calls));
+    calls.forEach(Call::cancel);
+  }
+
+  private synchronized void halt(List<Call> calls) {
+    stopped = true;
+    for (ItemSlot slot : slots) {
+      if (slot.state == ItemSlot.State.ACTIVE && slot.call != null) {
+        calls.add(slot.call);
       }
     }
-    calls.forEach(Call::cancel);
   }
 
   /** Tells whether the run was stopped and nothing that it sent is still open. */
--- a/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
@@ -75,12 +75,14 @@
 
   /** Ends overdue attempts and stops what may not go on, without asking the store. */
   void check(Instant now) {
+    List<ChunkRun> stopping = new ArrayList<>();
     for (HeldChunk chunk : held) {
-      chunk.run.forEach(run -> run.expire(now));
       if (!live.isInForce(chunk.claim.job())) {
-        chunk.run.forEach(ChunkRun::stop);
+        chunk.run.forEach(stopping::add);
       }
     }
+    ChunkRun.stopAll(stopping);
+    held.forEach(chunk -> chunk.run.forEach(run -> run.expire(now)));
   }
 
   /**
--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -17,6 +17,8 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.WriteOutcome;
 import org.waxwingcourse.standin.store.StoreFaults;
 
 class FailureTest {
@@ -84,6 +86,7 @@
   @ValueSource(strings = {"lag", "silent", "outage"})
   void noItemStartsAfterTheCancelWasAnsweredThoughTheWatchLags(String fault) {
     world.engine.answersAtOnce = false;
+    world.engine.cancelsLate = true;
     World.Host a = world.host("a");
     World.Host b = world.host("b");
     Job job = world.accepted(b, 80, true);
@@ -116,6 +119,54 @@
     assertThat(world.engine.started).isEqualTo(startedAtAnswer).isLessThan(80);
   }
 
+  @Test
+  void cancelEndsWhatRunsAtTheEngineAtOnce() {
+    world.engine.answersAtOnce = false;
+    World.Host a = world.host("a");
+    Job job = world.accepted(a, 40, true);
+    a.step();
+    assertThat(world.engine.running).hasSize(8);
+    world.host("b").jobs.cancel(job.id());
+    assertThat(world.engine.running).isEmpty();
+    assertThat(world.engine.cancelled).isEqualTo(8);
+    a.step();
+    assertThat(a.jobs.cancel(job.id()).get().state()).isEqualTo(JobState.CANCELLED);
+  }
+
+  @Test
+  void itemThatMayNotBeRepeatedIsSentOnceThoughItsAnswerIsLost() {
+    world.engine.script =
+        item ->
+            switch (item) {
+              case "item-2" -> new Outcome.Unknown("connection reset");
+              case "item-3" -> new Outcome.Failed(500, "engine fell over");
+              default -> new Outcome.Done();
+            };
+    World.Host a = world.host("a");
+    Job job = world.accepted(a, 10, false);
+    Job ended = world.finish(a, job.id(), List.of(a));
+    assertThat(world.engine.runs.values()).hasSize(10).allMatch(n -> n == 1);
+    assertThat(ended.counts()).isEqualTo(new Job.Counts(8, 2));
+    assertThat(world.history.of("item-2")).contains("outcome_unknown");
+  }
+
+  @Test
+  void writeWhoseAnswerWasLostIsKnownAgainAndNeverCalledNotSent() {
+    World.Host a = world.host("a");
+    Transaction write = Transaction.builder().absent("/k").put("/k", "mine").build();
+    world.store.loseAnswers(1);
+    assertThat(a.calls.write(write, e -> e.text().equals("mine")))
+        .isInstanceOf(WriteOutcome.Done.class);
+    assertThat(a.calls.write(write, e -> e.text().equals("other")))
+        .isInstanceOf(WriteOutcome.Lost.class);
+    World.Host b = world.host("b");
+    b.way.pausingFor(
+        2, () -> world.store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING)));
+    world.store.loseAnswers(1);
+    Transaction second = Transaction.builder().absent("/l").put("/l", "mine").build();
+    assertThat(b.calls.write(second, e -> false)).isInstanceOf(WriteOutcome.Unknown.class);
+  }
+
   @Test
   void lateCommitLosesToTheCancel() {
     world.engine.answersAtOnce = false;
--- a/batch/src/test/java/org/waxwingcourse/batch/FakeEngine.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FakeEngine.java
@@ -26,6 +26,7 @@
   Function<String, Outcome> script = item -> new Outcome.Done();
   Supplier<String> text = () -> "";
   boolean answersAtOnce = true;
+  boolean cancelsLate;
   int started;
   int cancelled;
 
@@ -52,6 +53,9 @@
   }
 
   private void cancel(Running run) {
+    if (cancelsLate) {
+      return;
+    }
     if (running.remove(run) || hung.remove(run)) {
       cancelled++;
       run.listener().onEnd(new Outcome.Unknown("cancelled"));
--- a/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
@@ -33,9 +33,13 @@
   }
 
   /** Lets the host sleep inside its n-th call, before the effect, in place of dying there. */
-  KillableStore pausingFor(Runnable whatOthersDo) {
+  void pausingFor(Runnable whatOthersDo) {
+    pause = whatOthersDo;
+  }
+
+  void pausingFor(int atCall, Runnable whatOthersDo) {
+    callsLeft = atCall;
     pause = whatOthersDo;
-    return this;
   }
 
   boolean isDead() {
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchGate.java
@@ -0,0 +1,85 @@
+package org.waxwingcourse.node.batch;
+
+import io.vavr.control.Either;
+import java.time.Instant;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.waxwingcourse.model.fleet.FleetConfiguration;
+import org.waxwingcourse.model.id.ModelName;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.node.web.ApiError;
+import org.waxwingcourse.node.web.Gate;
+import ratpack.exec.Blocking;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+
+/** What the handlers of the batch API share: the caller's key, and answers that block. */
+final class BatchGate {
+  private static final String JSON = "application/json";
+
+  private final Gate gate;
+
+  BatchGate(Gate gate) {
+    this.gate = gate;
+  }
+
+  /** Returns a handler that runs only with a key that works. */
+  Handler keyed(BiConsumer<Context, OrganisationId> then) {
+    return context ->
+        gate.caller(context)
+            .peekLeft(refusal -> gate.refuse(context, refusal))
+            .peek(caller -> then.accept(context, caller.organisation().id()));
+  }
+
+  /** Asked again while a long answer is under way: the refusal if the key works no more. */
+  Either<Refusal, OrganisationId> still(Context context) {
+    return gate.caller(context).map(caller -> caller.organisation().id());
+  }
+
+  /** Returns the models that are served now. */
+  Either<Refusal, Set<ModelName>> models() {
+    return gate.configuration().map(BatchGate::models);
+  }
+
+  private static Set<ModelName> models(FleetConfiguration fleet) {
+    return fleet.engines().values().stream()
+        .flatMap(e -> e.models().stream())
+        .collect(Collectors.toSet());
+  }
+
+  /** Asks on a thread that may block, and answers with JSON or the error. */
+  <T> void answer(
+      Context context, Supplier<Either<Outcome, T>> question, Function<T, String> json) {
+    ask(context, question, value -> context.getResponse().send(JSON, json.apply(value)));
+  }
+
+  /** Asks on a thread that may block; an error is answered, a value handed on. */
+  <T> void ask(Context context, Supplier<Either<Outcome, T>> question, Consumer<T> then) {
+    Blocking.get(question::get)
+        .then(result -> result.peek(then).peekLeft(outcome -> fail(context, outcome)));
+  }
+
+  /** Returns the refusal of an id that does not exist for the caller. */
+  static <T> Either<Outcome, T> notFound(String kind, String id) {
+    String message = kind + " \"" + id + "\" does not exist";
+    return Either.left(
+        new Outcome.Refused(new Refusal(RefusalCode.NOT_FOUND, message, Instant.EPOCH)));
+  }
+
+  /** Answers with the error that an outcome stands for. */
+  void fail(Context context, Outcome outcome) {
+    ApiError.of(outcome).send(context, gate.now());
+  }
+
+  /** Answers with a refusal of a request that is itself wrong. */
+  void invalid(Context context, String message) {
+    ApiError.invalid(message).send(context, gate.now());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -0,0 +1,60 @@
+package org.waxwingcourse.node.batch;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.waxwingcourse.batch.job.Jobs;
+import org.waxwingcourse.batch.job.Results;
+import org.waxwingcourse.batch.run.BatchRunner;
+import org.waxwingcourse.batch.run.RunSettings;
+import org.waxwingcourse.batch.store.Pause;
+import org.waxwingcourse.batch.store.StoreCalls;
+import org.waxwingcourse.model.fleet.ConfigurationSource;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.node.web.CallerPorts;
+import org.waxwingcourse.node.web.Gate;
+import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.platform.store.Store;
+
+/** Joins batch work to the node's ports. */
+public final class BatchParts {
+  private static final int TRIES_BEFORE_CONFIGURATION = 3;
+
+  private BatchParts() {}
+
+  /** Returns the routes of the batch API. */
+  public static List<Routes> routes(CallerPorts ports, Store store, RandomGenerator random) {
+    InstantSource clock = ports.clock();
+    Pause pause = Pause.parking();
+    StoreCalls calls = new StoreCalls(store, clock, random, pause);
+    Jobs jobs = new Jobs(calls, clock);
+    BatchGate gate = new BatchGate(new Gate(ports));
+    return List.of(
+        new UploadRoutes(gate, calls, clock),
+        new FileRoutes(gate, jobs, new Results(calls)),
+        new JobRoutes(gate, jobs, clock, pause));
+  }
+
+  /** Returns the service that runs chunks on this host. */
+  public static BatchRunner runner(
+      CallerPorts ports, Store store, HostId host, RandomGenerator random) {
+    StoreCalls calls = new StoreCalls(store, ports.clock(), random, Pause.parking());
+    return new BatchRunner(
+        new BatchRunner.Parts(
+            host,
+            calls,
+            ports.dispatcher(),
+            ports.admission(),
+            ports.clock(),
+            random,
+            () -> tries(ports.configuration()),
+            RunSettings.STANDARD));
+  }
+
+  private static int tries(ConfigurationSource configuration) {
+    return configuration
+        .current()
+        .map(c -> c.defaults().batchTries())
+        .orElse(TRIES_BEFORE_CONFIGURATION);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
@@ -0,0 +1,143 @@
+package org.waxwingcourse.node.batch;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.waxwingcourse.batch.job.ChunkStates;
+import org.waxwingcourse.batch.job.Jobs;
+import org.waxwingcourse.batch.job.NewJob;
+import org.waxwingcourse.batch.job.StoredJob;
+import org.waxwingcourse.batch.record.Job;
+import org.waxwingcourse.batch.record.Keys;
+import org.waxwingcourse.batch.store.Pause;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.node.web.Routes;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+
+/** {@code /v1/batches}: create, read, list and cancel. */
+final class JobRoutes implements Routes {
+  private static final String ID = "id";
+  private static final Duration CANCEL_PATIENCE = Duration.ofSeconds(5);
+  private static final int MAX_BODY_BYTES = 64 * 1024;
+  private static final int PAGE = 20;
+  private static final int MAX_PAGE = 100;
+
+  private final BatchGate gate;
+  private final Jobs jobs;
+  private final InstantSource clock;
+  private final Pause pause;
+
+  JobRoutes(BatchGate gate, Jobs jobs, InstantSource clock, Pause pause) {
+    this.gate = gate;
+    this.jobs = jobs;
+    this.clock = clock;
+    this.pause = pause;
+  }
+
+  @Override
+  public void addTo(Chain chain) {
+    chain.path(
+        "v1/batches",
+        context ->
+            context.byMethod(m -> m.post(gate.keyed(this::create)).get(gate.keyed(this::list))));
+    chain.get("v1/batches/:" + ID, gate.keyed(this::show));
+    chain.post("v1/batches/:" + ID + "/cancel", gate.keyed(this::cancel));
+  }
+
+  private void create(Context context, OrganisationId organisation) {
+    Optional<String> key =
+        Optional.ofNullable(context.getRequest().getHeaders().get("Idempotency-Key"));
+    context
+        .getRequest()
+        .getBody(MAX_BODY_BYTES, () -> gate.invalid(context, "the body is too large"))
+        .then(
+            body ->
+                BatchJson.readSpec(body.getText())
+                    .peekLeft(message -> gate.invalid(context, message))
+                    .peek(spec -> create(context, new NewJob(organisation, spec, key))));
+  }
+
+  private void create(Context context, NewJob request) {
+    gate.answer(context, () -> jobs.create(request).flatMap(this::view), BatchJson::job);
+  }
+
+  private void show(Context context, OrganisationId organisation) {
+    gate.answer(context, () -> find(context, organisation).flatMap(this::view), BatchJson::job);
+  }
+
+  private void cancel(Context context, OrganisationId organisation) {
+    Deadline patience = Deadline.after(clock, CANCEL_PATIENCE);
+    gate.answer(
+        context,
+        () ->
+            find(context, organisation)
+                .flatMap(job -> jobs.cancel(job.id(), patience, pause))
+                .flatMap(this::view),
+        BatchJson::job);
+  }
+
+  private void list(Context context, OrganisationId organisation) {
+    String after = context.getRequest().getQueryParams().getOrDefault("after", "");
+    int limit = limit(context.getRequest().getQueryParams().get("limit"));
+    gate.answer(
+        context,
+        () -> jobs.list(organisation).flatMap(all -> page(all, after, limit)),
+        BatchJson::list);
+  }
+
+  private static int limit(String text) {
+    try {
+      return text == null ? PAGE : Math.max(1, Math.min(MAX_PAGE, Integer.parseInt(text)));
+    } catch (NumberFormatException e) {
+      return PAGE;
+    }
+  }
+
+  private Either<Outcome, BatchJson.Page> page(List<Job> all, String after, int limit) {
+    int from = 0;
+    while (!after.isEmpty() && from < all.size() && !all.get(from).id().value().equals(after)) {
+      from++;
+    }
+    from += after.isEmpty() ? 0 : 1;
+    List<BatchJson.JobView> views = new ArrayList<>();
+    for (Job job : all.stream().skip(from).limit(limit).toList()) {
+      Either<Outcome, BatchJson.JobView> view = view(job);
+      if (view.isLeft()) {
+        return Either.left(view.getLeft());
+      }
+      views.add(view.get());
+    }
+    return Either.right(new BatchJson.Page(views, from + views.size() < all.size()));
+  }
+
+  private Either<Outcome, Job> find(Context context, OrganisationId organisation) {
+    String id = context.getPathTokens().get(ID);
+    if (!Keys.owner(id).equals(organisation)) {
+      return BatchGate.notFound("job", id);
+    }
+    return jobs.find(JobId.of(id)).map(StoredJob::job);
+  }
+
+  private Either<Outcome, BatchJson.JobView> view(Job job) {
+    if (job.state().ended()) {
+      return Either.right(new BatchJson.JobView(job, job.counts()));
+    }
+    return jobs.states(job)
+        .map(ChunkStates::counts)
+        .map(counts -> new BatchJson.JobView(job, counts))
+        .mapLeft(
+            f ->
+                new Outcome.Refused(
+                    new Refusal(
+                        RefusalCode.UNAVAILABLE, "the store does not answer", clock.instant())));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/batch/MultipartFile.java
@@ -0,0 +1,130 @@
+package org.waxwingcourse.node.batch;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.multipart.Attribute;
+import io.netty.handler.codec.http.multipart.DefaultHttpDataFactory;
+import io.netty.handler.codec.http.multipart.FileUpload;
+import io.netty.handler.codec.http.multipart.HttpPostMultipartRequestDecoder;
+import io.netty.handler.codec.http.multipart.HttpPostRequestDecoder;
+import io.netty.handler.codec.http.multipart.InterfaceHttpData;
+import io.netty.handler.codec.http.multipart.MemoryFileUpload;
+import java.io.IOException;
+import java.nio.charset.Charset;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Reads a multipart form as it arrives and hands the bytes of its file on, so that a large file
+ * never lies in memory. Used by one thread at a time.
+ */
+final class MultipartFile {
+  private final HttpPostMultipartRequestDecoder decoder;
+  private final Map<String, String> fields = new HashMap<>();
+  private final Consumer<byte[]> sink;
+  private String filename = "";
+
+  /**
+   * Creates a reader.
+   *
+   * @param contentType the request's content type, which names the boundary
+   * @param sink takes the bytes of the file in order
+   */
+  MultipartFile(String contentType, Consumer<byte[]> sink) {
+    this.sink = sink;
+    HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+    head.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+    decoder = new HttpPostMultipartRequestDecoder(new Parts(), head, StandardCharsets.UTF_8);
+  }
+
+  /** Takes the next bytes of the body; the buffer stays the caller's. */
+  void feed(ByteBuf bytes) throws IOException {
+    decoder.offer(new DefaultHttpContent(bytes));
+    collect();
+  }
+
+  /** Takes the end of the body. */
+  void end() throws IOException {
+    decoder.offer(LastHttpContent.EMPTY_LAST_CONTENT);
+    collect();
+  }
+
+  void close() {
+    decoder.destroy();
+  }
+
+  /** Returns a field of the form, empty if it did not come. */
+  String field(String name) {
+    return fields.getOrDefault(name, "");
+  }
+
+  /** Returns the file's name, empty if no file came. */
+  String filename() {
+    return filename;
+  }
+
+  private void collect() throws IOException {
+    while (hasNext()) {
+      InterfaceHttpData data = decoder.next();
+      if (data instanceof Attribute attribute) {
+        fields.put(attribute.getName(), attribute.getValue());
+      }
+      data.release();
+    }
+  }
+
+  private boolean hasNext() {
+    try {
+      return decoder.hasNext();
+    } catch (HttpPostRequestDecoder.EndOfDataDecoderException e) {
+      return false;
+    }
+  }
+
+  /** Makes file parts that hand their bytes on. */
+  private final class Parts extends DefaultHttpDataFactory {
+    Parts() {
+      super(false);
+    }
+
+    @Override
+    public FileUpload createFileUpload(
+        HttpRequest request,
+        String name,
+        String file,
+        String contentType,
+        String contentTransferEncoding,
+        Charset charset,
+        long size) {
+      filename = file;
+      return new PassedOn(name, file, contentType, contentTransferEncoding, charset);
+    }
+  }
+
+  /** A file part that keeps nothing. */
+  private final class PassedOn extends MemoryFileUpload {
+    PassedOn(
+        String name, String file, String contentType, String transferEncoding, Charset charset) {
+      super(name, file, contentType, transferEncoding, charset, 0);
+    }
+
+    @Override
+    public void addContent(ByteBuf buffer, boolean last) throws IOException {
+      byte[] bytes = ByteBufUtil.getBytes(buffer);
+      buffer.release();
+      sink.accept(bytes);
+      if (last) {
+        super.addContent(io.netty.buffer.Unpooled.EMPTY_BUFFER, true);
+      }
+    }
+  }
+}
--- a/node/src/main/java/org/waxwingcourse/node/web/Delivery.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/Delivery.java
@@ -36,11 +36,11 @@
 
   /** Ends the answer because the caller's key has stopped working. */
   void withdraw(Call call) {
-    call.cancel();
     String message = "the key was withdrawn while the request ran";
     ApiError error = ApiError.of(new Refusal(RefusalCode.INVALID_KEY, message, Instant.EPOCH));
     byte[] last = ("data: " + error.json() + "\n\n").getBytes(StandardCharsets.UTF_8);
     answer.abort(new Outcome.Failed(error.status(), message), last);
+    call.cancel();
   }
 
   private void send(AnswerStream.Start start) {
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -37,27 +37,35 @@
 import org.waxwingcourse.node.metrics.ServiceLevels;
 
 /** Small fakes behind the callers' interface; the prompt says how a request is to end. */
-final class FakePorts implements ConfigurationSource, Authenticator {
-  static final String KEY = "wx-test-key";
+public final class FakePorts implements ConfigurationSource, Authenticator {
+  public static final String KEY = "wx-test-key";
   private static final int MAX_BODY = 2048;
 
   final CompletableFuture<Void> cancelled = new CompletableFuture<>();
   volatile Runnable withdraw = () -> {};
 
   HttpServer start() {
-    CallerPorts ports =
-        new CallerPorts(
-            InstantSource.system(),
-            this,
-            this,
-            (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
-            this::submit,
-            (request, listener) -> () -> {},
-            ServiceLevels.of(new MetricRegistry()));
+    return start(CallerRoutes.of(ports()));
+  }
+
+  /** Returns the ports that the fakes stand behind. */
+  public CallerPorts ports() {
+    return new CallerPorts(
+        InstantSource.system(),
+        this,
+        this,
+        (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
+        this::submit,
+        (request, listener) -> () -> {},
+        ServiceLevels.of(new MetricRegistry()));
+  }
+
+  /** Starts a server of the given routes. */
+  public static HttpServer start(List<Routes> routes) {
     HttpServer.Options options =
         new HttpServer.Options(
             new InetSocketAddress("127.0.0.1", 0), 2, 8192, Duration.ofSeconds(60));
-    HttpServer server = HttpServer.of(options, CallerRoutes.of(ports));
+    HttpServer server = HttpServer.of(options, routes);
     server.start();
     return server;
   }
@@ -109,6 +117,11 @@
     return () -> {};
   }
 
+  private void cancel(AnswerListener listener) {
+    cancelled.complete(null);
+    listener.onEnd(new Outcome.Unknown("cancelled"));
+  }
+
   private Call submit(InferenceRequest request, AnswerListener listener) {
     String prompt = request.promptPrefix();
     if (prompt.contains("refuse")) {
@@ -125,6 +138,6 @@
       listener.onChunk("{\"object\":\"chat.completion\"}".getBytes(StandardCharsets.UTF_8));
       listener.onEnd(new Outcome.Done());
     }
-    return () -> cancelled.complete(null);
+    return () -> cancel(listener);
   }
 }
