--- a/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
@@ -271,6 +271,11 @@
     return new Job.Counts(good, lines.size() - good);
   }
 
+  /** Returns the id of an item, which is also that of its result. */
+  String itemId(int i) {
+    return ResultLines.id(job.id(), line(i));
+  }
+
   private int line(int i) {
     return claim.chunk() * 1000 + i;
   }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -128,7 +128,7 @@
     BatchItem item = run.item(i);
     InferenceRequest request =
         new InferenceRequest(
-            RequestId.of("batch-" + UUID.randomUUID()),
+            RequestId.of(run.itemId(i) + "-" + UUID.randomUUID()),
             run.job().organisation(),
             item.model(),
             WorkClass.BATCH,
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ResultLines.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ResultLines.java
@@ -34,9 +34,14 @@
     return Results.FAILED + root.toString();
   }
 
+  /** Returns the id of a result. */
+  static String id(JobId job, int line) {
+    return "batch_req_" + job + "_" + line;
+  }
+
   private static ObjectNode root(JobId job, int line, String customId) {
     ObjectNode root = MAPPER.createObjectNode();
-    root.put("id", "batch_req_" + job + "_" + line);
+    root.put("id", id(job, line));
     root.put("custom_id", customId);
     return root;
   }
--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -217,6 +217,7 @@
     assertThat(early).as("hosts that call at once").isLessThan(15);
     world.finish(first, job.id(), hosts);
     world.history.complete(400);
+    assertThat(world.engine.runsAgain()).as("run again after the outage").isLessThan(40);
     if (kind.equals("REFUSING")) {
       Outcome.Refused notRun = (Outcome.Refused) refused.getLeft();
       assertThat(notRun.refusal().code()).isEqualTo(RefusalCode.UNAVAILABLE);
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -13,6 +14,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.service.ServiceGroup;
+import org.waxwingcourse.node.batch.BatchParts;
 import org.waxwingcourse.node.dispatch.DirectDispatcher;
 import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
 import org.waxwingcourse.node.metrics.ServiceLevels;
@@ -20,6 +22,7 @@
 import org.waxwingcourse.node.web.CallerRoutes;
 import org.waxwingcourse.node.web.HttpServer;
 import org.waxwingcourse.node.web.OperatorRoutes;
+import org.waxwingcourse.node.web.Routes;
 import org.waxwingcourse.platform.etcd.EtcdOptions;
 import org.waxwingcourse.platform.etcd.EtcdStore;
 import org.waxwingcourse.policy.retry.RetryPolicy;
@@ -60,7 +63,10 @@
             DirectDispatcher.of(configuration, engines, clock, random),
             new DirectServiceDispatcher(plainServices),
             ServiceLevels.of(metrics));
-    callers = services.add(HttpServer.of(callerOptions(), CallerRoutes.of(ports)));
+    List<Routes> routes = new ArrayList<>(CallerRoutes.of(ports));
+    routes.addAll(BatchParts.routes(ports, store, random));
+    callers = services.add(HttpServer.of(callerOptions(), routes));
+    services.add(BatchParts.runner(ports, store, settings.host(), random));
     OperatorRoutes status = new OperatorRoutes(metrics, () -> "{}", this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
