--- a/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
@@ -197,16 +197,23 @@
 
   /** Sends nothing more and cancels what was sent. */
   void stop() {
+    stopAll(List.of(this));
+  }
+
+  /** Stops several runs; no item of one starts in the place of a cancelled one of another. */
+  static void stopAll(List<ChunkRun> runs) {
     List<Call> calls = new ArrayList<>();
-    synchronized (this) {
-      stopped = true;
-      for (ItemSlot slot : slots) {
-        if (slot.state == ItemSlot.State.ACTIVE && slot.call != null) {
-          calls.add(slot.call);
-        }
+    runs.forEach(run -> run.halt(calls));
+    calls.forEach(Call::cancel);
+  }
+
+  private synchronized void halt(List<Call> calls) {
+    stopped = true;
+    for (ItemSlot slot : slots) {
+      if (slot.state == ItemSlot.State.ACTIVE && slot.call != null) {
+        calls.add(slot.call);
       }
     }
-    calls.forEach(Call::cancel);
   }
 
   /** Tells whether the run was stopped and nothing that it sent is still open. */
@@ -264,6 +271,11 @@
     return new Job.Counts(good, lines.size() - good);
   }
 
+  /** Returns the id of an item, which is also that of its result. */
+  String itemId(int i) {
+    return ResultLines.id(job.id(), line(i));
+  }
+
   private int line(int i) {
     return claim.chunk() * 1000 + i;
   }
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.service.ServiceGroup;
+import org.waxwingcourse.node.batch.BatchParts;
 import org.waxwingcourse.node.dispatch.DirectDispatcher;
 import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
 import org.waxwingcourse.node.metrics.ServiceLevels;
@@ -68,7 +69,9 @@
     routes.add(
         new LimitRoutes(clock, settings.limits().connections(), settings.limits().requests()));
     routes.addAll(CallerRoutes.of(ports));
+    routes.addAll(BatchParts.routes(ports, store, random));
     callers = services.add(HttpServer.of(callerOptions(), routes));
+    services.add(BatchParts.runner(ports, store, settings.host(), random));
     OperatorRoutes status = new OperatorRoutes(metrics, () -> "{}", this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
