--- a/load/src/main/java/org/waxwingcourse/load/plan/ArrivalProcess.java
+++ b/load/src/main/java/org/waxwingcourse/load/plan/ArrivalProcess.java
@@ -58,8 +58,7 @@
       OrganisationLoad organisation, RandomGenerator random, Duration at, int number) {
     int prefix = random.nextInt(organisation.prefixes());
     boolean streamed = random.nextDouble() < organisation.streamedShare();
-    return new Arrival(
-        at, organisation, number, Prompts.of(organisation, prefix, number), streamed);
+    return new Arrival(at, organisation, number, prefix, streamed);
   }
 
   private double highestFactor(OrganisationLoad organisation) {
--- a/standin/src/main/java/org/waxwingcourse/standin/engine/EngineStandIn.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/engine/EngineStandIn.java
@@ -105,6 +105,11 @@
         .sum();
   }
 
+  /** Returns how many requests have been run, repeated ones included. */
+  public int runs() {
+    return records.runs().stream().mapToInt(EngineRecords.RunCount::runs).sum();
+  }
+
   /** Returns the load without lag, for tests. */
   public int running() {
     return loop.runningNow().join();
