--- a/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
@@ -6,6 +6,7 @@
 import org.waxwingcourse.cli.command.DiffCommand;
 import org.waxwingcourse.cli.command.JobCommand;
 import org.waxwingcourse.cli.command.KeyCommand;
+import org.waxwingcourse.cli.command.LoadCommand;
 import org.waxwingcourse.cli.command.StatusCommand;
 
 /** The program {@code waxwing}. */
@@ -26,6 +27,7 @@
         new ApplyCommand(),
         new StatusCommand(),
         new KeyCommand(),
-        new JobCommand());
+        new JobCommand(),
+        new LoadCommand());
   }
 }
