--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
@@ -6,8 +6,11 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.HttpAnswer;
@@ -15,6 +18,7 @@
 import org.waxwingcourse.http.HttpRequest;
 import org.waxwingcourse.model.fleet.Engine;
 import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.AnswerListener;
 import org.waxwingcourse.model.request.InferenceRequest;
 import org.waxwingcourse.model.service.Service;
@@ -31,6 +35,7 @@
   private final HttpCaller http;
   private final InstantSource clock;
   private final EngineLimits limits;
+  private final ConcurrentMap<UpstreamId, AtomicBoolean> repeatsIds = new ConcurrentHashMap<>();
   private ScheduledExecutorService timer;
 
   private EngineClient(HttpCaller http, InstantSource clock, EngineLimits limits) {
@@ -109,7 +114,9 @@
     HttpRequest post =
         HttpRequest.postJson(at(engine, path), body, request.deadline())
             .with(Header.of(REQUEST_ID, request.id().value()));
-    EngineStream stream = new EngineStream(engine, request, listener, limits, clock, timer);
+    AtomicBoolean repeats = repeatsIds.computeIfAbsent(engine.id(), e -> new AtomicBoolean());
+    AnswerId id = new AnswerId(request.id(), repeats);
+    EngineStream stream = new EngineStream(engine, request, listener, limits, clock, timer, id);
     stream.bind(http.stream(post, stream));
     return stream;
   }
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
@@ -22,11 +22,12 @@
 /**
  * One answer of an engine on its way to a listener. Streamed answers are handed on in whole events
  * only and must close with the published final event; an answer that just stops is unknown, never
- * done. A watchdog ends a streamed answer that keeps silent longer than the limits allow.
+ * done. Other answers are handed on whole. An answer to another request is never handed on. A
+ * watchdog ends a streamed answer that keeps silent longer than the limits allow.
  */
 final class EngineStream implements StreamListener, EngineCall {
   private static final int RETRY_SECONDS = 1;
-  private static final int MAX_ERROR_BYTES = 4096;
+  private static final int MAX_ERROR_CHARS = 4096;
 
   private final Engine engine;
   private final InferenceRequest request;
@@ -34,13 +35,16 @@
   private final EngineLimits limits;
   private final InstantSource clock;
   private final ScheduledExecutorService timer;
-  private final SseEvents events = new SseEvents();
-  private final ByteArrayOutputStream error = new ByteArrayOutputStream();
+  private final AnswerId id;
+  private final SseEvents events;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private volatile Deadline silence;
   private volatile StreamCall call;
   private volatile int tokens;
   private int status;
+  private String contentType;
   private boolean eventStream;
+  private boolean started;
   private boolean ended;
 
   EngineStream(
@@ -49,7 +53,10 @@
       AnswerListener listener,
       EngineLimits limits,
       InstantSource clock,
-      ScheduledExecutorService timer) {
+      ScheduledExecutorService timer,
+      AnswerId id) {
+    this.id = id;
+    this.events = new SseEvents(id);
     this.engine = engine;
     this.request = request;
     this.listener = listener;
@@ -81,12 +88,8 @@
     heard();
     timer.execute(this::watch);
     status = head.status();
-    if (ended || !passes(status)) {
-      return;
-    }
-    String type = head.header("Content-Type").orElse("application/json");
-    eventStream = status < 300 && type.startsWith("text/event-stream");
-    listener.onStart(status, type);
+    contentType = head.header("Content-Type").orElse("application/json");
+    eventStream = status < 300 && contentType.startsWith("text/event-stream");
   }
 
   @Override
@@ -95,14 +98,17 @@
     if (ended) {
       return;
     }
-    if (!passes(status)) {
-      error.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - error.size()));
+    if (!eventStream) {
+      body.writeBytes(bytes);
       return;
     }
-    byte[] whole = eventStream ? events.take(bytes) : bytes;
-    if (whole.length > 0) {
+    byte[] whole = events.take(bytes);
+    if (events.crossed()) {
+      end(crossed());
+      call.cancel();
+    } else if (whole.length > 0) {
       tokens = events.tokens();
-      listener.onChunk(whole);
+      deliver(whole);
     }
   }
 
@@ -114,10 +120,25 @@
   private synchronized void end(Outcome outcome) {
     if (!ended) {
       ended = true;
+      if (outcome instanceof Outcome.Done && !eventStream) {
+        deliver(body.toByteArray());
+      }
       listener.onEnd(outcome);
     }
   }
 
+  private void deliver(byte[] bytes) {
+    if (!started) {
+      started = true;
+      listener.onStart(status, contentType);
+    }
+    listener.onChunk(bytes);
+  }
+
+  private Outcome crossed() {
+    return new Outcome.Unknown("engine \"" + engine.id() + "\" answered another request");
+  }
+
   private void heard() {
     if (request.stream()) {
       silence = Deadline.after(clock, limits.nextByte());
@@ -155,7 +176,10 @@
       return refused(RefusalCode.OVERLOADED, "engine \"" + engine.id() + "\" is full");
     }
     if (!passes(status)) {
-      return new Outcome.Failed(status, error.toString(StandardCharsets.UTF_8));
+      return new Outcome.Failed(status, errorText());
+    }
+    if (!eventStream && id.isOfAnother(body.toString(StandardCharsets.UTF_8))) {
+      return crossed();
     }
     if (eventStream && !events.done()) {
       return new Outcome.Unknown("engine \"" + engine.id() + "\" broke its answer off");
@@ -163,6 +187,11 @@
     return new Outcome.Done();
   }
 
+  private String errorText() {
+    String text = body.toString(StandardCharsets.UTF_8);
+    return text.substring(0, Math.min(text.length(), MAX_ERROR_CHARS));
+  }
+
   private Outcome refused(RefusalCode code, String message) {
     return new Outcome.Refused(
         new Refusal(code, message, clock.instant().plusSeconds(RETRY_SECONDS)));
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/SseEvents.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/SseEvents.java
@@ -9,12 +9,18 @@
  * taken up again at a token's boundary. Used by one thread at a time.
  */
 final class SseEvents {
-  private static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
-  private static final byte[] DATA = "data:".getBytes(StandardCharsets.US_ASCII);
+  private static final String DONE = "data: [DONE]\n\n";
+  private static final String CONTENT = "\"content\":\"";
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private final AnswerId id;
   private int tokens;
   private boolean done;
+  private boolean crossed;
+
+  SseEvents(AnswerId id) {
+    this.id = id;
+  }
 
   /** Takes the next bytes and returns all events that are whole by now, maybe none. */
   byte[] take(byte[] bytes) {
@@ -23,7 +29,7 @@
     int end = 0;
     for (int i = 0; i + 1 < all.length; i++) {
       if (all[i] == '\n' && all[i + 1] == '\n') {
-        count(all, end, i + 2);
+        read(new String(all, end, i + 2 - end, StandardCharsets.UTF_8));
         end = i + 2;
         i++;
       }
@@ -36,7 +42,7 @@
     return Arrays.copyOf(all, end);
   }
 
-  /** Returns the number of data events seen, the closing one apart. */
+  /** Returns the number of events that carried a part of the answer. */
   int tokens() {
     return tokens;
   }
@@ -46,11 +52,18 @@
     return done;
   }
 
-  private void count(byte[] all, int from, int to) {
-    if (Arrays.equals(all, from, to, DONE, 0, DONE.length)) {
+  /** Tells whether an event belonged to another request. */
+  boolean crossed() {
+    return crossed;
+  }
+
+  private void read(String event) {
+    if (event.equals(DONE)) {
       done = true;
-    } else if (to - from > DATA.length
-        && Arrays.equals(all, from, from + DATA.length, DATA, 0, DATA.length)) {
+      return;
+    }
+    crossed |= id.isOfAnother(event);
+    if (event.contains(CONTENT)) {
       tokens++;
     }
   }
--- a/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
@@ -83,6 +83,15 @@
     assertThat(answer.text()).isEqualTo("data: a\n\n");
   }
 
+  @Test
+  void answerToAnotherRequestIsNeverHandedOn() {
+    answer(
+        200, "data: {\"id\":\"chat-r1\"}\n\ndata: {\"id\":\"chat-r2\"}\n\ndata: [DONE]\n\n", false);
+    Answer answer = run(address());
+    assertThat(answer.outcome()).isInstanceOf(Outcome.Unknown.class);
+    assertThat(answer.text()).doesNotContain("r2");
+  }
+
   @Test
   void closedPortIsKnownNotToHaveRun() {
     URI closed = address();
