--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -33,6 +33,8 @@
   STOP_CUT(421, Level.ERROR, "planned stop ends by its deadline with {} requests in flight"),
   STOP_STEP_FAILED(422, Level.ERROR, "a step of the planned stop failed: {}"),
   // 500: dispatch, engines and plain services
+  ENGINE_EJECTED(500, Level.WARN, "engine \"{}\" fails and gets no work until {}"),
+  DISPATCH_UNREADABLE(501, Level.ERROR, "message of host \"{}\" cannot be read: {}"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" is {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "chunk {} of job \"{}\" is no longer held under number {}"),
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/DirectDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/DirectDispatcher.java
@@ -13,6 +13,7 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.upstream.engine.EngineCall;
 import org.waxwingcourse.upstream.engine.EngineClient;
 
 /** Sends each request straight to a random engine of its model. */
@@ -52,7 +53,9 @@
       return () -> {};
     }
     Engine engine = able.get(random.nextInt(able.size()));
-    return engines.run(engine, request, listener);
+    EngineCall call = engines.open(engine, request, listener);
+    call.begin();
+    return call;
   }
 
   private List<Engine> able(ModelName model) {
--- a/policy/src/main/java/org/waxwingcourse/policy/queue/Actions.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/queue/Actions.java
@@ -29,6 +29,11 @@
    */
   public record Refused(RequestId id, Refusal refusal) {}
 
+  /** Tells whether there is nothing to do. */
+  public boolean isEmpty() {
+    return start.isEmpty() && yield.isEmpty() && refuse.isEmpty();
+  }
+
   /** Returns why the request is refused, if it is. */
   public Option<Refusal> refusalOf(RequestId id) {
     return io.vavr.collection.List.ofAll(refuse).find(r -> r.id().equals(id)).map(Refused::refusal);
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
@@ -67,20 +67,20 @@
     }
   }
 
-  /** Runs a request on an engine. */
-  public EngineCall run(Engine engine, InferenceRequest request, AnswerListener listener) {
-    return send(engine, "/v1/chat/completions", request.body(), request, listener);
+  /** Prepares a request for an engine. */
+  public EngineCall open(Engine engine, InferenceRequest request, AnswerListener listener) {
+    return call(engine, "/v1/chat/completions", request.body(), request, listener);
   }
 
   /**
-   * Takes up a streamed answer that broke off.
+   * Prepares to take up a streamed answer that broke off.
    *
    * @param fromToken the number of tokens that the caller has already
    */
-  public EngineCall resume(
+  public EngineCall openAgain(
       Engine engine, InferenceRequest request, int fromToken, AnswerListener listener) {
     String body = "{\"from_token\":" + fromToken + "}";
-    return send(engine, "/engine/resume/" + request.id(), body, request, listener);
+    return call(engine, "/engine/resume/" + request.id(), body, request, listener);
   }
 
   /** Ends a request on the engine, so that it frees the slot; the answer is not waited for. */
@@ -109,16 +109,15 @@
     return control(engine, "POST", "/engine/orders", json, false);
   }
 
-  private EngineStream send(
+  private EngineCall call(
       Engine engine, String path, String body, InferenceRequest request, AnswerListener listener) {
     HttpRequest post =
         HttpRequest.postJson(at(engine, path), body, request.deadline())
             .with(Header.of(REQUEST_ID, request.id().value()));
     AtomicBoolean repeats = repeatsIds.computeIfAbsent(engine.id(), e -> new AtomicBoolean());
     AnswerId id = new AnswerId(request.id(), repeats);
-    EngineStream stream = new EngineStream(engine, request, listener, limits, clock, timer, id);
-    stream.bind(http.stream(post, stream));
-    return stream;
+    return new EngineStream(
+        engine, request, listener, limits, clock, timer, id, stream -> http.stream(post, stream));
   }
 
   private CompletableFuture<Either<CallFailure, HttpAnswer>> control(
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.HttpAnswer;
 import org.waxwingcourse.http.StreamCall;
@@ -36,6 +37,7 @@
   private final InstantSource clock;
   private final ScheduledExecutorService timer;
   private final AnswerId id;
+  private final Function<StreamListener, StreamCall> send;
   private final SseEvents events;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private volatile Deadline silence;
@@ -54,7 +56,9 @@
       EngineLimits limits,
       InstantSource clock,
       ScheduledExecutorService timer,
-      AnswerId id) {
+      AnswerId id,
+      Function<StreamListener, StreamCall> send) {
+    this.send = send;
     this.id = id;
     this.events = new SseEvents(id);
     this.engine = engine;
@@ -67,15 +71,30 @@
         request.stream() ? Deadline.after(clock, limits.firstByte()) : request.deadline();
   }
 
-  void bind(StreamCall bound) {
-    call = bound;
+  @Override
+  public void begin() {
+    if (isEnded()) {
+      return;
+    }
+    StreamCall sent = send.apply(this);
+    call = sent;
+    if (isEnded()) {
+      sent.cancel();
+    }
     watch();
   }
 
   @Override
   public void cancel() {
     end(new Outcome.Unknown("request " + request.id() + " was cancelled"));
-    call.cancel();
+    closeCall();
+  }
+
+  private void closeCall() {
+    StreamCall sent = call;
+    if (sent != null) {
+      sent.cancel();
+    }
   }
 
   @Override
@@ -105,7 +124,7 @@
     byte[] whole = events.take(bytes);
     if (events.crossed()) {
       end(crossed());
-      call.cancel();
+      closeCall();
     } else if (whole.length > 0) {
       tokens = events.tokens();
       deliver(whole);
@@ -152,7 +171,7 @@
     }
     if (silence.isPast(now)) {
       end(new Outcome.Unknown("engine \"" + engine.id() + "\" kept silent"));
-      call.cancel();
+      closeCall();
       return;
     }
     long wait = silence.remaining(now).toMillis() + 1;
--- a/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
@@ -144,23 +144,25 @@
             Deadline.after(CLOCK, Duration.ofSeconds(60)));
     StringBuilder text = new StringBuilder();
     CompletableFuture<Outcome> end = new CompletableFuture<>();
-    client.run(
-        engine,
-        request,
-        new AnswerListener() {
-          @Override
-          public void onStart(int status, String contentType) {}
-
-          @Override
-          public void onChunk(byte[] bytes) {
-            text.append(new String(bytes, StandardCharsets.UTF_8));
-          }
-
-          @Override
-          public void onEnd(Outcome outcome) {
-            end.complete(outcome);
-          }
-        });
+    EngineCall call =
+        client.open(
+            engine,
+            request,
+            new AnswerListener() {
+              @Override
+              public void onStart(int status, String contentType) {}
+
+              @Override
+              public void onChunk(byte[] bytes) {
+                text.append(new String(bytes, StandardCharsets.UTF_8));
+              }
+
+              @Override
+              public void onEnd(Outcome outcome) {
+                end.complete(outcome);
+              }
+            });
+    call.begin();
     return new Answer(end.orTimeout(60, TimeUnit.SECONDS).join(), text.toString());
   }
 
