--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
@@ -6,8 +6,11 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.HttpAnswer;
@@ -15,6 +18,7 @@
 import org.waxwingcourse.http.HttpRequest;
 import org.waxwingcourse.model.fleet.Engine;
 import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.AnswerListener;
 import org.waxwingcourse.model.request.InferenceRequest;
 import org.waxwingcourse.model.service.Service;
@@ -31,6 +35,7 @@
   private final HttpCaller http;
   private final InstantSource clock;
   private final EngineLimits limits;
+  private final ConcurrentMap<UpstreamId, AtomicBoolean> repeatsIds = new ConcurrentHashMap<>();
   private ScheduledExecutorService timer;
 
   private EngineClient(HttpCaller http, InstantSource clock, EngineLimits limits) {
@@ -62,20 +67,20 @@
     }
   }
 
-  /** Runs a request on an engine. */
-  public EngineCall run(Engine engine, InferenceRequest request, AnswerListener listener) {
-    return send(engine, "/v1/chat/completions", request.body(), request, listener);
+  /** Prepares a request for an engine. */
+  public EngineCall open(Engine engine, InferenceRequest request, AnswerListener listener) {
+    return call(engine, "/v1/chat/completions", request.body(), request, listener);
   }
 
   /**
-   * Takes up a streamed answer that broke off.
+   * Prepares to take up a streamed answer that broke off.
    *
    * @param fromToken the number of tokens that the caller has already
    */
-  public EngineCall resume(
+  public EngineCall openAgain(
       Engine engine, InferenceRequest request, int fromToken, AnswerListener listener) {
     String body = "{\"from_token\":" + fromToken + "}";
-    return send(engine, "/engine/resume/" + request.id(), body, request, listener);
+    return call(engine, "/engine/resume/" + request.id(), body, request, listener);
   }
 
   /** Ends a request on the engine, so that it frees the slot; the answer is not waited for. */
@@ -104,14 +109,15 @@
     return control(engine, "POST", "/engine/orders", json, false);
   }
 
-  private EngineStream send(
+  private EngineCall call(
       Engine engine, String path, String body, InferenceRequest request, AnswerListener listener) {
     HttpRequest post =
         HttpRequest.postJson(at(engine, path), body, request.deadline())
             .with(Header.of(REQUEST_ID, request.id().value()));
-    EngineStream stream = new EngineStream(engine, request, listener, limits, clock, timer);
-    stream.bind(http.stream(post, stream));
-    return stream;
+    AtomicBoolean repeats = repeatsIds.computeIfAbsent(engine.id(), e -> new AtomicBoolean());
+    AnswerId id = new AnswerId(request.id(), repeats);
+    return new EngineStream(
+        engine, request, listener, limits, clock, timer, id, stream -> http.stream(post, stream));
   }
 
   private CompletableFuture<Either<CallFailure, HttpAnswer>> control(
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.HttpAnswer;
 import org.waxwingcourse.http.StreamCall;
@@ -22,11 +23,12 @@
 /**
  * One answer of an engine on its way to a listener. Streamed answers are handed on in whole events
  * only and must close with the published final event; an answer that just stops is unknown, never
- * done. A watchdog ends a streamed answer that keeps silent longer than the limits allow.
+ * done. Other answers are handed on whole. An answer to another request is never handed on. A
+ * watchdog ends a streamed answer that keeps silent longer than the limits allow.
  */
 final class EngineStream implements StreamListener, EngineCall {
   private static final int RETRY_SECONDS = 1;
-  private static final int MAX_ERROR_BYTES = 4096;
+  private static final int MAX_ERROR_CHARS = 4096;
 
   private final Engine engine;
   private final InferenceRequest request;
@@ -34,13 +36,17 @@
   private final EngineLimits limits;
   private final InstantSource clock;
   private final ScheduledExecutorService timer;
-  private final SseEvents events = new SseEvents();
-  private final ByteArrayOutputStream error = new ByteArrayOutputStream();
+  private final AnswerId id;
+  private final Function<StreamListener, StreamCall> send;
+  private final SseEvents events;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private volatile Deadline silence;
   private volatile StreamCall call;
   private volatile int tokens;
   private int status;
+  private String contentType;
   private boolean eventStream;
+  private boolean started;
   private boolean ended;
 
   EngineStream(
@@ -49,7 +55,12 @@
       AnswerListener listener,
       EngineLimits limits,
       InstantSource clock,
-      ScheduledExecutorService timer) {
+      ScheduledExecutorService timer,
+      AnswerId id,
+      Function<StreamListener, StreamCall> send) {
+    this.send = send;
+    this.id = id;
+    this.events = new SseEvents(id);
     this.engine = engine;
     this.request = request;
     this.listener = listener;
@@ -60,15 +71,30 @@
         request.stream() ? Deadline.after(clock, limits.firstByte()) : request.deadline();
   }
 
-  void bind(StreamCall bound) {
-    call = bound;
+  @Override
+  public void begin() {
+    if (isEnded()) {
+      return;
+    }
+    StreamCall sent = send.apply(this);
+    call = sent;
+    if (isEnded()) {
+      sent.cancel();
+    }
     watch();
   }
 
   @Override
   public void cancel() {
     end(new Outcome.Unknown("request " + request.id() + " was cancelled"));
-    call.cancel();
+    closeCall();
+  }
+
+  private void closeCall() {
+    StreamCall sent = call;
+    if (sent != null) {
+      sent.cancel();
+    }
   }
 
   @Override
@@ -81,12 +107,8 @@
     heard();
     timer.execute(this::watch);
     status = head.status();
-    if (ended || !passes(status)) {
-      return;
-    }
-    String type = head.header("Content-Type").orElse("application/json");
-    eventStream = status < 300 && type.startsWith("text/event-stream");
-    listener.onStart(status, type);
+    contentType = head.header("Content-Type").orElse("application/json");
+    eventStream = status < 300 && contentType.startsWith("text/event-stream");
   }
 
   @Override
@@ -95,14 +117,17 @@
     if (ended) {
       return;
     }
-    if (!passes(status)) {
-      error.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BYTES - error.size()));
+    if (!eventStream) {
+      body.writeBytes(bytes);
       return;
     }
-    byte[] whole = eventStream ? events.take(bytes) : bytes;
-    if (whole.length > 0) {
+    byte[] whole = events.take(bytes);
+    if (events.crossed()) {
+      end(crossed());
+      closeCall();
+    } else if (whole.length > 0) {
       tokens = events.tokens();
-      listener.onChunk(whole);
+      deliver(whole);
     }
   }
 
@@ -114,10 +139,25 @@
   private synchronized void end(Outcome outcome) {
     if (!ended) {
       ended = true;
+      if (outcome instanceof Outcome.Done && !eventStream) {
+        deliver(body.toByteArray());
+      }
       listener.onEnd(outcome);
     }
   }
 
+  private void deliver(byte[] bytes) {
+    if (!started) {
+      started = true;
+      listener.onStart(status, contentType);
+    }
+    listener.onChunk(bytes);
+  }
+
+  private Outcome crossed() {
+    return new Outcome.Unknown("engine \"" + engine.id() + "\" answered another request");
+  }
+
   private void heard() {
     if (request.stream()) {
       silence = Deadline.after(clock, limits.nextByte());
@@ -131,7 +171,7 @@
     }
     if (silence.isPast(now)) {
       end(new Outcome.Unknown("engine \"" + engine.id() + "\" kept silent"));
-      call.cancel();
+      closeCall();
       return;
     }
     long wait = silence.remaining(now).toMillis() + 1;
@@ -155,7 +195,10 @@
       return refused(RefusalCode.OVERLOADED, "engine \"" + engine.id() + "\" is full");
     }
     if (!passes(status)) {
-      return new Outcome.Failed(status, error.toString(StandardCharsets.UTF_8));
+      return new Outcome.Failed(status, errorText());
+    }
+    if (!eventStream && id.isOfAnother(body.toString(StandardCharsets.UTF_8))) {
+      return crossed();
     }
     if (eventStream && !events.done()) {
       return new Outcome.Unknown("engine \"" + engine.id() + "\" broke its answer off");
@@ -163,6 +206,11 @@
     return new Outcome.Done();
   }
 
+  private String errorText() {
+    String text = body.toString(StandardCharsets.UTF_8);
+    return text.substring(0, Math.min(text.length(), MAX_ERROR_CHARS));
+  }
+
   private Outcome refused(RefusalCode code, String message) {
     return new Outcome.Refused(
         new Refusal(code, message, clock.instant().plusSeconds(RETRY_SECONDS)));
--- a/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
@@ -83,6 +83,15 @@
     assertThat(answer.text()).isEqualTo("data: a\n\n");
   }
 
+  @Test
+  void answerToAnotherRequestIsNeverHandedOn() {
+    answer(
+        200, "data: {\"id\":\"chat-r1\"}\n\ndata: {\"id\":\"chat-r2\"}\n\ndata: [DONE]\n\n", false);
+    Answer answer = run(address());
+    assertThat(answer.outcome()).isInstanceOf(Outcome.Unknown.class);
+    assertThat(answer.text()).doesNotContain("r2");
+  }
+
   @Test
   void closedPortIsKnownNotToHaveRun() {
     URI closed = address();
@@ -135,23 +144,25 @@
             Deadline.after(CLOCK, Duration.ofSeconds(60)));
     StringBuilder text = new StringBuilder();
     CompletableFuture<Outcome> end = new CompletableFuture<>();
-    client.run(
-        engine,
-        request,
-        new AnswerListener() {
-          @Override
-          public void onStart(int status, String contentType) {}
-
-          @Override
-          public void onChunk(byte[] bytes) {
-            text.append(new String(bytes, StandardCharsets.UTF_8));
-          }
-
-          @Override
-          public void onEnd(Outcome outcome) {
-            end.complete(outcome);
-          }
-        });
+    EngineCall call =
+        client.open(
+            engine,
+            request,
+            new AnswerListener() {
+              @Override
+              public void onStart(int status, String contentType) {}
+
+              @Override
+              public void onChunk(byte[] bytes) {
+                text.append(new String(bytes, StandardCharsets.UTF_8));
+              }
+
+              @Override
+              public void onEnd(Outcome outcome) {
+                end.complete(outcome);
+              }
+            });
+    call.begin();
     return new Answer(end.orTimeout(60, TimeUnit.SECONDS).join(), text.toString());
   }
 
