--- a/daemon/src/main/java/org/waxwingcourse/daemon/NodeMain.java
+++ b/daemon/src/main/java/org/waxwingcourse/daemon/NodeMain.java
@@ -69,6 +69,7 @@
   }
 
   private static void stop(Node node) {
+    node.leave();
     node.stop();
     LogManager.shutdown();
   }
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -12,20 +12,28 @@
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.member.MembershipView;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.service.ServiceGroup;
 import org.waxwingcourse.node.batch.BatchParts;
 import org.waxwingcourse.node.dispatch.DirectDispatcher;
 import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
+import org.waxwingcourse.node.member.DrainRoutes;
+import org.waxwingcourse.node.member.FleetMember;
+import org.waxwingcourse.node.member.HostRoutes;
 import org.waxwingcourse.node.metrics.ServiceLevels;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.CallerRoutes;
+import org.waxwingcourse.node.web.Gate;
 import org.waxwingcourse.node.web.HttpServer;
 import org.waxwingcourse.node.web.LimitRoutes;
 import org.waxwingcourse.node.web.OperatorRoutes;
 import org.waxwingcourse.node.web.Routes;
 import org.waxwingcourse.platform.etcd.EtcdOptions;
 import org.waxwingcourse.platform.etcd.EtcdStore;
+import org.waxwingcourse.platform.hosts.HostList;
+import org.waxwingcourse.platform.hosts.HttpHostList;
+import org.waxwingcourse.policy.hosts.PlannedStop;
 import org.waxwingcourse.policy.retry.RetryPolicy;
 import org.waxwingcourse.upstream.engine.EngineClient;
 import org.waxwingcourse.upstream.engine.EngineLimits;
@@ -43,6 +51,7 @@
   private final NodeSettings settings;
   private final ServiceGroup services = new ServiceGroup();
   private final MetricRegistry metrics = new MetricRegistry();
+  private final FleetMember member;
   private final StoredConfiguration configuration;
   private final HttpServer callers;
   private final HttpServer operators;
@@ -51,6 +60,9 @@
     this.settings = settings;
     HttpCaller http = services.add(HttpCaller.of(clock, CLIENT_THREADS));
     EtcdStore store = services.add(EtcdStore.of(http, clock, EtcdOptions.of(settings.stores())));
+    HostList hosts = HttpHostList.of(http, clock, settings.hostList());
+    member = services.add(new FleetMember(settings, store, hosts, clock, random));
+    member.register(metrics);
     configuration = services.add(new StoredConfiguration(store));
     EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
     ServiceClient plainServices =
@@ -66,8 +78,13 @@
             Duration.ofMillis(settings.limits().requestBodyMillis()),
             ServiceLevels.of(metrics));
     List<Routes> routes = new ArrayList<>();
-    routes.add(
-        new LimitRoutes(clock, settings.limits().connections(), settings.limits().requests()));
+    LimitRoutes limits =
+        new LimitRoutes(clock, settings.limits().connections(), settings.limits().requests());
+    PlannedStop stop = member.plannedStop();
+    stop.waitFor(limits::requestsInProgress);
+    routes.add(limits);
+    routes.add(new HostRoutes(member::answer, new Gate(ports)));
+    routes.add(new DrainRoutes(stop::takesRequests, clock));
     routes.addAll(CallerRoutes.of(ports));
     routes.addAll(BatchParts.routes(ports, store, random));
     callers = services.add(HttpServer.of(callerOptions(), routes));
@@ -84,9 +101,23 @@
   @Override
   public void start() {
     services.start();
+    member.join(callers.port());
     LOG.write(Event.NODE_STARTED, settings.host(), settings.callerAddress());
   }
 
+  /**
+   * Leaves the fleet as planned: returns once no caller is sent here and no request is underway.
+   */
+  public void leave() {
+    LOG.write(Event.NODE_STOPPING, settings.host(), "told to stop");
+    member.leave();
+  }
+
+  /** Returns the hosts as this one knows them. */
+  public MembershipView members() {
+    return member.view();
+  }
+
   @Override
   public void stop() {
     services.stop();
--- a/node/src/main/java/org/waxwingcourse/node/member/RequestsUnderway.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/DrainRoutes.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
@@ -11,34 +10,26 @@
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 
-/** Counts the requests that callers have underway, and refuses new ones while the node drains. */
-public final class RequestsUnderway implements Routes {
+/** Refuses new requests while the node drains; stands before the routes that serve callers. */
+public final class DrainRoutes implements Routes {
   private static final Duration COME_BACK = Duration.ofSeconds(1);
   private static final String MESSAGE = "this host stops; ask GET /v1/hosts for others";
 
-  private final AtomicInteger count = new AtomicInteger();
   private final BooleanSupplier open;
   private final InstantSource clock;
 
-  /** Returns a count; new requests are taken while {@code open} holds. */
-  public RequestsUnderway(BooleanSupplier open, InstantSource clock) {
+  /** Returns routes that let requests pass while {@code open} holds. */
+  public DrainRoutes(BooleanSupplier open, InstantSource clock) {
     this.open = open;
     this.clock = clock;
   }
 
-  /** Returns how many requests are underway. */
-  public int count() {
-    return count.get();
-  }
-
   @Override
   public void addTo(Chain chain) {
     chain.all(this::handle);
   }
 
   private void handle(Context context) {
-    count.incrementAndGet();
-    context.onClose(outcome -> count.decrementAndGet());
     if (open.getAsBoolean()) {
       context.next();
       return;
