--- a/batch/src/main/java/org/waxwingcourse/batch/record/Keys.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/record/Keys.java
@@ -14,6 +14,9 @@
   /** Key that the host hangs on its lease while it removes old data. */
   public static final String SWEEPER = "/waxwing/batch/sweeper";
 
+  /** Key of the last day whose old data was removed. */
+  public static final String SWEPT = "/waxwing/batch/swept";
+
   private static final String ROOT = "/waxwing/batch/";
 
   private Keys() {}
--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -7,8 +7,8 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
@@ -35,6 +35,8 @@
       new Backoff(Duration.ofSeconds(2), Duration.ofSeconds(30));
   private static final int OUTAGE_FAILURES = 3;
   private static final Duration IDLE = Duration.ofSeconds(5);
+  private static final Duration STOP_PATIENCE = Duration.ofSeconds(20);
+  private static final Duration DRAIN_POLL = Duration.ofMillis(50);
   private static final Duration BUSY = Duration.ofSeconds(1);
 
   private final InstantSource clock;
@@ -44,6 +46,7 @@
   private final ItemPump pump;
   private final HeldChunks held;
   private final WorkFinder finder;
+  private final Sweeper sweeper;
   private final ReentrantLock lock = new ReentrantLock();
   private final Condition wake = lock.newCondition();
   private Instant storeRetryAt = Instant.MIN;
@@ -87,6 +90,7 @@
     Claims claims = new Claims(calls, parts.host(), () -> UUID.randomUUID().toString());
     Results results = new Results(calls);
     this.held = new HeldChunks(claims, results, pump, live, clock, settings, parts.mostTries());
+    this.sweeper = new Sweeper(calls, clock, random);
     this.finder =
         new WorkFinder(
             new Jobs(calls, clock), claims, held, live, parts.host(), clock, random, settings);
@@ -106,7 +110,7 @@
     }
   }
 
-  /** Stops sending, and gives all claims back so that other hosts go on at once. */
+  /** Ends what was sent, then gives all claims back so that other hosts go on at once. */
   @Override
   public void stop() {
     Thread running;
@@ -121,19 +125,28 @@
     }
     if (running != null) {
       joinQuietly(running);
-      close(live);
     }
+    drain();
+    ChunkRun.stopAll(List.copyOf(pump.runs()));
+    live.close();
+    lease.release();
   }
 
-  private void close(LiveJobs jobs) {
-    pump.runs().forEach(ChunkRun::stop);
-    jobs.close();
-    lease.release();
+  /** Lets what was sent end, commits what is finished and stores what is known of the rest. */
+  private void drain() {
+    pump.drain();
+    Instant patience = clock.instant().plus(STOP_PATIENCE);
+    while (!pump.isDrained() && clock.instant().isBefore(patience)) {
+      held.check(clock.instant());
+      pump.pump();
+      LockSupport.parkNanos(DRAIN_POLL.toNanos());
+    }
+    lease.held().forEach(held::handOver);
   }
 
   private static void joinQuietly(Thread running) {
     try {
-      running.join(TimeUnit.SECONDS.toMillis(10));
+      running.join(STOP_PATIENCE.toMillis());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -226,9 +239,6 @@
     if (!live.refresh()) {
       return false;
     }
-    if (held.size() == 0 && live.jobs().isEmpty()) {
-      return true;
-    }
     Option<LeaseTerm> term = lease.keep();
     if (term.isEmpty()) {
       return false;
@@ -238,7 +248,7 @@
     if (gone.isLeft() || clock.instant().isBefore(claimAfter)) {
       return gone.isRight();
     }
-    return finder.claimMore(term.get()) && loadNew(term.get());
+    return finder.claimMore(term.get()) && loadNew(term.get()) && sweeper.step(term.get());
   }
 
   /** Loads what was just claimed, so that its items are sent in this step. */
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
@@ -225,6 +225,21 @@
     return !stopped && endedBelow(slots.length);
   }
 
+  /** Tells whether the items may not be repeated, so that a stored mark says which were sent. */
+  boolean isMarked() {
+    return !job.spec().repeatable();
+  }
+
+  /** Tells whether items that may be sent have not ended. */
+  synchronized boolean mayGoOn() {
+    return !stopped && !endedBelow(allowed);
+  }
+
+  /** Returns the mark with all that is known, for the next owner. */
+  synchronized ChunkMark knownMark() {
+    return new ChunkMark(allowed, lines().subList(0, allowed));
+  }
+
   /** Tells whether items wait for a mark to be stored before they may be sent. */
   synchronized boolean awaitsMark() {
     return !stopped && allowed < slots.length && endedBelow(allowed);
--- a/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
@@ -121,6 +121,18 @@
     return run.awaitsMark() ? mark(chunk, run) : Step.KEPT;
   }
 
+  /** Commits finished chunks, and stores what is known of those that may not be repeated. */
+  void handOver(LeaseTerm term) {
+    for (HeldChunk chunk : held) {
+      boolean ours = chunk.claim.term() == term && live.isInForce(chunk.claim.job());
+      if (ours && chunk.run.exists(ChunkRun::finished)) {
+        commit(chunk, chunk.run.get());
+      } else if (ours && chunk.run.exists(ChunkRun::isMarked)) {
+        claims.mark(chunk.claim, chunk.run.get().knownMark());
+      }
+    }
+  }
+
   /** The claim ends only when nothing that was sent is still open, so that a cancel can wait. */
   private Step giveBack(HeldChunk chunk, LeaseTerm term) {
     chunk.run.forEach(ChunkRun::stop);
@@ -171,7 +183,7 @@
     ChunkRun run = new ChunkRun(chunk.claim, items, mark.get(), limits());
     chunk.run = Option.some(run);
     pump.add(run);
-    return Step.KEPT;
+    return run.awaitsMark() ? mark(chunk, run) : Step.KEPT;
   }
 
   private ChunkRun.Limits limits() {
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -37,6 +37,7 @@
   private final JobOrder order = new JobOrder(1);
   private final List<ChunkRun> runs = new CopyOnWriteArrayList<>();
   private final AtomicInteger requests = new AtomicInteger();
+  private volatile boolean draining;
 
   ItemPump(
       Dispatcher dispatcher,
@@ -63,6 +64,16 @@
     return runs;
   }
 
+  /** Sends nothing more but the rest of what was marked as sent already. */
+  void drain() {
+    draining = true;
+  }
+
+  /** Tells whether nothing is open and nothing marked is left to be sent. */
+  boolean isDrained() {
+    return runs.stream().allMatch(r -> r.active() == 0 && !(r.isMarked() && r.mayGoOn()));
+  }
+
   /** Sends what may be sent now. A call while another thread is at it makes that one look again. */
   void pump() {
     if (requests.getAndIncrement() != 0) {
@@ -90,7 +101,7 @@
     Instant now = clock.instant();
     Map<JobId, ChunkRun> ready = new HashMap<>();
     for (ChunkRun run : runs) {
-      if (run.ready(now).isPresent()) {
+      if ((!draining || run.isMarked()) && run.ready(now).isPresent()) {
         ready.putIfAbsent(run.job().id(), run);
       }
     }
--- a/batch/src/test/java/org/waxwingcourse/batch/History.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/History.java
@@ -40,6 +40,10 @@
     return seen.getOrDefault(item, "");
   }
 
+  int countOf(String text) {
+    return (int) seen.values().stream().filter(line -> line.contains(text)).count();
+  }
+
   int size() {
     return seen.size();
   }
