Rates held over all hosts by escrowed shares and loans

Cause: never more than burst + rate * T in any window over all hosts together, under every fault. Ruled out: counters merged later (overrun by design); a share that grows at once when its host learns of it; a host that goes on after missing a roster. Conclusion: shares follow from the stored roster, act only under evidence, grow only after older rights have lapsed, and tokens move by loans that debit the lender first.

--- /dev/null
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Holds organisations to their rates over all hosts together. */
+package org.waxwingcourse.policy.rate;
--- a/policy/src/main/java/org/waxwingcourse/policy/trust/Evidence.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/trust/Evidence.java
@@ -30,7 +30,7 @@
   }
 
   /** Notes that nothing accepted before {@code instant} is missed. */
-  synchronized void confirm(Instant instant) {
+  public synchronized void confirm(Instant instant) {
     if (instant.isAfter(heardAt)) {
       heardAt = instant;
     }
--- /dev/null
+++ b/policy/src/test/java/org/waxwingcourse/policy/rate/LendingTest.java
@@ -0,0 +1,72 @@
+package org.waxwingcourse.policy.rate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.model.fleet.Rate;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.OrganisationId;
+
+/** A loan is spent, returned or written off once, and never counts twice. */
+class LendingTest {
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final long TOKEN = TokenBucket.TOKEN;
+  private static final OrganisationId ORGANISATION = OrganisationId.of("org");
+  private static final HostId LENDER = HostId.of("h1");
+
+  private final Lender lender = new Lender(START);
+
+  LendingTest() {
+    lender.begin(Share.of(Rate.of(10, 10), 0, 1), true, START);
+  }
+
+  @Test
+  void bucketDoesNotRefillWhatIsLent() {
+    assertThat(lender.lend(1, 8 * TOKEN, START)).isEqualTo(8 * TOKEN);
+    Instant later = START.plus(Lender.VALID);
+    lender.tick(later);
+    assertThat(lender.bucket().amount(later)).isEqualTo(2 * TOKEN);
+  }
+
+  @Test
+  void returnedTwiceCountsOnceAndLateNotAtAll() {
+    lender.lend(1, 8 * TOKEN, START);
+    lender.settle(1, 8 * TOKEN, START);
+    lender.settle(1, 8 * TOKEN, START);
+    assertThat(lender.bucket().amount(START)).isEqualTo(10 * TOKEN);
+    lender.lend(2, 10 * TOKEN, START);
+    Instant writtenOff = START.plus(Lender.WRITTEN_OFF);
+    lender.settle(2, 10 * TOKEN, writtenOff);
+    assertThat(lender.bucket().amount(writtenOff)).isZero();
+  }
+
+  @Test
+  void borrowerThatWasPausedFindsItsLoanLapsed() {
+    List<RateMessage> sent = new ArrayList<>();
+    Wallet wallet = new Wallet(ORGANISATION, (to, message) -> sent.add(message));
+    Instant answered = START.plusMillis(400);
+    RateMessage.Grant grant =
+        new RateMessage.Grant(1, ORGANISATION, 7, TOKEN, Lender.VALID, Duration.ZERO);
+    wallet.add(LENDER, grant, START, answered);
+    assertThat(wallet.amount(START.plus(Lender.VALID).minusNanos(1))).isEqualTo(TOKEN);
+    assertThat(wallet.take(TOKEN, START.plus(Lender.VALID))).isZero();
+    assertThat(sent).isEmpty();
+  }
+
+  @Test
+  void smallerShareAppliesAtOnceAndALargerOneOnceOlderRightsHaveLapsed() {
+    Share small = Share.of(Rate.of(10, 10), 0, 2);
+    Share large = Share.of(Rate.of(10, 10), 0, 1);
+    lender.change(small, START);
+    assertThat(lender.bucket().share()).isEqualTo(small);
+    lender.change(large, START);
+    lender.tick(START.plusMillis(4_199));
+    assertThat(lender.bucket().share()).isEqualTo(small);
+    lender.tick(START.plusMillis(4_200));
+    assertThat(lender.bucket().share()).isEqualTo(large);
+  }
+}
--- a/policy/src/test/java/org/waxwingcourse/policy/trust/TrustFleet.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/trust/TrustFleet.java
@@ -14,6 +14,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.waxwingcourse.model.fleet.Defaults;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.fleet.Organisation;
@@ -31,6 +32,7 @@
 
 /** Hosts that agree over a network and a store whose faults are set by the test. */
 final class TrustFleet {
+  private static final int DATA_CENTRES = 3;
   static final Duration TICK = Duration.ofMillis(200);
   private static final Defaults DEFAULTS =
       new Defaults(Rate.of(1, 1), 1, Duration.ZERO, Duration.ZERO, Duration.ZERO, 1, 1);
@@ -42,6 +44,7 @@
   boolean storeUp = true;
   double loss;
   double doubling;
+  int slowest = 3;
   int messages;
   private final Random random;
   private final PriorityQueue<Event> events =
@@ -82,6 +85,27 @@
     clock.advance(Duration.between(clock.instant(), end));
   }
 
+  /** Tells whether messages from one host reach another. */
+  boolean connects(HostId from, HostId to) {
+    return !cutLinks.contains(from + " " + to);
+  }
+
+  /** Schedules copies of a message as the network's faults have it. */
+  void transmit(HostId from, HostId to, Consumer<Host> deliver) {
+    messages++;
+    int copies = random.nextDouble() < doubling ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      if (random.nextDouble() >= loss && connects(from, to)) {
+        later(
+            1 + random.nextInt(slowest),
+            () ->
+                hosts.stream()
+                    .filter(h -> h.id.equals(to))
+                    .forEach(h -> h.deferred(() -> deliver.accept(h)).run()));
+      }
+    }
+  }
+
   void cut(Host a, Host b) {
     cutLinks.add(a.id + " " + b.id);
     cutLinks.add(b.id + " " + a.id);
@@ -98,7 +122,7 @@
     return next;
   }
 
-  private void later(long millis, Runnable action) {
+  void later(long millis, Runnable action) {
     events.add(new Event(clock.instant().plusMillis(millis), order++, action));
   }
 
@@ -112,9 +136,14 @@
     if (part.content().length == 0) {
       return Either.left("entry \"keys\" is empty");
     }
-    for (String key : new String(part.content(), StandardCharsets.UTF_8).split(",")) {
-      OrganisationId id = OrganisationId.of("owner-of-" + key);
-      organisations.put(id, new Organisation(id, Rate.of(1, 1), Set.of(KeyHash.ofKey(key))));
+    for (String text : new String(part.content(), StandardCharsets.UTF_8).split(",")) {
+      String[] fields = text.split(":");
+      OrganisationId id = OrganisationId.of(fields[0]);
+      Rate rate =
+          fields.length == 1
+              ? Rate.of(1, 1)
+              : Rate.of(Double.parseDouble(fields[1]), Integer.parseInt(fields[2]));
+      organisations.put(id, new Organisation(id, rate, Set.of(KeyHash.ofKey(fields[0]))));
     }
     return Either.right(
         new FleetConfiguration(
@@ -131,13 +160,19 @@
   }
 
   private static Holder holder(String[] f) {
-    return Holder.of(HostId.of(f[0]), DataCentreId.of("dc"), Long.parseLong(f[1]));
+    HostId id = HostId.of(f[0]);
+    return Holder.of(id, dataCentre(id), Long.parseLong(f[1]));
+  }
+
+  private static DataCentreId dataCentre(HostId id) {
+    return DataCentreId.of("dc" + Integer.parseInt(id.value().substring(1)) % DATA_CENTRES);
   }
 
   /** One host with its own faults. */
   final class Host implements TrustPort {
     final HostId id;
     final long incarnation;
+    final Holder self;
     final Evidence evidence = new Evidence(clock);
     final DocumentFollower<FleetConfiguration> follower =
         new DocumentFollower<>(TrustFleet::decode);
@@ -157,7 +192,7 @@
     Host(int index, long incarnation) {
       this.id = HostId.of("h" + index);
       this.incarnation = incarnation;
-      Holder self = Holder.of(id, DataCentreId.of("dc"), incarnation);
+      self = Holder.of(id, dataCentre(id), incarnation);
       Random own = new Random(random.nextLong());
       agreement =
           new Agreement(self, clock, own, this::others, this, follower, rosterFollower, evidence);
@@ -184,7 +219,7 @@
       paused = false;
       List<Runnable> due = List.copyOf(heldBack);
       heldBack.clear();
-      due.forEach(Runnable::run);
+      due.forEach(action -> deferred(action).run());
     }
 
     Runnable deferred(Runnable action) {
@@ -217,21 +252,7 @@
 
     @Override
     public void send(HostId to, TrustMessage message) {
-      messages++;
-      int copies = random.nextDouble() < doubling ? 2 : 1;
-      for (int i = 0; i < copies; i++) {
-        if (random.nextDouble() >= loss && !cutLinks.contains(id + " " + to)) {
-          later(1 + random.nextInt(3), () -> deliver(to, message));
-        }
-      }
-    }
-
-    private void deliver(HostId to, TrustMessage message) {
-      hosts.stream().filter(h -> h.id.equals(to)).forEach(h -> h.receive(id, message));
-    }
-
-    private void receive(HostId from, TrustMessage message) {
-      deferred(() -> handle(from, message)).run();
+      transmit(id, to, h -> h.handle(id, message));
     }
 
     private void handle(HostId from, TrustMessage message) {
