--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -16,7 +16,14 @@
   // 200: configuration and keys
   CONFIGURATION_APPLIED(200, Level.INFO, "configuration revision {} is in force"),
   CONFIGURATION_UNREADABLE(201, Level.ERROR, "configuration entry \"{}\" cannot be read: {}"),
+  CONFIGURATION_LAGS(202, Level.WARN, "configuration {} is in force, {} has been heard of"),
+  TRUST_LAPSED(203, Level.WARN, "no recent evidence of the configuration: keys are refused"),
+  TRUST_RENEWED(204, Level.INFO, "evidence of the configuration is recent again"),
+  AGREEMENT_FAILED(205, Level.ERROR, "a step of the agreement between hosts failed: {}"),
+  AGREEMENT_MESSAGE_UNREADABLE(206, Level.ERROR, "message from host \"{}\" cannot be read: {}"),
   // 300: rates
+  ROSTER_APPLIED(300, Level.INFO, "roster revision {} lists {} hosts"),
+  RATE_MESSAGE_UNREADABLE(301, Level.ERROR, "rate message from host \"{}\" cannot be read: {}"),
   // 400: membership and connections between hosts
   PEER_REFUSED(400, Level.WARN, "connection from {} is cut: it {}"),
   PEER_SILENT(401, Level.WARN, "connection to host \"{}\" went silent and is replaced"),
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/agree/RosterCodec.java
@@ -0,0 +1,52 @@
+package org.waxwingcourse.node.agree;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.util.List;
+import org.waxwingcourse.config.store.ConfigurationKeys;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.policy.configuration.Document;
+import org.waxwingcourse.policy.configuration.Part;
+import org.waxwingcourse.policy.trust.Holder;
+import org.waxwingcourse.policy.trust.Roster;
+import org.waxwingcourse.wire.configuration.HolderValue;
+import org.waxwingcourse.wire.configuration.RosterValue;
+
+/** Converts the roster of holders to and from its stored entry. */
+final class RosterCodec {
+  private RosterCodec() {}
+
+  static byte[] encode(Revision previous, List<Holder> holders) {
+    RosterValue.Builder value = RosterValue.newBuilder().setPrevious(previous.value());
+    for (Holder h : holders) {
+      value.addHolders(
+          HolderValue.newBuilder()
+              .setHost(h.host().value())
+              .setDataCentre(h.dataCentre().value())
+              .setIncarnation(h.incarnation()));
+    }
+    return value.build().toByteArray();
+  }
+
+  static Either<String, Roster> decode(Document document) {
+    Part part = document.parts().get(ConfigurationKeys.ROSTER);
+    if (part == null) {
+      return Either.left("entry \"" + ConfigurationKeys.ROSTER + "\" is missing");
+    }
+    try {
+      RosterValue value = RosterValue.parseFrom(part.content());
+      List<Holder> holders = value.getHoldersList().stream().map(RosterCodec::decode).toList();
+      Revision previous = Revision.of(value.getPrevious());
+      return Either.right(new Roster(document.revision(), previous, holders));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      return Either.left("entry \"" + ConfigurationKeys.ROSTER + "\": " + e.getMessage());
+    }
+  }
+
+  private static Holder decode(HolderValue value) {
+    return Holder.of(
+        HostId.of(value.getHost()), DataCentreId.of(value.getDataCentre()), value.getIncarnation());
+  }
+}
