Batch: claim only what can be sent soon, and keep a slot for other organisations

A host that claimed as many chunks as it could hold starved the others near the end of a job, and chunks of an organisation over its rate filled all slots, so that another's job never ran there (organisationOverItsRateKeepsNoOtherWaiting...). Now a chunk is claimed only when fewer items wait than may be in flight, items held back by their rate not counted, and the last slot is for an organisation that holds nothing on the host.

Hosts read the live jobs anew with jitter after a broken watch. A cancelled job is ended by the last host to give a chunk back, not at the next idle look.

--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -85,7 +85,7 @@
     StoreCalls calls = parts.calls();
     RunSettings settings = parts.settings();
     this.lease = new LeaseKeeper(calls.store(), clock, settings.leaseTime());
-    this.live = new LiveJobs(calls, clock, this::onJobsChanged);
+    this.live = new LiveJobs(calls, clock, random, this::onJobsChanged);
     this.pump = new ItemPump(parts.dispatcher(), parts.admission(), clock, settings, this::wakeUp);
     Claims claims = new Claims(calls, parts.host(), () -> UUID.randomUUID().toString());
     Results results = new Results(calls);
@@ -217,15 +217,8 @@
     return held.size() > 0 ? BUSY : IDLE;
   }
 
-  /**
-   * After an outage new chunks are left alone until each host that comes back has had the time to
-   * claim its own again, so that what was finished in the outage is not run a second time.
-   */
   private void noteStore(boolean answered) {
     if (answered) {
-      if (storeFailures >= OUTAGE_FAILURES) {
-        claimAfter = clock.instant().plus(STORE_BACKOFF.longest());
-      }
       storeFailures = 0;
       return;
     }
@@ -235,7 +228,14 @@
     LOG.write(Event.BATCH_STORE_WAIT, wait, held.size());
   }
 
+  /**
+   * After an outage new chunks are left alone until each host that comes back has had the time to
+   * claim its own again, so that what was finished in the outage is not run a second time.
+   */
   private boolean talkToStore() {
+    if (storeFailures >= OUTAGE_FAILURES) {
+      claimAfter = clock.instant().plus(STORE_BACKOFF.longest());
+    }
     if (!live.refresh()) {
       return false;
     }
@@ -248,11 +248,19 @@
     if (gone.isLeft() || clock.instant().isBefore(claimAfter)) {
       return gone.isRight();
     }
-    return finder.claimMore(term.get()) && loadNew(term.get()) && sweeper.step(term.get());
+    return claimAll(term.get()) && sweeper.step(term.get());
   }
 
-  /** Loads what was just claimed, so that its items are sent in this step. */
-  private boolean loadNew(LeaseTerm term) {
-    return held.advance(term).isRight();
+  /** Claims one chunk after the other and loads each, until there is enough to be sent. */
+  private boolean claimAll(LeaseTerm term) {
+    boolean more = true;
+    while (more && pump.wantsMore()) {
+      int before = held.size();
+      if (!finder.claimMore(term) || held.advance(term).isLeft()) {
+        return false;
+      }
+      more = held.size() > before;
+    }
+    return true;
   }
 }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
@@ -79,6 +79,15 @@
     return mark;
   }
 
+  /** Returns the number of items that are not sent and wait for nothing but their turn. */
+  synchronized int backlog(Instant now) {
+    int waiting = 0;
+    for (ItemSlot slot : slots) {
+      waiting += slot.state == ItemSlot.State.WAITING && !slot.notBefore.isAfter(now) ? 1 : 0;
+    }
+    return stopped ? 0 : waiting;
+  }
+
   synchronized int active() {
     return active;
   }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
@@ -15,6 +15,7 @@
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.platform.store.StoreFailure;
 import org.waxwingcourse.platform.store.WriteOutcome;
 
@@ -69,6 +70,10 @@
     return held.stream().anyMatch(h -> h.is(job, chunk));
   }
 
+  boolean holdsOf(OrganisationId organisation) {
+    return held.stream().anyMatch(h -> h.claim.job().job().organisation().equals(organisation));
+  }
+
   void add(Claim claim) {
     held.add(new HeldChunk(claim));
   }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -64,6 +64,12 @@
     return runs;
   }
 
+  /** Tells whether less is waiting to be sent than may be in flight. */
+  boolean wantsMore() {
+    Instant now = clock.instant();
+    return runs.stream().mapToInt(r -> r.backlog(now)).sum() < settings.itemsInFlight();
+  }
+
   /** Sends nothing more but the rest of what was marked as sent already. */
   void drain() {
     draining = true;
@@ -153,7 +159,7 @@
   private void finish(ChunkRun run, int i, int attempt, Outcome outcome, int status, String body) {
     run.ended(i, attempt, outcome, status, body, clock.instant());
     pump();
-    if (run.finished() || run.awaitsMark() || run.quiet()) {
+    if (run.finished() || run.awaitsMark() || run.quiet() || wantsMore()) {
       onProgress.run();
     }
   }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/LiveJobs.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/LiveJobs.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import org.waxwingcourse.batch.job.StoredJob;
 import org.waxwingcourse.batch.record.JobState;
 import org.waxwingcourse.batch.record.Keys;
@@ -28,9 +29,11 @@
  */
 final class LiveJobs {
   private static final Duration READ_ANEW = Duration.ofMinutes(5);
+  private static final Duration AFTER_BREAK = Duration.ofSeconds(4);
 
   private final StoreCalls calls;
   private final InstantSource clock;
+  private final RandomGenerator random;
   private final Runnable onChange;
   private final Map<JobId, StoredJob> jobs = new HashMap<>();
   private Revision seen = Revision.NONE;
@@ -38,9 +41,10 @@
   private long generation;
   private Instant readAt = Instant.MIN;
 
-  LiveJobs(StoreCalls calls, InstantSource clock, Runnable onChange) {
+  LiveJobs(StoreCalls calls, InstantSource clock, RandomGenerator random, Runnable onChange) {
     this.calls = calls;
     this.clock = clock;
+    this.random = random;
     this.onChange = onChange;
   }
 
@@ -67,7 +71,7 @@
       jobs.clear();
       snapshot.entries().forEach(this::put);
       seen = snapshot.revision();
-      readAt = clock.instant().plus(READ_ANEW);
+      readAt = soonAfter(READ_ANEW);
       former = watch;
       generation++;
       current = generation;
@@ -82,6 +86,11 @@
     }
   }
 
+  /** Returns an instant around the given time from now, so that hosts do not read together. */
+  private Instant soonAfter(Duration time) {
+    return clock.instant().plusMillis(time.toMillis() / 2 + random.nextLong(time.toMillis()));
+  }
+
   private void put(Entry entry) {
     StoredJob job = StoredJob.of(entry);
     jobs.put(job.job().id(), job);
@@ -139,7 +148,7 @@
     public void onBroken(StoreFailure failure) {
       synchronized (LiveJobs.this) {
         if (from == generation) {
-          readAt = Instant.MIN;
+          readAt = soonAfter(AFTER_BREAK);
         }
       }
       onChange.run();
--- a/batch/src/main/java/org/waxwingcourse/batch/run/RunSettings.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/RunSettings.java
@@ -26,12 +26,12 @@
   /** The settings in force. */
   public static final RunSettings STANDARD =
       new RunSettings(
-          4,
+          8,
           64,
           Duration.ofSeconds(120),
           Duration.ofSeconds(30),
           Duration.ofMinutes(10),
           1_000_000,
-          16_000_000,
+          8_000_000,
           32);
 }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/WorkFinder.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/WorkFinder.java
@@ -4,6 +4,8 @@
 import io.vavr.control.Option;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +34,7 @@
 final class WorkFinder {
   private static final EventLog LOG = EventLog.of(WorkFinder.class);
   private static final int LOOKS_PER_ROUND = 8;
+  private static final int LIVE_JOBS_PER_IDLE_LOOK = 128;
   private static final int CHUNK_ITEMS = 256;
 
   private final Jobs jobs;
@@ -44,6 +47,7 @@
   private final RunSettings settings;
   private final JobOrder order = new JobOrder(CHUNK_ITEMS);
   private final Map<JobId, JobProgress> lastSeen = new HashMap<>();
+  private final Deque<JobId> toSettle = new ArrayDeque<>();
   private Instant nextIdleLook = Instant.MIN;
 
   WorkFinder(
@@ -68,13 +72,21 @@
   /** Makes the job be looked at again without delay. */
   void lookAgain(JobId job) {
     lastSeen.remove(job);
+    boolean cancelled =
+        live.jobs().stream()
+            .anyMatch(j -> j.job().id().equals(job) && j.job().state() == JobState.CANCELLING);
+    if (cancelled) {
+      toSettle.add(job);
+    }
   }
 
-  /** Claims chunks until this host holds as many as it may; false if the store did not answer. */
+  /** Looks for work until a chunk is claimed or none is to be had; false if the store failed. */
   boolean claimMore(LeaseTerm term) {
     List<StoredJob> known = live.jobs();
     lastSeen.keySet().retainAll(known.stream().map(j -> j.job().id()).collect(Collectors.toSet()));
-    for (int looks = 0; looks < LOOKS_PER_ROUND && held.size() < settings.chunks(); looks++) {
+    int before = held.size();
+    boolean room = before < settings.chunks();
+    for (int looks = 0; looks < LOOKS_PER_ROUND && room && held.size() == before; looks++) {
       Option<StoredJob> next = choose(known);
       if (next.isEmpty()) {
         return true;
@@ -92,19 +104,29 @@
         known.stream().collect(Collectors.toMap(j -> j.job().id(), j -> j));
     List<JobProgress> fresh =
         known.stream()
-            .filter(j -> j.job().state() == JobState.IN_PROGRESS)
+            .filter(j -> j.job().state() == JobState.IN_PROGRESS && mayClaim(j.job()))
             .map(j -> lastSeen.getOrDefault(j.job().id(), unseen(j.job())))
             .filter(p -> p.free() > 0)
             .toList();
+    JobId cancelled = toSettle.poll();
+    if (cancelled != null && byId.containsKey(cancelled)) {
+      return Option.some(byId.get(cancelled));
+    }
     Option<JobProgress> urgent = Option.ofOptional(order.next(fresh, CHUNK_ITEMS, now));
     return urgent.map(p -> byId.get(p.job())).orElse(() -> idleLook(known, now));
   }
 
+  /** The last slot is kept for an organisation that holds nothing here. */
+  private boolean mayClaim(Job job) {
+    return held.size() < settings.chunks() - 1 || !held.holdsOf(job.organisation());
+  }
+
   private Option<StoredJob> idleLook(List<StoredJob> known, Instant now) {
     if (known.isEmpty() || now.isBefore(nextIdleLook)) {
       return Option.none();
     }
-    long poll = settings.poll().toMillis();
+    int looks = 1 + known.size() / LIVE_JOBS_PER_IDLE_LOOK;
+    long poll = settings.poll().toMillis() / looks;
     nextIdleLook = now.plusMillis(poll / 2 + random.nextLong(poll));
     return Option.some(known.get(random.nextInt(known.size())));
   }
