--- a/cli/src/main/java/org/waxwingcourse/cli/Flags.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/Flags.java
@@ -38,6 +38,11 @@
     return addresses(line, NODE).map(List::head);
   }
 
+  /** Reads the addresses of several nodes; the error is a message for the operator. */
+  public static Either<String, List<URI>> nodes(CommandLine line) {
+    return addresses(line, NODE);
+  }
+
   private static Either<String, List<URI>> addresses(CommandLine line, String option) {
     String[] values = line.getOptionValues(option);
     if (values == null) {
--- a/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
@@ -7,6 +7,7 @@
 import org.waxwingcourse.cli.command.JobCommand;
 import org.waxwingcourse.cli.command.KeyCommand;
 import org.waxwingcourse.cli.command.LoadCommand;
+import org.waxwingcourse.cli.command.ReportCommand;
 import org.waxwingcourse.cli.command.StatusCommand;
 
 /** The program {@code waxwing}. */
@@ -28,6 +29,7 @@
         new StatusCommand(),
         new KeyCommand(),
         new JobCommand(),
+        new ReportCommand(),
         new LoadCommand());
   }
 }
--- /dev/null
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/ReportCommand.java
@@ -0,0 +1,103 @@
+package org.waxwingcourse.cli.command;
+
+import io.vavr.collection.List;
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.InstantSource;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.waxwingcourse.cli.Command;
+import org.waxwingcourse.cli.ExitCode;
+import org.waxwingcourse.cli.Flags;
+import org.waxwingcourse.cli.Terminal;
+import org.waxwingcourse.cli.report.BurnPage;
+import org.waxwingcourse.cli.report.BurnReport;
+import org.waxwingcourse.cli.report.BurnTable;
+import org.waxwingcourse.cli.report.History;
+import org.waxwingcourse.cli.report.MetricsReader;
+import org.waxwingcourse.cli.report.Sample;
+import org.waxwingcourse.cli.report.SampleFile;
+import org.waxwingcourse.http.HttpCaller;
+
+/** {@code waxwing report}: samples the nodes' counters and prints service-level burn. */
+public final class ReportCommand implements Command {
+  private static final String SAMPLES = "samples";
+  private static final String HTML = "html";
+
+  @Override
+  public String name() {
+    return "report";
+  }
+
+  @Override
+  public String arguments() {
+    return "";
+  }
+
+  @Override
+  public String summary() {
+    return "sample the nodes and show service-level burn by objective and organisation";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(Flags.node())
+        .addOption(Flags.valued(SAMPLES, "FILE", "samples so far; this run's are added"))
+        .addOption(Flags.valued(HTML, "FILE", "write a page with plots, too"));
+  }
+
+  @Override
+  public ExitCode run(CommandLine line, List<String> arguments, Terminal terminal) {
+    return Flags.nodes(line)
+        .fold(
+            wrong -> terminal.fail(ExitCode.USAGE, "%s", wrong),
+            nodes ->
+                kept(line, sample(nodes, terminal))
+                    .fold(
+                        problem -> terminal.fail(ExitCode.FAILED, "%s", problem),
+                        samples -> print(line, samples, terminal)));
+  }
+
+  private static List<Sample> sample(List<URI> nodes, Terminal terminal) {
+    InstantSource clock = InstantSource.system();
+    long now = clock.millis();
+    try (HttpCaller http = HttpCaller.of(clock, 1)) {
+      http.start();
+      MetricsReader reader = MetricsReader.of(http, clock);
+      return nodes.flatMap(
+          node ->
+              reader
+                  .sample(node, now)
+                  .peekLeft(problem -> terminal.err().println("waxwing: " + problem)));
+    }
+  }
+
+  private static Either<String, List<Sample>> kept(CommandLine line, List<Sample> fresh) {
+    if (!line.hasOption(SAMPLES)) {
+      return Either.right(fresh);
+    }
+    SampleFile file = SampleFile.at(Path.of(line.getOptionValue(SAMPLES)));
+    return file.append(fresh.asJava()).flatMap(added -> file.read()).map(List::ofAll);
+  }
+
+  private static ExitCode print(CommandLine line, List<Sample> samples, Terminal terminal) {
+    if (samples.isEmpty()) {
+      return terminal.fail(ExitCode.FAILED, "no node gave a sample");
+    }
+    History history = History.of(samples.asJava());
+    BurnReport report = BurnReport.of(history);
+    terminal.print("%s", BurnTable.of(report));
+    if (!line.hasOption(HTML)) {
+      return ExitCode.OK;
+    }
+    Path page = Path.of(line.getOptionValue(HTML));
+    return Try.of(() -> Files.writeString(page, BurnPage.of(history, report)))
+        .fold(
+            e -> terminal.fail(ExitCode.FAILED, "%s cannot be written: %s", page, e.getMessage()),
+            written -> ExitCode.OK);
+  }
+}
