--- a/policy/src/main/java/org/waxwingcourse/policy/member/Swim.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/member/Swim.java
@@ -6,8 +6,10 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.model.event.Event;
@@ -52,6 +54,7 @@
   private final FailureDetector detector;
   private final Synchronisation sync;
   private final ViewPublisher views;
+  private final Set<HostId> told = new HashSet<>();
   private Announcement announcement;
   private Deadline nextGossip;
   private Instant lastTick;
@@ -101,6 +104,7 @@
   }
 
   private void step(Instant now) {
+    told.clear();
     notePause(now);
     detector.tick(now).forEach(h -> suspect(h, now));
     for (Member m : table.expire(now)) {
@@ -161,7 +165,8 @@
       answered = false;
       take(from, message);
     }
-    if (!answered && table.find(from).filter(Outbox::inDoubt).isPresent()) {
+    boolean inDoubt = table.find(from).filter(Outbox::inDoubt).isPresent();
+    if (!answered && inDoubt && told.add(from)) {
       outbox.add(from, Rumours::new);
     }
   }
