--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -150,6 +150,11 @@
     return configuration.value().isPresent() && roster.value().isPresent() && status().current();
   }
 
+  /** Returns how many processes the roster lists. */
+  public int listed() {
+    return roster.value().map(r -> r.holders().size()).orElse(0);
+  }
+
   private void follow() {
     configuration.onChange(keys::onConfiguration);
     configuration.onChange(rates::onConfiguration);
--- a/node/src/main/java/org/waxwingcourse/node/agree/LagAlarm.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/LagAlarm.java
@@ -16,7 +16,7 @@
 
   private final InstantSource clock;
   private Optional<Deadline> lagAlarmAt = Optional.empty();
-  private boolean current = true;
+  private boolean current;
   private boolean told;
   private Optional<String> lastFault = Optional.empty();
 
--- /dev/null
+++ b/node/src/test/java/org/waxwingcourse/node/agree/AgreeFleet.java
@@ -0,0 +1,170 @@
+package org.waxwingcourse.node.agree;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.waxwingcourse.config.store.ApplyOutcome;
+import org.waxwingcourse.config.store.Change;
+import org.waxwingcourse.config.store.ConfigurationWriter;
+import org.waxwingcourse.model.fleet.Defaults;
+import org.waxwingcourse.model.fleet.FleetConfiguration;
+import org.waxwingcourse.model.fleet.Organisation;
+import org.waxwingcourse.model.fleet.Rate;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.KeyHash;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.member.Member;
+import org.waxwingcourse.model.member.MemberState;
+import org.waxwingcourse.model.member.MembershipView;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.model.time.MonotonicClock;
+import org.waxwingcourse.standin.store.MemoryStore;
+
+/** Agreements of several nodes in one process over one store in memory. */
+final class AgreeFleet implements AutoCloseable {
+  private static final long PATIENCE_NANOS = 60_000_000_000L;
+  private static final int DATA_CENTRES = 3;
+
+  final MonotonicClock clock = MonotonicClock.start();
+  final MemoryStore store = MemoryStore.of(clock);
+  final FakePeers peers = new FakePeers();
+  final List<FleetAgreement> nodes = new ArrayList<>();
+  private final int size;
+  private int operations;
+  private Revision revision = Revision.NONE;
+
+  AgreeFleet(int size) {
+    this.size = size;
+  }
+
+  static AgreeFleet started(int size, int organisations) {
+    AgreeFleet fleet = new AgreeFleet(size);
+    fleet.apply(configuration(organisations, Rate.of(50, 20)));
+    for (int i = 0; i < size; i++) {
+      fleet.nodes.add(fleet.start(i));
+    }
+    return fleet;
+  }
+
+  FleetAgreement start(int index) {
+    FleetAgreement node =
+        new FleetAgreement(
+            host(index),
+            dataCentre(index),
+            clock,
+            new Random(operations * 1_000L + index),
+            store,
+            peers.endpoint(host(index)),
+            new StaticView(index));
+    node.start();
+    return node;
+  }
+
+  void apply(FleetConfiguration wanted) {
+    Change change = Change.of("op-" + ++operations, "test", Instant.EPOCH, "test").get();
+    ApplyOutcome outcome = new ConfigurationWriter(store).apply(change, revision, wanted).join();
+    revision = ((ApplyOutcome.Accepted) outcome).revision();
+  }
+
+  Revision revision() {
+    return revision;
+  }
+
+  boolean admits(int node, String organisation) {
+    return nodes
+        .get(node)
+        .admission()
+        .admit(OrganisationId.of(organisation), Deadline.after(clock, Duration.ofSeconds(1)))
+        .toCompletableFuture()
+        .join()
+        .isEmpty();
+  }
+
+  /** Waits for a condition; a generous limit, so that a busy machine changes no verdict. */
+  static void await(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE_NANOS;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError(what + " did not happen in time");
+      }
+      java.util.concurrent.locks.LockSupport.parkNanos(5_000_000);
+    }
+  }
+
+  @Override
+  public void close() {
+    nodes.forEach(FleetAgreement::stop);
+    peers.close();
+  }
+
+  static HostId host(int index) {
+    return HostId.of("host-" + index);
+  }
+
+  static FleetConfiguration configuration(int organisations, Rate rate, String... withdrawn) {
+    Map<OrganisationId, Organisation> byId = new HashMap<>();
+    for (int i = 0; i < organisations; i++) {
+      OrganisationId id = OrganisationId.of("org-" + i);
+      boolean works = !List.of(withdrawn).contains("key-" + i);
+      Set<KeyHash> keys = works ? Set.of(KeyHash.ofKey("key-" + i)) : Set.of();
+      byId.put(id, new Organisation(id, rate, keys));
+    }
+    Duration second = Duration.ofSeconds(1);
+    Defaults defaults = new Defaults(rate, 1, second, second, second, 1, 1);
+    return new FleetConfiguration(Revision.NONE, defaults, byId, Map.of(), Map.of(), List.of());
+  }
+
+  private static DataCentreId dataCentre(int index) {
+    return DataCentreId.of("dc-" + index % DATA_CENTRES);
+  }
+
+  private static Member member(int index) {
+    return new Member(
+        host(index),
+        dataCentre(index),
+        URI.create("http://127.0.0.1:1"),
+        InetSocketAddress.createUnresolved("127.0.0.1", 1),
+        1,
+        MemberState.ALIVE);
+  }
+
+  /** Every host of the fleet, always alive. */
+  private final class StaticView implements MembershipView {
+    private final int index;
+
+    StaticView(int index) {
+      this.index = index;
+    }
+
+    @Override
+    public Member self() {
+      return member(index);
+    }
+
+    @Override
+    public List<Member> members() {
+      return IntStream.range(0, size).mapToObj(AgreeFleet::member).toList();
+    }
+
+    @Override
+    public Optional<Member> find(HostId host) {
+      return members().stream().filter(m -> m.id().equals(host)).findFirst();
+    }
+
+    @Override
+    public void onChange(Consumer<List<Member>> listener) {}
+  }
+}
