Node takes configuration, keys and rates from the agreement; status as JSON

Cause: the node polled the store for its configuration, trusted keys for ever and admitted all. Ruled out: a node that counts as ready before its evidence is current; it would refuse its first callers. Measured: the node's fleet, client, batch and stop tests pass with the agreement in the path. FleetDispatcherTest.eachCallerGetsTheWholeAnswerToItsOwnRequestWithFaultsOn failed in the same run; it does not use the agreement and is reported to its owner. Conclusion: StoredConfiguration is gone; /status names this node's versions, its evidence's age and what every other host had when it was last heard.

--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -1,20 +1,20 @@
 package org.waxwingcourse.node;
 
 import com.codahale.metrics.MetricRegistry;
-import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.config.settings.NodeSettings;
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.fleet.ConfigurationSource;
 import org.waxwingcourse.model.member.MembershipView;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.service.ServiceGroup;
+import org.waxwingcourse.node.agree.FleetAgreement;
 import org.waxwingcourse.node.batch.BatchParts;
 import org.waxwingcourse.node.dispatch.DirectDispatcher;
 import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
@@ -33,6 +33,7 @@
 import org.waxwingcourse.platform.etcd.EtcdStore;
 import org.waxwingcourse.platform.hosts.HostList;
 import org.waxwingcourse.platform.hosts.HttpHostList;
+import org.waxwingcourse.platform.store.Store;
 import org.waxwingcourse.policy.hosts.PlannedStop;
 import org.waxwingcourse.policy.retry.RetryPolicy;
 import org.waxwingcourse.upstream.engine.EngineClient;
@@ -52,7 +53,7 @@
   private final ServiceGroup services = new ServiceGroup();
   private final MetricRegistry metrics = new MetricRegistry();
   private final FleetMember member;
-  private final StoredConfiguration configuration;
+  private final FleetAgreement agreement;
   private final HttpServer callers;
   private final HttpServer operators;
 
@@ -63,7 +64,8 @@
     HostList hosts = HttpHostList.of(http, clock, settings.hostList());
     member = services.add(new FleetMember(settings, store, hosts, clock, random));
     member.register(metrics);
-    configuration = services.add(new StoredConfiguration(store));
+    agreement = services.add(agreement(clock, random, store));
+    ConfigurationSource configuration = agreement.configuration();
     EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
     ServiceClient plainServices =
         ServiceClient.of(http, clock, random, RetryPolicy.of(clock, random));
@@ -71,8 +73,8 @@
         new CallerPorts(
             clock,
             configuration,
-            configuration,
-            (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
+            agreement.authenticator(),
+            agreement.admission(),
             DirectDispatcher.of(configuration, engines, clock, random),
             new DirectServiceDispatcher(plainServices),
             Duration.ofMillis(settings.limits().requestBodyMillis()),
@@ -89,7 +91,7 @@
     routes.addAll(BatchParts.routes(ports, store, random));
     callers = services.add(HttpServer.of(callerOptions(), routes));
     services.add(BatchParts.runner(ports, store, settings.host(), random));
-    OperatorRoutes status = new OperatorRoutes(metrics, () -> "{}", this::isReady);
+    OperatorRoutes status = new OperatorRoutes(metrics, agreement::statusJson, this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
 
@@ -124,9 +126,9 @@
     LOG.write(Event.NODE_STOPPED, settings.host());
   }
 
-  /** Tells whether the node has a configuration, without which it refuses every request. */
+  /** Tells whether the node has a configuration and may act on it. */
   public boolean isReady() {
-    return configuration.current().isPresent();
+    return agreement.isReady();
   }
 
   /** Returns the port that callers connect to. */
@@ -139,6 +141,17 @@
     return operators.port();
   }
 
+  private FleetAgreement agreement(InstantSource clock, RandomGenerator random, Store store) {
+    return new FleetAgreement(
+        settings.host(),
+        settings.dataCentre(),
+        clock,
+        random,
+        store,
+        member.peers(),
+        member.view());
+  }
+
   private HttpServer.Options callerOptions() {
     return new HttpServer.Options(
         settings.callers(), SERVER_THREADS, settings.limits().headerBytes(), CALLER_IDLE);
--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -150,6 +150,11 @@
     return configuration.value().isPresent() && roster.value().isPresent() && status().current();
   }
 
+  /** Returns the same, and what is known of the other hosts, as JSON. */
+  public String statusJson() {
+    return StatusJson.write(self.host(), status(), listed(), agreement.others()).toString();
+  }
+
   /** Returns how many processes the roster lists. */
   public int listed() {
     return roster.value().map(r -> r.holders().size()).orElse(0);
--- a/policy/src/main/java/org/waxwingcourse/policy/trust/Agreement.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/trust/Agreement.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -44,6 +45,7 @@
   private final Evidence evidence;
   private final Map<Long, Pending> pending = new HashMap<>();
   private final Set<HostId> pollVotes = new HashSet<>();
+  private final Map<HostId, Seen> seen = new HashMap<>();
   private Optional<Claim> unmet = Optional.empty();
   private Optional<Poll> poll = Optional.empty();
   private Instant nextGossip = Instant.MIN;
@@ -94,6 +96,9 @@
   /** An ask that has not been answered. */
   private record Pending(HostId to, Instant sentAt, boolean vote) {}
 
+  /** What another host had when it was last heard. */
+  private record Seen(Versions versions, Instant at) {}
+
   /** A vote of the roster in progress. */
   private record Poll(Roster roster, Instant startedAt, Revision newest) {}
 
@@ -155,6 +160,7 @@
   public synchronized void onAsk(HostId from, TrustMessage.Ask ask) {
     Versions own = versions();
     Versions theirs = ask.versions();
+    seen.put(from, new Seen(theirs, clock.instant()));
     Optional<Delta> newer = delta(configuration, theirs.configuration());
     Optional<Delta> newerRoster = delta(roster, theirs.roster());
     boolean stands = theirs.roster().equals(own.roster()) && standsByRoster();
@@ -169,6 +175,7 @@
 
   /** A host answers. */
   public synchronized void onAnswer(HostId from, TrustMessage.Answer answer) {
+    seen.put(from, new Seen(answer.versions(), clock.instant()));
     answer.configuration().ifPresent(configuration::offer);
     answer.roster().ifPresent(roster::offer);
     settleUnmet();
@@ -221,6 +228,19 @@
         storeAnswers());
   }
 
+  /** Returns what each host that is alive had when it was last heard. */
+  public synchronized List<HostVersions> others() {
+    Instant now = clock.instant();
+    seen.keySet().retainAll(peers.get());
+    return seen.entrySet().stream()
+        .map(
+            e ->
+                new HostVersions(
+                    e.getKey(), e.getValue().versions(), Duration.between(e.getValue().at(), now)))
+        .sorted(Comparator.comparing(HostVersions::host))
+        .toList();
+  }
+
   private void readWhenOld(Instant now) {
     if (readSince.filter(s -> now.isAfter(s.plus(AgreementTiming.READ_TIMEOUT))).isPresent()) {
       storeFailed = true;
