--- a/node/src/test/java/org/waxwingcourse/node/SecretsTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/SecretsTest.java
@@ -60,7 +60,8 @@
 
   @Test
   void noSecretIsWrittenAnywhere() throws Exception {
-    String chat = "{\"model\":\"organ-scribe\",\"max_tokens\":2,\"messages\":[{\"content\":\"x\"}]}";
+    String chat =
+        "{\"model\":\"organ-scribe\",\"max_tokens\":2,\"messages\":[{\"content\":\"x\"}]}";
     String shown =
         post("/v1/chat/completions", chat, TestFleet.KEY)
             + post("/v1/chat/completions", chat, WRONG_KEY)
