--- a/peer/src/test/java/org/waxwingcourse/peer/TestPeers.java
+++ b/peer/src/test/java/org/waxwingcourse/peer/TestPeers.java
@@ -57,7 +57,7 @@
   static void await(BooleanSupplier condition) {
     Deadline deadline = Deadline.after(CLOCK, PATIENCE);
     while (!condition.getAsBoolean() && !deadline.isPast(CLOCK.instant())) {
-      LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+      LockSupport.parkNanos(Duration.ofMillis(1).toNanos());
     }
     assertThat(condition.getAsBoolean()).isTrue();
   }
--- a/peer/src/test/java/org/waxwingcourse/peer/member/MembershipCostTest.java
+++ b/peer/src/test/java/org/waxwingcourse/peer/member/MembershipCostTest.java
@@ -4,9 +4,14 @@
 
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.member.Member;
 import org.waxwingcourse.model.member.MemberState;
 
 /** Cost of membership for a host and second, and the comparison with two simpler ways. */
@@ -79,9 +84,8 @@
         FakeFleet fleet = FakeFleet.converged(hosts, 17);
         fleet.loss = loss;
         int[] wrong = {0};
-        fleet.hosts.values().forEach(s -> s.onChange(l -> wrong[0] += hosts - l.size()));
+        fleet.hosts.values().forEach(s -> s.onChange(countDeaths(fleet, wrong)));
         Cost cost = measure(fleet, Duration.ofMinutes(5));
-        fleet.hosts.values().forEach(s -> s.onChange(l -> {}));
         int wrongBefore = wrong[0];
         fleet.kill(HostId.of("host-0"));
         Duration took =
@@ -107,6 +111,18 @@
     }
   }
 
+  /** Counts each time that a member leaves a host's view. */
+  private static Consumer<List<Member>> countDeaths(FakeFleet fleet, int[] deaths) {
+    Set<HostId> before = new HashSet<>();
+    return members -> {
+      Set<HostId> gone = new HashSet<>(fleet.names);
+      members.forEach(m -> gone.remove(m.id()));
+      gone.stream().filter(h -> !before.contains(h)).forEach(h -> deaths[0]++);
+      before.clear();
+      before.addAll(gone);
+    };
+  }
+
   /** Counts how often a host misses five heartbeats of another in a row. */
   private static int allToAllWrongDeaths(int hosts, double loss, Duration time) {
     Random random = new Random(17);
