Batch items for plain services, sent once where the service is declared so

A line's url may name a plain service; whether it may be sent again comes from the declaration when the job is accepted and stands in the manifest. BatchFleetTest resets three connections after the call has run: each of 40 summaries runs once, three end with outcome_unknown.

--- a/batch/src/main/java/org/waxwingcourse/batch/intake/LineReader.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/intake/LineReader.java
@@ -6,13 +6,20 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.waxwingcourse.model.id.ModelName;
+import org.waxwingcourse.model.id.ServiceName;
 
 /** Reads one line of an input file in the published batch form. */
 public final class LineReader {
-  /** The endpoint that batch items can be sent to. */
+  /** The endpoint of items for model engines. */
   public static final String CHAT = "/v1/chat/completions";
 
+  /** What the endpoint of a plain service begins with; its name follows. */
+  public static final String SERVICES = "/services/";
+
+  private static final Pattern SERVICE = Pattern.compile("/services/([^/?]+)(/.*)");
   private static final int PREFIX_CHARS = 512;
   private static final ObjectMapper MAPPER =
       new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
@@ -40,10 +47,16 @@
     if (!"POST".equals(node.path("method").asText())) {
       return some("\"method\" is not \"POST\"");
     }
-    if (!CHAT.equals(node.path("url").asText())) {
-      return some("\"url\" is not \"" + CHAT + "\"");
+    String url = node.path("url").asText();
+    if (SERVICE.matcher(url).matches()) {
+      return Option.none();
     }
-    JsonNode body = node.path("body");
+    return CHAT.equals(url)
+        ? chatFault(node.path("body"))
+        : some("\"url\" is neither \"" + CHAT + "\" nor of a service");
+  }
+
+  private static Option<String> chatFault(JsonNode body) {
     if (body.path("model").asText().isEmpty()) {
       return some("\"body\" names no \"model\"");
     }
@@ -60,14 +73,21 @@
   }
 
   private static Either<String, BatchItem> item(JsonNode node) {
-    JsonNode body = node.path("body");
+    String url = node.path("url").asText();
+    String body = node.path("body").toString();
+    Matcher service = SERVICE.matcher(url);
+    boolean isService = service.matches();
+    String endpoint = isService ? SERVICES + service.group(1) : CHAT;
+    BatchItem.Target target =
+        isService
+            ? new BatchItem.Service(ServiceName.of(service.group(1)), service.group(2))
+            : model(node.path("body"));
+    return Either.right(new BatchItem(node.path("custom_id").asText(), endpoint, target, body));
+  }
+
+  private static BatchItem.Model model(JsonNode body) {
     String prompt = body.path("messages").toString();
-    return Either.right(
-        new BatchItem(
-            node.path("custom_id").asText(),
-            node.path("url").asText(),
-            ModelName.of(body.path("model").asText()),
-            body.toString(),
-            prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()))));
+    String prefix = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
+    return new BatchItem.Model(ModelName.of(body.path("model").asText()), prefix);
   }
 }
--- a/batch/src/main/java/org/waxwingcourse/batch/intake/Upload.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/intake/Upload.java
@@ -40,7 +40,7 @@
   private final StoreCalls calls;
   private final InstantSource clock;
   private Target target;
-  private final Set<ModelName> known;
+  private final Known known;
   private final UploadLimits limits;
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final List<String> chunk = new ArrayList<>();
@@ -63,17 +63,13 @@
    */
   public record Target(FileId file, OrganisationId organisation, String name, String upload) {}
 
-  /** Creates an upload of which nothing has arrived; {@code known} are the declared models. */
+  /** Creates an upload of which nothing has arrived; {@code known} is what is declared. */
   public Upload(
-      StoreCalls calls,
-      InstantSource clock,
-      Target target,
-      Set<ModelName> known,
-      UploadLimits limits) {
+      StoreCalls calls, InstantSource clock, Target target, Known known, UploadLimits limits) {
     this.calls = calls;
     this.clock = clock;
     this.target = target;
-    this.known = Set.copyOf(known);
+    this.known = known;
     this.limits = limits;
   }
 
@@ -137,7 +133,9 @@
       refuse("line " + lineNumber + ": " + item.getLeft());
       return;
     }
-    models.add(item.get().model());
+    if (item.get().target() instanceof BatchItem.Model model) {
+      models.add(model.name());
+    }
     endpoints.add(item.get().endpoint());
     if (chunk.size() == limits.chunkItems() || chunkBytes + size > limits.chunkBytes()) {
       flush();
@@ -150,8 +148,9 @@
     if (size > limits.chunkBytes()) {
       return Either.left("exceeds " + limits.chunkBytes() + " bytes");
     }
-    if (!known.contains(item.model())) {
-      return Either.left("model \"" + item.model() + "\" is not served");
+    Option<String> fault = known.fault(item.target());
+    if (fault.isDefined()) {
+      return Either.left(fault.get());
     }
     if (!customIds.add(item.customId())) {
       return Either.left("custom_id \"" + item.customId() + "\" stands on an earlier line too");
--- a/batch/src/main/java/org/waxwingcourse/batch/job/Jobs.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/Jobs.java
@@ -107,6 +107,7 @@
         request.organisation(),
         request.spec(),
         input.input(),
+        request.spec().allowsRepeats() && !request.onceOnly(),
         clock.instant(),
         due,
         Deadline.at(due.at().plus(RESULTS_KEPT)),
--- a/batch/src/main/java/org/waxwingcourse/batch/job/NewJob.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/NewJob.java
@@ -19,9 +19,13 @@
  * @param organisation who asks
  * @param spec what is to be done
  * @param idempotencyKey the caller's own key, if one came with the request
+ * @param onceOnly whether calls of the endpoint are declared as not to be repeated
  */
 public record NewJob(
-    OrganisationId organisation, Job.JobSpec spec, Optional<String> idempotencyKey) {
+    OrganisationId organisation,
+    Job.JobSpec spec,
+    Optional<String> idempotencyKey,
+    boolean onceOnly) {
   private static final Pattern WINDOW = Pattern.compile("([1-9][0-9]{0,5})([smhd])");
   private static final int ID_DIGITS = 32;
 
--- a/batch/src/main/java/org/waxwingcourse/batch/record/Job.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/record/Job.java
@@ -16,6 +16,7 @@
  * @param organisation who it runs for
  * @param spec what was asked for
  * @param input where its items are
+ * @param repeatable whether an item may be sent again when its answer was lost
  * @param created when it was accepted
  * @param due when it is to be finished
  * @param expires when its results may be removed
@@ -29,6 +30,7 @@
     OrganisationId organisation,
     JobSpec spec,
     InputRef input,
+    boolean repeatable,
     Instant created,
     Deadline due,
     Deadline expires,
@@ -54,8 +56,8 @@
       metadata = Map.copyOf(metadata);
     }
 
-    /** Tells whether an item may be sent again when its answer was lost. */
-    public boolean repeatable() {
+    /** Tells whether the caller lets an item be sent again when its answer was lost. */
+    public boolean allowsRepeats() {
       return !"false".equals(metadata.get(REPEATABLE));
     }
   }
@@ -88,7 +90,18 @@
   /** Returns the job in another state. */
   public Job in(JobState next, Instant now, Counts newCounts, String newOperation) {
     return new Job(
-        id, organisation, spec, input, created, due, expires, next, now, newCounts, newOperation);
+        id,
+        organisation,
+        spec,
+        input,
+        repeatable,
+        created,
+        due,
+        expires,
+        next,
+        now,
+        newCounts,
+        newOperation);
   }
 
   /** Returns how far the job has come, given its counts and the states of its chunks. */
--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -20,13 +20,12 @@
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.request.Admission;
-import org.waxwingcourse.model.request.Dispatcher;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.policy.batch.Backoff;
 
 /**
  * Runs batch work on one host. One thread talks to the store; items are sent and answered on the
- * dispatcher's threads. After a failure of the store the thread comes back by backoff with jitter,
+ * senders' threads. After a failure of the store the thread comes back by backoff with jitter,
  * while items that are held go on for as long as the lease does.
  */
 public final class BatchRunner implements Service {
@@ -61,7 +60,7 @@
    *
    * @param host this host
    * @param calls calls to the store with the runner's own budget
-   * @param dispatcher runs items
+   * @param sender sends items to engines and services
    * @param admission holds organisations to their rates
    * @param clock gives the time
    * @param random gives jitter and starting points
@@ -71,7 +70,7 @@
   public record Parts(
       HostId host,
       StoreCalls calls,
-      Dispatcher dispatcher,
+      ItemSender sender,
       Admission admission,
       InstantSource clock,
       RandomGenerator random,
@@ -86,7 +85,7 @@
     RunSettings settings = parts.settings();
     this.lease = new LeaseKeeper(calls.store(), clock, settings.leaseTime());
     this.live = new LiveJobs(calls, clock, random, this::onJobsChanged);
-    this.pump = new ItemPump(parts.dispatcher(), parts.admission(), clock, settings, this::wakeUp);
+    this.pump = new ItemPump(parts.sender(), parts.admission(), clock, settings, this::wakeUp);
     Claims claims = new Claims(calls, parts.host(), () -> UUID.randomUUID().toString());
     Results results = new Results(calls);
     this.held = new HeldChunks(claims, results, pump, live, clock, settings, parts.mostTries());
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ChunkRun.java
@@ -47,7 +47,7 @@
     this.limits = limits;
     this.slots = new ItemSlot[items.size()];
     Arrays.setAll(slots, i -> new ItemSlot());
-    this.allowed = job.spec().repeatable() ? slots.length : 0;
+    this.allowed = job.repeatable() ? slots.length : 0;
     recall();
   }
 
@@ -153,7 +153,7 @@
     }
     boolean counts = !(outcome instanceof Outcome.Refused);
     slots[i].tries += counts ? 1 : 0;
-    boolean repeatable = job.spec().repeatable();
+    boolean repeatable = job.repeatable();
     settle(i, ItemFate.of(outcome, status, slots[i].tries, limits.tries(), repeatable, now), body);
   }
 
@@ -236,7 +236,7 @@
 
   /** Tells whether the items may not be repeated, so that a stored mark says which were sent. */
   boolean isMarked() {
-    return !job.spec().repeatable();
+    return !job.repeatable();
   }
 
   /** Tells whether items that may be sent have not ended. */
--- a/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
@@ -161,7 +161,7 @@
       return Step.KEPT;
     }
     ChunkRun run = chunk.run.get();
-    if (!chunk.claim.job().job().spec().repeatable() && !sameMark(chunk.claim, run)) {
+    if (!chunk.claim.job().job().repeatable() && !sameMark(chunk.claim, run)) {
       run.stop();
       pump.remove(run);
       chunk.run = Option.none();
@@ -180,7 +180,7 @@
     Either<StoreFailure, List<String>> lines =
         results.input(job.spec().file(), job.input(), chunk.claim.chunk());
     Either<StoreFailure, ChunkMark> mark =
-        job.spec().repeatable() ? Either.right(ChunkMark.NONE) : claims.readMark(chunk.claim);
+        job.repeatable() ? Either.right(ChunkMark.NONE) : claims.readMark(chunk.claim);
     if (lines.isLeft() || mark.isLeft()) {
       return Step.STORE_FAILED;
     }
--- a/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -11,15 +11,11 @@
 import java.util.UUID;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.waxwingcourse.batch.intake.BatchItem;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.request.AnswerListener;
-import org.waxwingcourse.model.request.Dispatcher;
-import org.waxwingcourse.model.request.InferenceRequest;
 import org.waxwingcourse.model.request.Outcome;
-import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.policy.batch.JobOrder;
 import org.waxwingcourse.policy.batch.JobProgress;
@@ -29,7 +25,7 @@
  * organisations' rates and a bound on items in flight. Any thread may call it; one sends at a time.
  */
 final class ItemPump {
-  private final Dispatcher dispatcher;
+  private final ItemSender sender;
   private final Admission admission;
   private final InstantSource clock;
   private final RunSettings settings;
@@ -40,12 +36,12 @@
   private volatile boolean draining;
 
   ItemPump(
-      Dispatcher dispatcher,
+      ItemSender sender,
       Admission admission,
       InstantSource clock,
       RunSettings settings,
       Runnable onProgress) {
-    this.dispatcher = dispatcher;
+    this.sender = sender;
     this.admission = admission;
     this.clock = clock;
     this.settings = settings;
@@ -142,18 +138,14 @@
     if (!run.maySend(i, attempt, clock.instant())) {
       return;
     }
-    BatchItem item = run.item(i);
-    InferenceRequest request =
-        new InferenceRequest(
+    ItemSender.Outgoing item =
+        new ItemSender.Outgoing(
             RequestId.of(run.itemId(i) + "-" + UUID.randomUUID()),
+            run.itemId(i),
             run.job().organisation(),
-            item.model(),
-            WorkClass.BATCH,
-            item.body(),
-            false,
-            item.promptPrefix(),
+            run.item(i),
             giveUp);
-    run.sent(i, attempt, dispatcher.submit(request, new Answer(run, i, attempt)));
+    run.sent(i, attempt, sender.send(item, new Answer(run, i, attempt)));
   }
 
   private void finish(ChunkRun run, int i, int attempt, Outcome outcome, int status, String body) {
--- a/batch/src/main/java/org/waxwingcourse/batch/run/Sweeper.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/Sweeper.java
@@ -20,6 +20,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.FileId;
 import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.platform.store.Entry;
 import org.waxwingcourse.platform.store.KeyRange;
 import org.waxwingcourse.platform.store.Snapshot;
@@ -159,7 +160,7 @@
         return true;
       }
       if (isRead(file, live.get())) {
-        return false;
+        return postpone(expiry);
       }
       Transaction forget =
           Transaction.builder()
@@ -175,6 +176,13 @@
     return deleteChunks(file, expiry.input());
   }
 
+  /** Looks at a file again in a day. */
+  private boolean postpone(Expiry expiry) {
+    String key = Keys.expiry(Deadline.after(clock, DAY), expiry.kind(), expiry.id());
+    Transaction write = Transaction.builder().put(key, Codec.json(expiry)).build();
+    return calls.write(write, e -> false) instanceof WriteOutcome.Done;
+  }
+
   private static boolean isRead(FileId file, Snapshot live) {
     return live.entries().stream()
         .map(e -> Codec.read(e, Job.class))
--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -73,6 +73,24 @@
     assertThat(world.history.of("item-9")).contains("no answer in time");
   }
 
+  @Test
+  void refusalThatWasNotRunIsNoTry() {
+    int[] calls = {0};
+    world.engine.script =
+        item -> {
+          calls[0]++;
+          if (calls[0] <= 5) {
+            return new Outcome.Refused(
+                new Refusal(RefusalCode.OVERLOADED, "full", world.clock.instant()));
+          }
+          return calls[0] <= 7 ? new Outcome.Failed(500, "fell over") : new Outcome.Done();
+        };
+    World.Host a = world.host("a");
+    Job job = world.accepted(a, 1, true);
+    assertThat(world.finish(a, job.id(), List.of(a)).counts()).isEqualTo(new Job.Counts(1, 0));
+    assertThat(calls[0]).isEqualTo(8);
+  }
+
   @Test
   void deadlineGivesEachItemThatDidNotRunItsOwnError() {
     world.engine.answersAtOnce = false;
@@ -234,6 +252,18 @@
     assertThat(world.engine.started).isZero();
   }
 
+  @Test
+  void hostWithAnOldViewClaimsNothingOfACancelledJob() {
+    World.Host a = world.host("a");
+    a.step();
+    Job job = world.accepted(world.host("b"), 40, true);
+    world.store.setFaults(StoreFaults.NONE.withWatchSilent(true));
+    Job cancelled = world.host("b").jobs.cancel(job.id()).get();
+    assertThat(cancelled.state()).isEqualTo(JobState.CANCELLED);
+    a.step();
+    assertThat(world.engine.started).isZero();
+  }
+
   @Test
   void lateCommitLosesToTheCancel() {
     world.engine.answersAtOnce = false;
--- a/batch/src/test/java/org/waxwingcourse/batch/FakeEngine.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FakeEngine.java
@@ -10,10 +10,9 @@
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.waxwingcourse.batch.run.ItemSender;
 import org.waxwingcourse.model.request.AnswerListener;
 import org.waxwingcourse.model.request.Call;
-import org.waxwingcourse.model.request.Dispatcher;
-import org.waxwingcourse.model.request.InferenceRequest;
 import org.waxwingcourse.model.request.Outcome;
 
 /** Counts the runs of each item and answers each run differently, so that two runs show. */
@@ -34,12 +33,12 @@
   record Running(String item, AnswerListener listener, BooleanSupplier dead) {}
 
   /** Returns a host's way to the engine; what a dead host sent is never answered to it. */
-  Dispatcher dispatcherOf(BooleanSupplier dead) {
+  ItemSender senderOf(BooleanSupplier dead) {
     return (request, listener) -> submit(request, listener, dead);
   }
 
-  private Call submit(InferenceRequest request, AnswerListener listener, BooleanSupplier dead) {
-    Matcher m = ITEM.matcher(request.body());
+  private Call submit(ItemSender.Outgoing request, AnswerListener listener, BooleanSupplier dead) {
+    Matcher m = ITEM.matcher(request.item().body());
     String item = m.find() ? m.group() : "?";
     started++;
     runs.merge(item, 1, Integer::sum);
--- a/batch/src/test/java/org/waxwingcourse/batch/KillTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/KillTest.java
@@ -59,7 +59,8 @@
       World world = new World(n);
       world.engine.answersAtOnce = n % 2 == 0;
       World.Host b = world.host("b");
-      Job job = world.accepted(b, 3 * ITEMS, repeatable);
+      World.Host c = world.host("c");
+      Job job = world.accepted(c, 3 * ITEMS, repeatable);
       boolean[] paused = {false};
       World.Host a = world.host("a", n, false);
       a.way.pausingFor(
@@ -71,10 +72,16 @@
               b.step();
               world.engine.answerWaiting(world.random.nextInt(9));
               world.advance(Duration.ofSeconds(5));
-              world.observe(b, job);
+              world.observe(c, job);
             }
           });
-      world.finish(b, job.id(), List.of(a, b));
+      while (!paused[0] && a.step() && !c.jobs.find(job.id()).get().job().state().ended()) {
+        world.engine.answerWaiting(9);
+        world.advance(Duration.ofSeconds(1));
+      }
+      a.step();
+      b.way.kill();
+      world.finish(c, job.id(), List.of(a, c));
       world.history.complete(3 * ITEMS);
       if (!repeatable) {
         assertThat(world.engine.runs.values()).as("runs, paused at %d", n).allMatch(r -> r <= 1);
--- a/batch/src/test/java/org/waxwingcourse/batch/SweepTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/SweepTest.java
@@ -83,5 +83,7 @@
     days(a, 25);
     world.observe(a, job);
     world.history.complete(40);
+    assertThat(a.results.input(file.id(), file.input(), 0).get()).hasSize(World.CHUNK_ITEMS);
+    assertThat(a.jobs.file(World.ORGANISATION, file.id()).isRight()).isTrue();
   }
 }
--- a/batch/src/test/java/org/waxwingcourse/batch/World.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/World.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.waxwingcourse.batch.intake.Known;
 import org.waxwingcourse.batch.intake.Upload;
 import org.waxwingcourse.batch.intake.UploadLimits;
 import org.waxwingcourse.batch.job.Jobs;
@@ -30,6 +31,7 @@
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.ModelName;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.time.ManualClock;
@@ -78,7 +80,7 @@
               new BatchRunner.Parts(
                   HostId.of(name),
                   calls,
-                  engine.dispatcherOf(way::isDead),
+                  engine.senderOf(way::isDead),
                   (o, d) -> CompletableFuture.completedFuture(admission.apply(o)),
                   clock,
                   random,
@@ -108,7 +110,12 @@
               "items.jsonl",
               "upload-" + uploads);
       Upload upload =
-          new Upload(calls, clock, target, Set.of(ModelName.of("organ-scribe")), limits);
+          new Upload(
+              calls,
+              clock,
+              target,
+              new Known(Set.of(ModelName.of("organ-scribe")), Set.of(ServiceName.of("billing"))),
+              limits);
       byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
       for (int i = 0; i < bytes.length; i += 1000) {
         upload.write(bytes, i, Math.min(1000, bytes.length - i));
@@ -169,7 +176,8 @@
     return new NewJob(
         file.organisation(),
         new Job.JobSpec(file.id(), "/v1/chat/completions", window, metadata),
-        key);
+        key,
+        false);
   }
 
   /** Uploads and creates a job on a host that stays alive. */
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchGate.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchGate.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.waxwingcourse.batch.intake.Known;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.id.ModelName;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -43,9 +44,9 @@
     return gate.caller(context).map(caller -> caller.organisation().id());
   }
 
-  /** Returns the models that are served now. */
-  Either<Refusal, Set<ModelName>> models() {
-    return gate.configuration().map(BatchGate::models);
+  /** Returns what items can be sent to now. */
+  Either<Refusal, Known> known() {
+    return gate.configuration().map(c -> new Known(models(c), c.services().keySet()));
   }
 
   private static Set<ModelName> models(FleetConfiguration fleet) {
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -32,7 +32,7 @@
     return List.of(
         new UploadRoutes(gate, calls, clock),
         new FileRoutes(gate, jobs, new Results(calls)),
-        new JobRoutes(gate, jobs, clock, pause));
+        new JobRoutes(gate, jobs, ports, pause));
   }
 
   /** Returns the service that runs chunks on this host. */
@@ -43,7 +43,7 @@
         new BatchRunner.Parts(
             host,
             calls,
-            ports.dispatcher(),
+            new BatchSender(ports),
             ports.admission(),
             ports.clock(),
             random,
--- a/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.waxwingcourse.batch.intake.LineReader;
 import org.waxwingcourse.batch.job.ChunkStates;
 import org.waxwingcourse.batch.job.Jobs;
 import org.waxwingcourse.batch.job.NewJob;
@@ -15,10 +16,12 @@
 import org.waxwingcourse.batch.store.Pause;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.Routes;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
@@ -33,13 +36,15 @@
 
   private final BatchGate gate;
   private final Jobs jobs;
+  private final CallerPorts ports;
   private final InstantSource clock;
   private final Pause pause;
 
-  JobRoutes(BatchGate gate, Jobs jobs, InstantSource clock, Pause pause) {
+  JobRoutes(BatchGate gate, Jobs jobs, CallerPorts ports, Pause pause) {
     this.gate = gate;
     this.jobs = jobs;
-    this.clock = clock;
+    this.ports = ports;
+    this.clock = ports.clock();
     this.pause = pause;
   }
 
@@ -63,7 +68,18 @@
             body ->
                 BatchJson.readSpec(body.getText())
                     .peekLeft(message -> gate.invalid(context, message))
-                    .peek(spec -> create(context, new NewJob(organisation, spec, key))));
+                    .peek(
+                        spec ->
+                            create(
+                                context,
+                                new NewJob(organisation, spec, key, onceOnly(spec.endpoint())))));
+  }
+
+  private boolean onceOnly(String endpoint) {
+    return endpoint.startsWith(LineReader.SERVICES)
+        && BatchSender.service(
+                ports, ServiceName.of(endpoint.substring(LineReader.SERVICES.length())))
+            .exists(service -> !service.repeatable());
   }
 
   private void create(Context context, NewJob request) {
--- a/node/src/main/java/org/waxwingcourse/node/batch/UploadRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/UploadRoutes.java
@@ -5,15 +5,14 @@
 import java.io.IOException;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Set;
 import java.util.UUID;
+import org.waxwingcourse.batch.intake.Known;
 import org.waxwingcourse.batch.intake.Upload;
 import org.waxwingcourse.batch.intake.UploadLimits;
 import org.waxwingcourse.batch.job.NewJob;
 import org.waxwingcourse.batch.record.BatchFile;
 import org.waxwingcourse.batch.store.StoreCalls;
 import org.waxwingcourse.model.id.FileId;
-import org.waxwingcourse.model.id.ModelName;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
@@ -49,12 +48,12 @@
       gate.invalid(context, "send the file as multipart/form-data");
       return;
     }
-    Either<Refusal, Set<ModelName>> models = gate.models();
-    if (models.isLeft()) {
-      gate.fail(context, new Outcome.Refused(models.getLeft()));
+    Either<Refusal, Known> known = gate.known();
+    if (known.isLeft()) {
+      gate.fail(context, new Outcome.Refused(known.getLeft()));
       return;
     }
-    Intake intake = new Intake(context, type, target(context, organisation), models.get());
+    Intake intake = new Intake(context, type, target(context, organisation), known.get());
     context
         .getRequest()
         .getBodyStream(LIMITS.bytes() + FORM_BYTES)
@@ -83,9 +82,9 @@
     private final MultipartFile form;
     private final Upload upload;
 
-    Intake(Context context, String type, Upload.Target target, Set<ModelName> models) {
+    Intake(Context context, String type, Upload.Target target, Known known) {
       this.context = context;
-      this.upload = new Upload(calls, clock, target, models, LIMITS);
+      this.upload = new Upload(calls, clock, target, known, LIMITS);
       this.form = new MultipartFile(type, bytes -> upload.write(bytes, 0, bytes.length));
     }
 
--- a/node/src/test/java/org/waxwingcourse/node/batch/BatchFleetTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/batch/BatchFleetTest.java
@@ -20,10 +20,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.waxwingcourse.node.TestFleet;
+import org.waxwingcourse.standin.plain.ServiceFaults;
 
 /** A job over real nodes, engines and the platform stand-in, while the host that took it stops. */
 class BatchFleetTest {
   private static final int ITEMS = 520;
+  private static final int SUMMARIES = 40;
 
   @TempDir Path folder;
 
@@ -54,6 +56,50 @@
     }
   }
 
+  /** The published client knows no services as endpoints, so its enumeration is bypassed. */
+  @Test
+  void summaryThatMayNotBeRepeatedRunsOnceThoughConnectionsBreak() throws IOException {
+    try (TestFleet fleet = TestFleet.start(1, 2)) {
+      fleet.service().setFaults(new ServiceFaults(0, 0, 3, 0, false, 0));
+      Path path = folder.resolve("summaries.jsonl");
+      Files.writeString(path, summaries());
+      OpenAIClient client = client(fleet, 0);
+      String file =
+          client
+              .files()
+              .create(FileCreateParams.builder().purpose(FilePurpose.BATCH).file(path).build())
+              .id();
+      String job =
+          client
+              .batches()
+              .create(
+                  BatchCreateParams.builder()
+                      .inputFileId(file)
+                      .endpoint(BatchCreateParams.Endpoint.of("/services/billing"))
+                      .completionWindow(BatchCreateParams.CompletionWindow._24H)
+                      .build())
+              .id();
+      TestFleet.await(() -> client.batches().retrieve(job).status().equals(Batch.Status.COMPLETED));
+      Batch ended = client.batches().retrieve(job);
+      assertThat(ended.requestCounts().orElseThrow().failed()).isEqualTo(3);
+      assertThat(customIds(client, ended.errorFileId().orElseThrow())).hasSize(3);
+      assertThat(customIds(client, ended.outputFileId().orElseThrow())).hasSize(SUMMARIES - 3);
+      for (int i = 0; i < SUMMARIES; i++) {
+        String key = "batch_req_" + job + "_" + i;
+        assertThat(fleet.service().runsOfKey(key)).as(key).isEqualTo(1);
+      }
+    }
+  }
+
+  private static String summaries() {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < SUMMARIES; i++) {
+      text.append("{\"custom_id\":\"tenant-").append(i).append("\",\"method\":\"POST\",\"url\":");
+      text.append("\"/services/billing/summaries/").append(i).append("\",\"body\":{}}\n");
+    }
+    return text.toString();
+  }
+
   private static OpenAIClient client(TestFleet fleet, int node) {
     return OpenAIOkHttpClient.builder()
         .baseUrl(fleet.url(node) + "/v1")
