--- /dev/null
+++ b/batch/src/main/java/org/waxwingcourse/batch/cache/package-info.java
@@ -0,0 +1,2 @@
+/** Copies of stored batch data near a host; losing them loses nothing. */
+package org.waxwingcourse.batch.cache;
--- a/batch/src/main/java/org/waxwingcourse/batch/job/Results.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/Results.java
@@ -1,10 +1,13 @@
 package org.waxwingcourse.batch.job;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.waxwingcourse.batch.cache.ChunkCache;
 import org.waxwingcourse.batch.record.Codec;
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.Keys;
@@ -13,6 +16,7 @@
 import org.waxwingcourse.model.id.FileId;
 import org.waxwingcourse.platform.store.Entry;
 import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.platform.store.Snapshot;
 import org.waxwingcourse.platform.store.StoreFailure;
 
 /** Reads committed results and input files, a chunk at a time, from any host. */
@@ -24,10 +28,17 @@
   public static final char FAILED = '-';
 
   private final StoreCalls calls;
+  private final ChunkCache cache;
 
   /** Creates a reader over a store. */
   public Results(StoreCalls calls) {
+    this(calls, ChunkCache.NONE);
+  }
+
+  /** Creates a reader over a store that keeps copies. */
+  public Results(StoreCalls calls, ChunkCache cache) {
     this.calls = calls;
+    this.cache = cache;
   }
 
   /**
@@ -36,17 +47,31 @@
    * @param kind {@link #SUCCEEDED} or {@link #FAILED}
    */
   public Either<StoreFailure, List<String>> chunk(Job job, int chunk, char kind) {
-    return calls
-        .read(KeyRange.ofPrefix(Keys.results(job.id(), chunk)))
-        .map(s -> committed(job, chunk, s.entries()))
+    return cached(
+            Keys.resultHead(job.id(), chunk),
+            KeyRange.ofPrefix(Keys.results(job.id(), chunk)),
+            entries -> committed(job, chunk, entries))
         .map(lines -> ofKind(lines, kind));
   }
 
   /** Returns the lines of one chunk of an input file. */
   public Either<StoreFailure, List<String>> input(FileId file, Job.InputRef input, int chunk) {
-    return calls
-        .read(KeyRange.ofKey(Keys.input(file, input.upload(), chunk)))
-        .map(s -> Codec.unpack(s.entries()));
+    String key = Keys.input(file, input.upload(), chunk);
+    return cached(key, KeyRange.ofKey(key), Codec::unpack);
+  }
+
+  /** What is there never changes, so a copy of it is as good; what is not there may still come. */
+  private Either<StoreFailure, List<String>> cached(
+      String key, KeyRange range, Function<List<Entry>, List<String>> read) {
+    Option<byte[]> copy = cache.get(key);
+    if (copy.isDefined()) {
+      return Either.right(Codec.unpack(copy.get()));
+    }
+    Either<StoreFailure, List<String>> lines = calls.read(range).map(Snapshot::entries).map(read);
+    lines
+        .filter(l -> !l.isEmpty())
+        .forEach(l -> l.forEach(some -> cache.put(key, Codec.pack(some))));
+    return lines;
   }
 
   private static List<String> committed(Job job, int chunk, List<Entry> entries) {
--- a/batch/src/main/java/org/waxwingcourse/batch/record/Codec.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/record/Codec.java
@@ -62,11 +62,15 @@
   public static List<String> unpack(List<Entry> parts) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     parts.forEach(p -> bytes.writeBytes(p.value()));
-    try (GZIPInputStream zip = new GZIPInputStream(new ByteArrayInputStream(bytes.toByteArray()))) {
+    return unpack(bytes.toByteArray());
+  }
+
+  /** Returns the lines that {@link #pack} made the bytes of. */
+  public static List<String> unpack(byte[] packed) {
+    try (GZIPInputStream zip = new GZIPInputStream(new ByteArrayInputStream(packed))) {
       return MAPPER.readValue(zip.readAllBytes(), new TypeReference<List<String>>() {});
     } catch (IOException e) {
-      String key = parts.isEmpty() ? "" : parts.get(0).key();
-      throw new IllegalStateException("lines under \"" + key + "\" cannot be read", e);
+      throw new IllegalStateException("stored lines cannot be read", e);
     }
   }
 
--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.waxwingcourse.batch.cache.ChunkCache;
 import org.waxwingcourse.batch.job.Jobs;
 import org.waxwingcourse.batch.job.Results;
 import org.waxwingcourse.batch.store.StoreCalls;
@@ -64,6 +65,7 @@
    * @param admission holds organisations to their rates
    * @param clock gives the time
    * @param random gives jitter and starting points
+   * @param cache copies of input chunks
    * @param mostTries tries of an item as now configured
    * @param settings how much is held at once
    */
@@ -74,6 +76,7 @@
       Admission admission,
       InstantSource clock,
       RandomGenerator random,
+      ChunkCache cache,
       IntSupplier mostTries,
       RunSettings settings) {}
 
@@ -87,7 +90,7 @@
     this.live = new LiveJobs(calls, clock, random, this::onJobsChanged);
     this.pump = new ItemPump(parts.sender(), parts.admission(), clock, settings, this::wakeUp);
     Claims claims = new Claims(calls, parts.host(), () -> UUID.randomUUID().toString());
-    Results results = new Results(calls);
+    Results results = new Results(calls, parts.cache());
     this.held = new HeldChunks(claims, results, pump, live, clock, settings, parts.mostTries());
     this.sweeper = new Sweeper(calls, clock, random);
     this.finder =
--- a/batch/src/test/java/org/waxwingcourse/batch/World.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/World.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.waxwingcourse.batch.cache.ChunkCache;
 import org.waxwingcourse.batch.intake.Known;
 import org.waxwingcourse.batch.intake.Upload;
 import org.waxwingcourse.batch.intake.UploadLimits;
@@ -84,6 +85,7 @@
                   (o, d) -> CompletableFuture.completedFuture(admission.apply(o)),
                   clock,
                   random,
+                  ChunkCache.NONE,
                   () -> 3,
                   settings));
     }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -47,6 +47,7 @@
   BATCH_CLAIM_LOST(601, Level.WARN, "chunk {} of job \"{}\" is no longer held under number {}"),
   BATCH_STORE_WAIT(602, Level.WARN, "batch work waits {} for the store and holds {} chunks"),
   BATCH_ENTRY_REMOVED(603, Level.INFO, "{} \"{}\" was removed after its retention deadline"),
+  BATCH_CACHE_OFF(604, Level.WARN, "batch cache in {} is off: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import org.waxwingcourse.batch.cache.ChunkCache;
 import org.waxwingcourse.config.settings.NodeSettings;
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.event.Event;
@@ -86,9 +87,10 @@
     routes.add(new HostRoutes(member::answer, new Gate(ports)));
     routes.add(new DrainRoutes(stop::takesRequests, clock));
     routes.addAll(CallerRoutes.of(ports));
-    routes.addAll(BatchParts.routes(ports, store, random));
+    ChunkCache cache = BatchParts.cache(settings.dataFolder());
+    routes.addAll(BatchParts.routes(ports, store, cache, random));
     callers = services.add(HttpServer.of(callerOptions(), routes));
-    services.add(BatchParts.runner(ports, store, settings.host(), random));
+    services.add(BatchParts.runner(ports, store, settings.host(), cache, random));
     OperatorRoutes status = new OperatorRoutes(metrics, () -> "{}", this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -1,8 +1,12 @@
 package org.waxwingcourse.node.batch;
 
+import io.vavr.control.Option;
+import java.nio.file.Path;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.waxwingcourse.batch.cache.ChunkCache;
+import org.waxwingcourse.batch.cache.DiskCache;
 import org.waxwingcourse.batch.job.Jobs;
 import org.waxwingcourse.batch.job.Results;
 import org.waxwingcourse.batch.run.BatchRunner;
@@ -18,12 +22,21 @@
 
 /** Joins batch work to the node's ports. */
 public final class BatchParts {
+  private static final long CACHE_BYTES = 1L << 30;
   private static final int TRIES_BEFORE_CONFIGURATION = 3;
 
   private BatchParts() {}
 
+  /** Returns the cache in a host's data folder, or one that keeps nothing. */
+  public static ChunkCache cache(Option<Path> dataFolder) {
+    return dataFolder
+        .<ChunkCache>map(folder -> DiskCache.of(folder.resolve("batch"), CACHE_BYTES))
+        .getOrElse(ChunkCache.NONE);
+  }
+
   /** Returns the routes of the batch API. */
-  public static List<Routes> routes(CallerPorts ports, Store store, RandomGenerator random) {
+  public static List<Routes> routes(
+      CallerPorts ports, Store store, ChunkCache cache, RandomGenerator random) {
     InstantSource clock = ports.clock();
     Pause pause = Pause.parking();
     StoreCalls calls = new StoreCalls(store, clock, random, pause);
@@ -31,13 +44,13 @@
     BatchGate gate = new BatchGate(new Gate(ports));
     return List.of(
         new UploadRoutes(gate, calls, clock),
-        new FileRoutes(gate, jobs, new Results(calls)),
+        new FileRoutes(gate, jobs, new Results(calls, cache)),
         new JobRoutes(gate, jobs, ports, pause));
   }
 
   /** Returns the service that runs chunks on this host. */
   public static BatchRunner runner(
-      CallerPorts ports, Store store, HostId host, RandomGenerator random) {
+      CallerPorts ports, Store store, HostId host, ChunkCache cache, RandomGenerator random) {
     StoreCalls calls = new StoreCalls(store, ports.clock(), random, Pause.parking());
     return new BatchRunner(
         new BatchRunner.Parts(
@@ -47,6 +60,7 @@
             ports.admission(),
             ports.clock(),
             random,
+            cache,
             () -> tries(ports.configuration()),
             RunSettings.STANDARD));
   }
--- a/node/src/test/java/org/waxwingcourse/node/batch/BatchApiTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/batch/BatchApiTest.java
@@ -14,6 +14,7 @@
 import com.openai.models.files.FileCreateParams;
 import com.openai.models.files.FileObject;
 import com.openai.models.files.FilePurpose;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.waxwingcourse.batch.cache.ChunkCache;
 import org.waxwingcourse.batch.run.BatchRunner;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.node.web.FakePorts;
@@ -41,13 +43,16 @@
   private final FakePorts ports = new FakePorts();
   private final MemoryStore store = MemoryStore.of(InstantSource.system());
   private final BatchRunner runner =
-      BatchParts.runner(ports.ports(), store, HostId.of("host-1"), new Random(1));
+      BatchParts.runner(ports.ports(), store, HostId.of("host-1"), ChunkCache.NONE, new Random(1));
   private HttpServer server;
   private OpenAIClient client;
 
   @BeforeEach
   void start() {
-    server = FakePorts.start(BatchParts.routes(ports.ports(), store, new Random(2)));
+    server =
+        FakePorts.start(
+            BatchParts.routes(
+                ports.ports(), store, BatchParts.cache(Option.some(folder)), new Random(2)));
     runner.start();
     client = client(FakePorts.KEY);
   }
