--- a/config/src/main/java/org/waxwingcourse/config/settings/NodeSchema.java
+++ b/config/src/main/java/org/waxwingcourse/config/settings/NodeSchema.java
@@ -14,7 +14,10 @@
   static final Field<String> DATA_FOLDER =
       Field.text("data_folder", "Folder for cached bulk data; leave out on hosts without a disk.")
           .optional();
-  static final Section HOST = Section.single("host", "The host.", ID, DATA_CENTRE, DATA_FOLDER);
+  static final Field<String> TRACE_FILE =
+      Field.text("trace_file", "File that admissions are recorded in, for replay.").optional();
+  static final Section HOST =
+      Section.single("host", "The host.", ID, DATA_CENTRE, DATA_FOLDER, TRACE_FILE);
 
   static final Field<InetSocketAddress> CALLERS =
       Field.address("callers", "Where callers connect.");
--- a/config/src/main/java/org/waxwingcourse/config/settings/NodeSettings.java
+++ b/config/src/main/java/org/waxwingcourse/config/settings/NodeSettings.java
@@ -14,6 +14,7 @@
  * @param host the host's name
  * @param dataCentre where it stands
  * @param dataFolder folder for cached bulk data, if the host has a disk
+ * @param traceFile where admissions are recorded for replay, if they are
  * @param callers where callers connect
  * @param callerAddress base address that callers are told
  * @param peers where other hosts connect
@@ -27,6 +28,7 @@
     HostId host,
     DataCentreId dataCentre,
     Option<Path> dataFolder,
+    Option<Path> traceFile,
     InetSocketAddress callers,
     URI callerAddress,
     InetSocketAddress peers,
--- a/config/src/main/java/org/waxwingcourse/config/settings/NodeSettingsReader.java
+++ b/config/src/main/java/org/waxwingcourse/config/settings/NodeSettingsReader.java
@@ -19,6 +19,7 @@
 import static org.waxwingcourse.config.settings.NodeSchema.REQUESTS;
 import static org.waxwingcourse.config.settings.NodeSchema.SECRET_FILE;
 import static org.waxwingcourse.config.settings.NodeSchema.STORE;
+import static org.waxwingcourse.config.settings.NodeSchema.TRACE_FILE;
 
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -63,6 +64,7 @@
         HostId.of(host.get(ID)),
         DataCentreId.of(host.get(DATA_CENTRE)),
         host.find(DATA_FOLDER).map(Path::of),
+        host.find(TRACE_FILE).map(Path::of),
         listen.get(CALLERS),
         listen.find(CALLER_ADDRESS).getOrElse(() -> base(listen.get(CALLERS))),
         listen.get(PEERS),
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.node;
 
 import com.codahale.metrics.MetricRegistry;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.fleet.ConfigurationSource;
 import org.waxwingcourse.model.member.MembershipView;
+import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.service.ServiceGroup;
 import org.waxwingcourse.node.agree.FleetAgreement;
@@ -23,6 +25,7 @@
 import org.waxwingcourse.node.member.FleetMember;
 import org.waxwingcourse.node.member.HostRoutes;
 import org.waxwingcourse.node.metrics.ServiceLevels;
+import org.waxwingcourse.node.trace.AdmissionTrace;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.CallerRoutes;
 import org.waxwingcourse.node.web.Gate;
@@ -79,7 +82,7 @@
             clock,
             configuration,
             agreement.authenticator(),
-            agreement.admission(),
+            traced(agreement.admission(), clock),
             dispatcher,
             new DirectServiceDispatcher(plainServices),
             Duration.ofMillis(settings.limits().requestBodyMillis()),
@@ -159,6 +162,14 @@
         member.view());
   }
 
+  private Admission traced(Admission admission, InstantSource clock) {
+    if (settings.traceFile().isEmpty()) {
+      return admission;
+    }
+    Path file = settings.traceFile().get();
+    return services.add(new AdmissionTrace(admission, settings.host(), clock, file));
+  }
+
   private HttpServer.Options callerOptions() {
     return new HttpServer.Options(
         settings.callers(), SERVER_THREADS, settings.limits().headerBytes(), CALLER_IDLE);
--- a/node/src/test/java/org/waxwingcourse/node/TestFleet.java
+++ b/node/src/test/java/org/waxwingcourse/node/TestFleet.java
@@ -152,6 +152,7 @@
         HostId.of(host),
         DataCentreId.of("nile-" + host.charAt(host.length() - 1)),
         io.vavr.control.Option.none(),
+        io.vavr.control.Option.none(),
         anyPort,
         URI.create("http://127.0.0.1:0"),
         anyPort,
