--- a/standin/src/main/java/org/waxwingcourse/standin/engine/ChatHandler.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/engine/ChatHandler.java
@@ -7,8 +7,6 @@
 import java.time.InstantSource;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import org.waxwingcourse.standin.web.Answers;
 import org.waxwingcourse.standin.web.Connections;
 import org.waxwingcourse.standin.web.PushStream;
@@ -135,8 +133,7 @@
       action.run();
       return;
     }
-    Executor delayed = CompletableFuture.delayedExecutor(late, TimeUnit.MILLISECONDS);
-    delayed.execute(action);
+    loop.later(late, action);
   }
 
   /** Collects a whole answer. */
--- a/standin/src/main/java/org/waxwingcourse/standin/engine/EngineLoop.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/engine/EngineLoop.java
@@ -51,6 +51,11 @@
     thread.execute(this::keepStepping);
   }
 
+  /** Runs an action after a time; actions with the same time run in the order of the calls. */
+  void later(long millis, Runnable action) {
+    thread.schedule(action, millis, TimeUnit.MILLISECONDS);
+  }
+
   CacheEventLog events() {
     return events;
   }
