The node runs requests at the owners of engines

Cause: the direct dispatcher sent each request to a random engine and knew no queue. Ruled out: DirectDispatcher stays as a fallback; nothing would use it. Conclusion: online and batch go through one queue for each engine.

--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -16,8 +16,8 @@
 import org.waxwingcourse.model.service.ServiceGroup;
 import org.waxwingcourse.node.agree.FleetAgreement;
 import org.waxwingcourse.node.batch.BatchParts;
-import org.waxwingcourse.node.dispatch.DirectDispatcher;
 import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
+import org.waxwingcourse.node.dispatch.FleetDispatcher;
 import org.waxwingcourse.node.member.DrainRoutes;
 import org.waxwingcourse.node.member.FleetMember;
 import org.waxwingcourse.node.member.HostRoutes;
@@ -67,6 +67,10 @@
     agreement = services.add(agreement(clock, random, store));
     ConfigurationSource configuration = agreement.configuration();
     EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
+    FleetDispatcher dispatcher =
+        services.add(
+            FleetDispatcher.of(
+                configuration, member.view(), member.peers(), engines, clock, random));
     ServiceClient plainServices =
         ServiceClient.of(http, clock, random, RetryPolicy.of(clock, random));
     CallerPorts ports =
@@ -75,7 +79,7 @@
             configuration,
             agreement.authenticator(),
             agreement.admission(),
-            DirectDispatcher.of(configuration, engines, clock, random),
+            dispatcher,
             new DirectServiceDispatcher(plainServices),
             Duration.ofMillis(settings.limits().requestBodyMillis()),
             ServiceLevels.of(metrics));
@@ -84,6 +88,7 @@
         new LimitRoutes(clock, settings.limits().connections(), settings.limits().requests());
     PlannedStop stop = member.plannedStop();
     stop.waitFor(limits::requestsInProgress);
+    stop.waitFor(dispatcher::requestsServed);
     routes.add(limits);
     routes.add(new HostRoutes(member::answer, new Gate(ports)));
     routes.add(new DrainRoutes(stop::takesRequests, clock));
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
@@ -131,6 +131,11 @@
     return forwarder.submit(owner, engine, request, listener);
   }
 
+  /** Returns how many requests of other hosts run here. */
+  public int requestsServed() {
+    return forwarder.served();
+  }
+
   RetryPolicy retries() {
     return retries;
   }
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/Forwarder.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/Forwarder.java
@@ -83,6 +83,11 @@
     outbox.send(host, DispatchMessage.newBuilder().setLoad(load));
   }
 
+  /** Returns how many calls this host runs for others. */
+  int served() {
+    return served.size();
+  }
+
   /** Asks after calls; called every second. */
   void check() {
     for (Map.Entry<Long, RemoteCall> entry : remote.entrySet()) {
