A call that may not be repeated runs once for its idempotency key, on any host

Cause: a client that sends a call again to another host with the same key ran it twice. The key is claimed in the platform's store before the call is sent; a refusal frees it. Weighed: an owner host for each key (a cut or a new owner forgets it), the organisation's few hosts together (as much agreement as the store, without its durability). Cost: two writes for each such call, three if it was refused; a lease an hour for all of them. Conclusion: without the store such calls are refused as not run, which is then true.

--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.node.batch.BatchParts;
 import org.waxwingcourse.node.dispatch.DirectServiceDispatcher;
 import org.waxwingcourse.node.dispatch.FleetDispatcher;
+import org.waxwingcourse.node.dispatch.OnceServiceDispatcher;
 import org.waxwingcourse.node.member.DrainRoutes;
 import org.waxwingcourse.node.member.FleetMember;
 import org.waxwingcourse.node.member.HostRoutes;
@@ -80,7 +81,7 @@
             agreement.authenticator(),
             agreement.admission(),
             dispatcher,
-            new DirectServiceDispatcher(plainServices),
+            new OnceServiceDispatcher(new DirectServiceDispatcher(plainServices), store, clock),
             Duration.ofMillis(settings.limits().requestBodyMillis()),
             ServiceLevels.of(metrics));
     List<Routes> routes = new ArrayList<>();
--- /dev/null
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/ClaimStore.java
@@ -0,0 +1,112 @@
+package org.waxwingcourse.node.dispatch;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.platform.store.Lease;
+import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.policy.idempotency.Claim;
+import org.waxwingcourse.policy.idempotency.ClaimedAnswer;
+import org.waxwingcourse.wire.ServiceClaim;
+
+/** Keeps claims in the platform's store, on leases that many claims share. */
+final class ClaimStore {
+  private static final Duration KEPT = Duration.ofHours(24);
+  private static final Duration LEASE_USED = Duration.ofHours(1);
+
+  private final Store store;
+  private final InstantSource clock;
+  private CompletableFuture<Either<StoreFailure, Lease>> lease;
+  private Deadline leaseUsed;
+
+  ClaimStore(Store store, InstantSource clock) {
+    this.store = store;
+    this.clock = clock;
+  }
+
+  /** Creates the claim unless the key is claimed. */
+  CompletableFuture<WriteOutcome> create(String key, Claim claim) {
+    return lease()
+        .thenCompose(
+            granted ->
+                granted.fold(
+                    failure -> CompletableFuture.completedFuture(new WriteOutcome.NotSent(failure)),
+                    held -> store.write(creation(key, claim, held.id()))));
+  }
+
+  /** Adds the answer to a claim; if that fails, who asks again is told that it is unknown. */
+  void answer(String key, Claim claim, Revision claimed) {
+    lease()
+        .thenAccept(
+            granted ->
+                granted.peek(
+                    held ->
+                        store.write(
+                            Transaction.builder()
+                                .unchanged(key, claimed)
+                                .put(key, encode(claim), held.id())
+                                .build())));
+  }
+
+  /** Removes the claim of a call that was not sent. */
+  CompletableFuture<WriteOutcome> remove(String key, Revision claimed) {
+    return store.write(Transaction.builder().unchanged(key, claimed).delete(key).build());
+  }
+
+  private static Transaction creation(String key, Claim claim, LeaseId lease) {
+    return Transaction.builder().absent(key).put(key, encode(claim), lease).build();
+  }
+
+  private synchronized CompletableFuture<Either<StoreFailure, Lease>> lease() {
+    boolean usable =
+        lease != null
+            && !leaseUsed.isPast(clock.instant())
+            && !(lease.isDone() && lease.join().isLeft());
+    if (!usable) {
+      leaseUsed = Deadline.after(clock, LEASE_USED);
+      lease = store.grantLease(KEPT);
+    }
+    return lease;
+  }
+
+  private static byte[] encode(Claim claim) {
+    ServiceClaim.Builder message =
+        ServiceClaim.newBuilder().setAttempt(claim.attempt()).setFingerprint(claim.fingerprint());
+    claim
+        .answer()
+        .peek(
+            answer ->
+                message
+                    .setAnswered(true)
+                    .setStatus(answer.status())
+                    .setContentType(answer.contentType())
+                    .setBody(ByteString.copyFrom(answer.body())));
+    return message.build().toByteArray();
+  }
+
+  static Option<Claim> decode(byte[] bytes) {
+    try {
+      ServiceClaim message = ServiceClaim.parseFrom(bytes);
+      ClaimedAnswer answer =
+          new ClaimedAnswer(
+              message.getStatus(), message.getContentType(), message.getBody().toByteArray());
+      return Option.some(
+          new Claim(
+              message.getAttempt(),
+              message.getFingerprint(),
+              Option.when(message.getAnswered(), answer)));
+    } catch (InvalidProtocolBufferException e) {
+      return Option.none();
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/waxwingcourse/policy/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** Decides whether a call that may not be repeated may be sent. */
+package org.waxwingcourse.policy.idempotency;
