--- a/standin/src/test/java/org/waxwingcourse/standin/platform/EtcdStoreTest.java
+++ b/standin/src/test/java/org/waxwingcourse/standin/platform/EtcdStoreTest.java
@@ -147,8 +147,7 @@
   @Test
   void connectionsGoneSilentHideAChangeForOneRenewalAndFailOneCallOnly() throws Exception {
     EtcdOptions options =
-        new EtcdOptions(
-            List.of(platform.address()), Duration.ofSeconds(4), Duration.ofMillis(500));
+        new EtcdOptions(List.of(platform.address()), Duration.ofSeconds(4), Duration.ofMillis(500));
     EtcdStore store = EtcdStore.of(http, clock, options);
     Stream.generate(() -> store.read(ALL)).limit(4).toList().forEach(CompletableFuture::join);
     store.watch(ALL, Revision.NONE, listener);
