--- a/batch/src/test/java/org/waxwingcourse/batch/ChaosTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/ChaosTest.java
@@ -99,6 +99,9 @@
       case 6, 7, 8 -> world.store.setFaults(StoreFaults.NONE);
       case 9 -> world.store.setFaults(StoreFaults.NONE.withWatchLag(Duration.ofSeconds(30)));
       case 10 -> world.store.setFaults(StoreFaults.NONE.withWatchSilent(true));
+      case 12 ->
+          host.way.slow(() -> world.advance(Duration.ofMillis(world.random.nextInt(20_000))));
+      case 13 -> host.way.slow(() -> {});
       case 11 -> world.store.setFaults(StoreFaults.NONE.withRates(2, 2));
       default -> {}
     }
--- a/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/KillableStore.java
@@ -25,6 +25,7 @@
   private int callsLeft;
   private boolean dead;
   private Runnable pause;
+  private Runnable slowness = () -> {};
 
   KillableStore(Store store, int killAtCall, boolean afterEffect) {
     this.store = store;
@@ -42,6 +43,11 @@
     pause = whatOthersDo;
   }
 
+  /** Makes each call take as long as {@code wait} lets pass, half of it before the effect. */
+  void slow(Runnable wait) {
+    slowness = wait;
+  }
+
   boolean isDead() {
     return dead;
   }
@@ -52,6 +58,7 @@
 
   private <T> T call(Supplier<T> action) {
     callsLeft--;
+    slowness.run();
     if (callsLeft == 0 && pause != null) {
       pause.run();
       callsLeft = World.NEVER;
@@ -61,6 +68,7 @@
       throw new HostKilled();
     }
     T answer = action.get();
+    slowness.run();
     if (callsLeft == 0) {
       dead = true;
       throw new HostKilled();
