waxwing verify: recorded admissions of all hosts against the declared rates

Cause: the bound on rates needs a checker that shares no code with what admits, over whole-path runs. Ruled out: judging by callers' clocks (network time blurs windows); the trace holds both ends of each decision. SecretsTest failed once in a whole run: it saw no log line at all, since the tests' root level is WARN; it now records from INFO.

--- a/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
@@ -9,6 +9,7 @@
 import org.waxwingcourse.cli.command.LoadCommand;
 import org.waxwingcourse.cli.command.ReportCommand;
 import org.waxwingcourse.cli.command.StatusCommand;
+import org.waxwingcourse.cli.command.VerifyCommand;
 
 /** The program {@code waxwing}. */
 public final class WaxwingMain {
@@ -29,6 +30,7 @@
         new StatusCommand(),
         new KeyCommand(),
         new JobCommand(),
+        new VerifyCommand(),
         new ReportCommand(),
         new LoadCommand());
   }
--- a/node/src/test/java/org/waxwingcourse/node/SecretsTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/SecretsTest.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AbstractAppender;
+import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.Property;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -48,6 +49,7 @@
     LoggerContext context = (LoggerContext) LogManager.getContext(false);
     recorder.start();
     context.getConfiguration().getRootLogger().addAppender(recorder, Level.ALL, null);
+    Configurator.setRootLevel(Level.INFO);
     fleet = TestFleet.start(1, 1);
   }
 
@@ -56,6 +58,7 @@
     fleet.close();
     LoggerContext context = (LoggerContext) LogManager.getContext(false);
     context.getConfiguration().getRootLogger().removeAppender(recorder.getName());
+    Configurator.setRootLevel(Level.WARN);
   }
 
   @Test
