--- a/config/src/main/java/org/waxwingcourse/config/store/StoredDocument.java
+++ b/config/src/main/java/org/waxwingcourse/config/store/StoredDocument.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.config.store;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.waxwingcourse.model.id.Revision;
@@ -30,14 +31,13 @@
         .map(target -> Delta.of(base, target, configurationParts(puts)));
   }
 
-  /** Returns the whole roster if it is among the entries. */
-  public static Optional<Delta> rosterDelta(List<Entry> entries) {
-    List<Part> parts =
-        entries.stream()
-            .filter(e -> e.key().equals(ConfigurationKeys.ROSTER))
-            .map(StoredDocument::part)
-            .toList();
-    return revision(ConfigurationKeys.ROSTER, entries).map(target -> Delta.whole(target, parts));
+  /** Returns a whole roster for each of its revisions among the entries, oldest first. */
+  public static List<Delta> rosterDeltas(List<Entry> entries) {
+    return entries.stream()
+        .filter(e -> e.key().equals(ConfigurationKeys.ROSTER))
+        .sorted(Comparator.comparing(Entry::modified))
+        .map(e -> Delta.whole(e.modified(), List.of(part(e))))
+        .toList();
   }
 
   /** Returns the revision of the entry with the given key, if it is among the entries. */
--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -15,7 +15,6 @@
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
-import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.member.Member;
 import org.waxwingcourse.model.member.MemberState;
 import org.waxwingcourse.model.member.MembershipView;
@@ -42,7 +41,7 @@
 /** Configuration, keys and rates of one node, as agreed with the other hosts. */
 public final class FleetAgreement implements Service {
   private static final EventLog LOG = EventLog.of(FleetAgreement.class);
-  private static final Duration TICK = Duration.ofMillis(100);
+  private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration UNKNOWN_IS_DEAD_AFTER = Duration.ofMinutes(1);
   private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(2);
 
@@ -240,8 +239,8 @@
     }
 
     @Override
-    public void writeRoster(Revision expected, List<Holder> holders) {
-      store.writeRoster(expected, holders);
+    public void writeRoster(Roster next) {
+      store.writeRoster(next);
     }
   }
 }
--- a/node/src/main/java/org/waxwingcourse/node/agree/RosterCodec.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/RosterCodec.java
@@ -18,9 +18,12 @@
 final class RosterCodec {
   private RosterCodec() {}
 
-  static byte[] encode(Revision previous, List<Holder> holders) {
-    RosterValue.Builder value = RosterValue.newBuilder().setPrevious(previous.value());
-    for (Holder h : holders) {
+  static byte[] encode(Roster roster) {
+    RosterValue.Builder value =
+        RosterValue.newBuilder()
+            .setPrevious(roster.previous().value())
+            .setGrownSince(roster.grownSince().value());
+    for (Holder h : roster.holders()) {
       value.addHolders(
           HolderValue.newBuilder()
               .setHost(h.host().value())
@@ -39,7 +42,8 @@
       RosterValue value = RosterValue.parseFrom(part.content());
       List<Holder> holders = value.getHoldersList().stream().map(RosterCodec::decode).toList();
       Revision previous = Revision.of(value.getPrevious());
-      return Either.right(new Roster(document.revision(), previous, holders));
+      Revision grown = Revision.of(value.getGrownSince());
+      return Either.right(new Roster(document.revision(), previous, grown, holders));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return Either.left("entry \"" + ConfigurationKeys.ROSTER + "\": " + e.getMessage());
     }
--- a/node/src/main/java/org/waxwingcourse/node/agree/StoreLink.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/StoreLink.java
@@ -20,7 +20,7 @@
 import org.waxwingcourse.platform.store.WatchListener;
 import org.waxwingcourse.policy.configuration.Delta;
 import org.waxwingcourse.policy.trust.Agreement;
-import org.waxwingcourse.policy.trust.Holder;
+import org.waxwingcourse.policy.trust.Roster;
 import org.waxwingcourse.policy.trust.Versions;
 
 /**
@@ -97,11 +97,11 @@
                         }));
   }
 
-  void writeRoster(Revision expected, List<Holder> holders) {
+  void writeRoster(Roster next) {
     Transaction swap =
         Transaction.builder()
-            .unchanged(ConfigurationKeys.ROSTER, expected)
-            .put(ConfigurationKeys.ROSTER, RosterCodec.encode(expected, holders))
+            .unchanged(ConfigurationKeys.ROSTER, next.previous())
+            .put(ConfigurationKeys.ROSTER, RosterCodec.encode(next))
             .build();
     store.write(swap);
   }
@@ -163,7 +163,7 @@
   private void offer(Revision base, List<Entry> entries) {
     StoredDocument.configurationDelta(base, entries)
         .ifPresent((Delta d) -> agreement.onWatchedConfiguration(d));
-    StoredDocument.rosterDelta(entries).ifPresent((Delta d) -> agreement.onWatchedRoster(d));
+    StoredDocument.rosterDeltas(entries).forEach(agreement::onWatchedRoster);
   }
 
   private synchronized void reopenLater() {
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/Borrower.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/Borrower.java
@@ -19,6 +19,10 @@
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(100);
   private static final Duration SILENT_FOR = Duration.ofMillis(500);
   private static final Duration SHORTEST_PAUSE = Duration.ofMillis(20);
+
+  /** Tokens are borrowed for this part of a demand window ahead. */
+  private static final int AHEAD_PART = 4;
+
   private static final Duration DEMAND_WINDOW = Duration.ofMillis(200);
 
   private final OrganisationId organisation;
@@ -68,7 +72,7 @@
     }
     long id = random.nextLong();
     asked = Optional.of(new Asked(id, holder.get(), now));
-    long ahead = demand(now) * TokenBucket.TOKEN;
+    long ahead = demand(now) * TokenBucket.TOKEN / AHEAD_PART;
     long wanted = missing + Math.max(0, requests - 1) * TokenBucket.TOKEN + ahead;
     send.accept(holder.get(), new RateMessage.Ask(id, organisation, wanted));
     return true;
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/OrganisationRate.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/OrganisationRate.java
@@ -23,6 +23,9 @@
 final class OrganisationRate {
   private static final int MAX_WAITING = 256;
 
+  /** How long a request waits for a token that is due soon. */
+  private static final Duration PATIENCE = Duration.ofMillis(200);
+
   private final OrganisationId organisation;
   private final RatePort port;
   private final Lender lender;
@@ -39,7 +42,11 @@
         new Borrower(organisation, random, (to, m) -> effects.add(() -> port.send(to, m)));
   }
 
-  private record Waiting(CompletableFuture<Option<Refusal>> answer, Deadline deadline) {}
+  private record Waiting(CompletableFuture<Option<Refusal>> answer, Deadline deadline) {
+    boolean outlasts(Instant time) {
+      return time.isBefore(deadline.at());
+    }
+  }
 
   Lender lender() {
     return lender;
@@ -66,7 +73,7 @@
       refuse(answer, now);
       return;
     }
-    waiting.add(new Waiting(answer, deadline));
+    waiting.add(new Waiting(answer, deadline.earlier(Deadline.at(now.plus(PATIENCE)))));
     serve(now);
   }
 
@@ -116,9 +123,10 @@
         finish(waiting.remove().answer(), Option.none());
       } else if (borrower.ask(waiting.size(), missing(now), now)) {
         return;
+      } else if (first.outlasts(nextChance(now))) {
+        return;
       } else {
-        waiting.forEach(w -> refuse(w.answer(), now));
-        waiting.clear();
+        refuse(waiting.remove().answer(), now);
       }
     }
   }
@@ -141,13 +149,18 @@
   }
 
   private void refuse(CompletableFuture<Option<Refusal>> answer, Instant now) {
-    Instant own = now.plus(lender.bucket().timeUntil(TokenBucket.TOKEN, now));
-    Instant at = borrower.nextChance().filter(c -> c.isBefore(own)).orElse(own);
-    Instant retryAt = at.isBefore(now) ? now : at;
+    Instant retryAt = nextChance(now);
     String message = "organisation \"" + organisation + "\" is over its rate";
     finish(answer, Option.of(new Refusal(RefusalCode.RATE_LIMITED, message, retryAt)));
   }
 
+  private Instant nextChance(Instant now) {
+    Instant own =
+        now.plus(lender.bucket().timeUntil(lender.bucket().amount(now) + missing(now), now));
+    Instant at = borrower.nextChance().filter(c -> c.isBefore(own)).orElse(own);
+    return at.isBefore(now) ? now : at;
+  }
+
   private void finish(CompletableFuture<Option<Refusal>> answer, Option<Refusal> result) {
     effects.add(() -> answer.complete(result));
   }
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/RateAdmission.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/RateAdmission.java
@@ -160,7 +160,7 @@
   public synchronized void onRoster(Roster next) {
     Instant now = clock.instant();
     boolean first = next.previous().value() == 0;
-    boolean unbroken = next.previous().equals(roster.revision()) && !roster.holders().isEmpty();
+    boolean unbroken = next.continues(roster);
     roster = next;
     rosterLearnt = now;
     rates.forEach((id, rate) -> move(id, share(id, rate), first, unbroken));
--- a/policy/src/main/java/org/waxwingcourse/policy/trust/Roster.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/trust/Roster.java
@@ -14,11 +14,15 @@
  *
  * @param revision the store's revision that accepted it
  * @param previous revision of the roster that it replaced, {@link Revision#NONE} for the first
+ * @param grownSince revision of the roster since which holders were only added, {@link
+ *     Revision#NONE} if this one removed any
  * @param holders in the order of hosts
  */
-public record Roster(Revision revision, Revision previous, List<Holder> holders) {
+public record Roster(
+    Revision revision, Revision previous, Revision grownSince, List<Holder> holders) {
   /** The roster before the first one is stored. */
-  public static final Roster EMPTY = new Roster(Revision.NONE, Revision.NONE, List.of());
+  public static final Roster EMPTY =
+      new Roster(Revision.NONE, Revision.NONE, Revision.NONE, List.of());
 
   /** Copies and sorts the holders. */
   public Roster {
@@ -40,8 +44,8 @@
     return 2 * votes > holders.size();
   }
 
-  /** Returns the holders without some hosts and with one process added. */
-  public List<Holder> changed(Set<HostId> removed, Optional<Holder> added) {
+  /** Returns a roster to put in the place of this one, without some hosts and with a process. */
+  public Roster changed(Set<HostId> removed, Optional<Holder> added) {
     List<Holder> next = new ArrayList<>();
     for (Holder h : holders) {
       boolean replaced = added.filter(a -> a.host().equals(h.host())).isPresent();
@@ -49,7 +53,24 @@
         next.add(h);
       }
     }
+    boolean grown = next.size() == holders.size() && !holders.isEmpty();
     added.ifPresent(next::add);
-    return next;
+    return new Roster(Revision.NONE, revision, grown ? sinceWhenGrown() : Revision.NONE, next);
+  }
+
+  /**
+   * Tells whether a holder that last saw {@code seen} had, in every roster since, at least the
+   * shares that it has in this one.
+   */
+  public boolean continues(Roster seen) {
+    if (seen.holders.isEmpty()) {
+      return false;
+    }
+    boolean onlyGrown = grownSince.value() > 0 && !grownSince.isAfter(seen.revision);
+    return previous.equals(seen.revision) || onlyGrown;
+  }
+
+  private Revision sinceWhenGrown() {
+    return grownSince.value() > 0 ? grownSince : revision;
   }
 }
--- a/policy/src/main/java/org/waxwingcourse/policy/trust/RosterChanger.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/trust/RosterChanger.java
@@ -11,7 +11,6 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.model.id.HostId;
-import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.policy.configuration.DocumentFollower;
 
 /**
@@ -135,8 +134,7 @@
     if (leaving) {
       removed.add(self.host());
     }
-    Revision expected = p.old().revision();
-    port.writeRoster(expected, p.old().changed(removed, added));
+    port.writeRoster(p.old().changed(removed, added));
   }
 
   private Set<HostId> removable(Roster old, Instant now) {
--- a/policy/src/main/java/org/waxwingcourse/policy/trust/TrustPort.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/trust/TrustPort.java
@@ -1,8 +1,6 @@
 package org.waxwingcourse.policy.trust;
 
-import java.util.List;
 import org.waxwingcourse.model.id.HostId;
-import org.waxwingcourse.model.id.Revision;
 
 /** What the agreement of versions needs from outside. No call blocks. */
 public interface TrustPort {
@@ -15,6 +13,6 @@
   /** Reads both documents from the store and offers them to the followers. */
   void readDocuments();
 
-  /** Replaces the roster by compare-and-swap. */
-  void writeRoster(Revision expected, List<Holder> holders);
+  /** Puts a roster in the place of its previous one by compare-and-swap. */
+  void writeRoster(Roster next);
 }
