--- a/node/src/test/java/org/waxwingcourse/node/agree/AgreementCost.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/AgreementCost.java
@@ -54,6 +54,7 @@
     }
     double share = 1.0 / size / MEASURE.toSeconds();
     CallCounts after = fleet.store.counts();
+    long spent = system.getProcessCpuTime() - cpu;
     System.gc();
     long used = ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
     System.out.printf(
@@ -65,7 +66,7 @@
         (fleet.peers.bytes.get() - bytes) * share,
         (after.reads() - before.reads()) * share,
         (after.writes() - before.writes()) * share,
-        100 * (system.getProcessCpuTime() - cpu) / 1e9 * share,
+        100 * spent / 1e9 * share,
         used / 1e6 / size);
   }
 
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/OrganisationRate.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/OrganisationRate.java
@@ -56,6 +56,11 @@
     return borrower;
   }
 
+  /** Tells whether something here falls due by itself. */
+  boolean isBorrowing() {
+    return !waiting.isEmpty() || borrower.isWaiting() || !borrower.wallet().isEmpty();
+  }
+
   /** Returns what is to be done outside the lock, and forgets it. */
   List<Runnable> takeEffects() {
     List<Runnable> taken = effects;
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/RateAdmission.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/RateAdmission.java
@@ -5,8 +5,10 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
@@ -89,6 +91,7 @@
   /** Some of the organisations, under one lock. */
   private static final class Shard {
     private final Map<OrganisationId, OrganisationRate> rates = new HashMap<>();
+    private final Set<OrganisationId> active = new HashSet<>();
   }
 
   @Override
@@ -127,12 +130,12 @@
         });
   }
 
-  /** Does what is due for every organisation; called several times a second. */
+  /** Does what is due for organisations that borrow; called several times a second. */
   public void tick() {
     for (Shard shard : shards) {
       List<OrganisationId> names;
       synchronized (shard) {
-        names = List.copyOf(shard.rates.keySet());
+        names = List.copyOf(shard.active);
       }
       names.forEach(name -> change(name, this::tick));
     }
@@ -236,6 +239,11 @@
       }
       action.accept(rate, clock.instant());
       effects = rate.takeEffects();
+      if (rate.isBorrowing()) {
+        shard.active.add(id);
+      } else {
+        shard.active.remove(id);
+      }
     }
     effects.forEach(Runnable::run);
     return true;
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/Wallet.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/Wallet.java
@@ -56,6 +56,10 @@
     send.accept(lender, new RateMessage.Return(organisation, grant.grant(), grant.amount()));
   }
 
+  boolean isEmpty() {
+    return loans.isEmpty();
+  }
+
   long amount(Instant now) {
     dropLapsed(now);
     return loans.stream().mapToLong(l -> l.left).sum();
