A node is ready once it can reach a holder of shares

Ruled out: shares that begin at once in a young fleet (they may overrun). Conclusion: /ready answers 503 until this node is the only holder or knows another one.

--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -144,9 +144,15 @@
     return agreement.status();
   }
 
-  /** Tells whether the node has a configuration, may act on it and knows who holds shares. */
+  /** Tells whether the node has a configuration, may act on it and can get tokens. */
   public boolean isReady() {
-    return configuration.value().isPresent() && roster.value().isPresent() && status().current();
+    return configuration.value().isPresent() && status().current() && reachesHolder();
+  }
+
+  private boolean reachesHolder() {
+    Roster known = roster.value().orElse(Roster.EMPTY);
+    boolean alone = known.holders().equals(List.of(self));
+    return alone || others().stream().anyMatch(h -> known.find(h).isPresent());
   }
 
   /** Returns the same, and what is known of the other hosts, as JSON. */
