--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -42,6 +42,7 @@
   // 500: dispatch, engines and plain services
   ENGINE_EJECTED(500, Level.WARN, "engine \"{}\" fails and gets no work until {}"),
   DISPATCH_UNREADABLE(501, Level.ERROR, "message of host \"{}\" cannot be read: {}"),
+  ENGINE_ORDERED(502, Level.INFO, "engine \"{}\" was ordered to load model \"{}\""),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" is {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "chunk {} of job \"{}\" is no longer held under number {}"),
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -74,8 +74,8 @@
     EngineClient engines = services.add(EngineClient.of(http, clock, EngineLimits.DEFAULT));
     FleetDispatcher dispatcher =
         services.add(
-            FleetDispatcher.of(
-                configuration, member.view(), member.peers(), engines, clock, random));
+            FleetDispatcher.of(configuration, member.view(), member.peers(), engines, clock, random)
+                .withOrders(store));
     ServiceClient plainServices =
         ServiceClient.of(http, clock, random, RetryPolicy.of(clock, random));
     CallerPorts ports =
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/EngineWork.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/EngineWork.java
@@ -224,7 +224,8 @@
 
     @Override
     public void onEnd(Outcome outcome) {
-      attemptEnded(lost ? new Outcome.Unknown("the engine lost its answer") : outcome);
+      boolean cut = lost || from > 0 && outcome instanceof Outcome.Refused;
+      attemptEnded(cut ? new Outcome.Unknown("the engine lost its answer") : outcome);
     }
   }
 }
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -29,6 +30,7 @@
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.peer.Channel;
 import org.waxwingcourse.peer.Peers;
+import org.waxwingcourse.platform.store.Store;
 import org.waxwingcourse.policy.retry.RetryPolicy;
 import org.waxwingcourse.policy.route.EnginePicker;
 import org.waxwingcourse.policy.route.EngineView;
@@ -45,6 +47,7 @@
   private static final long TICK_MILLIS = 10;
   private static final long LOAD_MILLIS = 250;
   private static final long CHECK_MILLIS = 1000;
+  private static final long RECONCILE_MILLIS = 5000;
   private static final int MAX_LOAD_RECEIVERS = 16;
   private static final int PREFIX_BLOCKS = 65_536;
   private static final Duration COME_BACK = Duration.ofSeconds(1);
@@ -59,6 +62,8 @@
   private final LoadTable loads;
   private final Forwarder forwarder;
   private final EnginePicker picker;
+  private final EngineClient client;
+  private Consumer<Engine> reconcile = engine -> {};
 
   private FleetDispatcher(
       ConfigurationSource configuration,
@@ -68,6 +73,7 @@
       InstantSource clock,
       RandomGenerator random) {
     this.configuration = configuration;
+    this.client = client;
     this.members = members;
     this.clock = clock;
     this.random = random;
@@ -92,11 +98,19 @@
     return new FleetDispatcher(configuration, members, peers, client, clock, random);
   }
 
+  /** Has the owners of engines order the declared models, with fencing numbers of the store. */
+  public FleetDispatcher withOrders(Store store) {
+    EngineOrders orders = new EngineOrders(store, client, members.self().id(), clock);
+    reconcile = orders::reconcile;
+    return this;
+  }
+
   @Override
   public void start() {
     every(TICK_MILLIS, () -> engines.all().forEach(OwnedEngine::tick));
     every(LOAD_MILLIS, this::spreadLoads);
     every(CHECK_MILLIS, this::check);
+    every(RECONCILE_MILLIS, this::reconcile);
   }
 
   @Override
@@ -191,6 +205,14 @@
     forwarder.check();
   }
 
+  private void reconcile() {
+    for (OwnedEngine own : engines.all()) {
+      if (engines.isOwn(own.engine().id()) && own.takesWork()) {
+        reconcile.accept(own.engine());
+      }
+    }
+  }
+
   private void spreadLoads() {
     List<HostId> others = new ArrayList<>();
     for (Member member : members.members()) {
--- a/node/src/test/java/org/waxwingcourse/node/dispatch/DispatchFleet.java
+++ b/node/src/test/java/org/waxwingcourse/node/dispatch/DispatchFleet.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.fleet.ConfigurationSource;
@@ -45,6 +46,7 @@
 import org.waxwingcourse.standin.engine.EngineOptions;
 import org.waxwingcourse.standin.engine.EngineStandIn;
 import org.waxwingcourse.standin.engine.Prompt;
+import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.upstream.engine.EngineClient;
 import org.waxwingcourse.upstream.engine.EngineLimits;
 
@@ -56,6 +58,7 @@
   private static final int MAX_BODY = 1 << 20;
 
   final InstantSource clock = MonotonicClock.start();
+  final MemoryStore store = MemoryStore.of(clock);
   final List<EngineStandIn> engines = new ArrayList<>();
   final List<FleetDispatcher> hosts = new ArrayList<>();
   private final HttpCaller http = HttpCaller.of(clock, 3);
@@ -66,11 +69,16 @@
   private final FleetConfiguration configuration;
 
   DispatchFleet(int hostCount, int engineCount, int slots) {
+    this(hostCount, engineCount, slots, EngineOptions.of(MODEL.value()));
+  }
+
+  /** Starts engines of the given kind; all are declared to serve {@link #MODEL}. */
+  DispatchFleet(int hostCount, int engineCount, int slots, EngineOptions options) {
     http.start();
     client.start();
     Map<UpstreamId, Engine> declared = new HashMap<>();
     for (int i = 0; i < engineCount; i++) {
-      EngineStandIn engine = EngineStandIn.start(EngineOptions.of(MODEL.value()));
+      EngineStandIn engine = EngineStandIn.start(options);
       engines.add(engine);
       UpstreamId id = UpstreamId.of("engine-" + i);
       DataCentreId place = DataCentreId.of("d");
@@ -117,6 +125,12 @@
         Deadline.after(clock, Duration.ofSeconds(30)));
   }
 
+  /** Runs a task after a time, off the callers' threads. */
+  void later(long millis, Runnable task) {
+    CompletableFuture.runAsync(
+        task, CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS));
+  }
+
   @Override
   public void close() {
     hosts.forEach(FleetDispatcher::stop);
@@ -139,12 +153,13 @@
   private void addHost(Member self) {
     FleetDispatcher host =
         FleetDispatcher.of(
-            new FixedConfiguration(),
-            new FixedMembers(self),
-            new Wire(self.id()),
-            client,
-            clock,
-            new Random(hosts.size()));
+                new FixedConfiguration(),
+                new FixedMembers(self),
+                new Wire(self.id()),
+                client,
+                clock,
+                new Random(hosts.size()))
+            .withOrders(store);
     host.start();
     hosts.add(host);
   }
--- /dev/null
+++ b/node/src/test/java/org/waxwingcourse/node/dispatch/DispatchMeasurement.java
@@ -0,0 +1,166 @@
+package org.waxwingcourse.node.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.waxwingcourse.model.request.AnswerListener;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.WorkClass;
+import org.waxwingcourse.standin.engine.EngineOptions;
+
+/**
+ * Measures online latency with batch off and on over engine stand-ins, in one run. Not part of the
+ * usual run, because it measures time: {@code mvn test -pl node -am -Dtest=DispatchMeasurement}.
+ */
+class DispatchMeasurement {
+  private static final int HOSTS = 3;
+  private static final int ENGINES = 6;
+  private static final int SLOTS = 16;
+  private static final double PER_SECOND = 9;
+  private static final double WARM_UP_SECONDS = 20;
+  private static final double SECONDS = 60;
+
+  private final ConcurrentLinkedQueue<Double> first = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Double> gaps = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger refused = new AtomicInteger();
+  private final AtomicLong batchChunks = new AtomicLong();
+  private final AtomicInteger sequence = new AtomicInteger();
+
+  @ParameterizedTest
+  @CsvSource({"diwan, 1000", "cascade, 3000"})
+  void batchOffAndOn(String deployment, long oneWayMicros) {
+    EngineOptions options =
+        EngineOptions.of(DispatchFleet.MODEL.value())
+            .withSteps(Duration.ofMillis(20), Duration.ofNanos(500_000), Duration.ofNanos(50_000))
+            .withDelay(Duration.ofNanos(oneWayMicros * 1000));
+    try (DispatchFleet fleet = new DispatchFleet(HOSTS, ENGINES, SLOTS, options)) {
+      online(fleet, WARM_UP_SECONDS);
+      double[] off = phase(fleet);
+      AtomicBoolean running = new AtomicBoolean(true);
+      for (int i = 0; i < 2 * SLOTS * ENGINES; i++) {
+        batch(fleet, running);
+      }
+      online(fleet, WARM_UP_SECONDS);
+      batchChunks.set(0);
+      double[] on = phase(fleet);
+      long chunks = batchChunks.get();
+      running.set(false);
+      System.out.printf(
+          "%s: on/off first p95 %.3f p99 %.3f, between p95 %.3f p99 %.3f;"
+              + " off %s on %s ms; batch chunks %d, refused %d%n",
+          deployment,
+          on[0] / off[0],
+          on[1] / off[1],
+          on[2] / off[2],
+          on[3] / off[3],
+          Arrays.toString(off),
+          Arrays.toString(on),
+          chunks,
+          refused.get());
+      assertThat(chunks).isPositive();
+    }
+  }
+
+  private double[] phase(DispatchFleet fleet) {
+    first.clear();
+    gaps.clear();
+    online(fleet, SECONDS);
+    return new double[] {
+      percentile(first, 0.95),
+      percentile(first, 0.99),
+      percentile(gaps, 0.95),
+      percentile(gaps, 0.99)
+    };
+  }
+
+  /** Sends by schedule, whatever the answers do. */
+  private void online(DispatchFleet fleet, double seconds) {
+    Random random = new Random(5);
+    long at = System.nanoTime();
+    long end = at + (long) (seconds * 1e9);
+    while (at < end) {
+      at += (long) (-Math.log(1 - random.nextDouble()) * 1e9 / PER_SECOND);
+      while (System.nanoTime() < at) {
+        LockSupport.parkNanos(at - System.nanoTime());
+      }
+      int number = sequence.incrementAndGet();
+      int tokens = 50 + random.nextInt(200);
+      Latency listener = new Latency(at);
+      fleet
+          .hosts
+          .get(number % HOSTS)
+          .submit(fleet.request("o" + number, WorkClass.ONLINE, true, tokens), listener);
+    }
+  }
+
+  private void batch(DispatchFleet fleet, AtomicBoolean running) {
+    int number = sequence.incrementAndGet();
+    fleet
+        .hosts
+        .get(number % HOSTS)
+        .submit(
+            fleet.request("b" + number, WorkClass.BATCH, true, 200),
+            new AnswerListener() {
+              @Override
+              public void onStart(int status, String contentType) {}
+
+              @Override
+              public void onChunk(byte[] bytes) {
+                batchChunks.incrementAndGet();
+              }
+
+              @Override
+              public void onEnd(Outcome outcome) {
+                if (running.get()) {
+                  fleet.later(100, () -> batch(fleet, running));
+                }
+              }
+            });
+  }
+
+  private static double percentile(ConcurrentLinkedQueue<Double> values, double share) {
+    List<Double> sorted = values.stream().sorted().toList();
+    return sorted.get((int) Math.min(sorted.size() - 1L, Math.round(share * sorted.size())));
+  }
+
+  /** Times the parts of one online answer from its scheduled start. */
+  private final class Latency implements AnswerListener {
+    private final long scheduled;
+    private long last;
+
+    private Latency(long scheduled) {
+      this.scheduled = scheduled;
+    }
+
+    @Override
+    public void onStart(int status, String contentType) {}
+
+    @Override
+    public void onChunk(byte[] bytes) {
+      long now = System.nanoTime();
+      if (last == 0) {
+        first.add((now - scheduled) / 1e6);
+      } else {
+        gaps.add((now - last) / 1e6);
+      }
+      last = now;
+    }
+
+    @Override
+    public void onEnd(Outcome outcome) {
+      if (outcome instanceof Outcome.Refused) {
+        refused.incrementAndGet();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/waxwingcourse/policy/order/OrderRightTest.java
@@ -0,0 +1,41 @@
+package org.waxwingcourse.policy.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.waxwingcourse.model.id.FencingNumber;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.policy.lease.ClockDrift;
+
+class OrderRightTest {
+  private static final Instant ACQUIRED = Instant.EPOCH;
+  private static final Duration LEASE = Duration.ofSeconds(10);
+  private static final Duration FLIGHT = Duration.ofSeconds(2);
+
+  /** A drift of 20 in 1000 leaves 200 ms of ten seconds; the former order flies for 2 s more. */
+  @ParameterizedTest
+  @CsvSource({
+    "0, true, true",
+    "0, false, false",
+    "2199, false, false",
+    "2200, false, true",
+    "7999, true, true",
+    "8000, true, false",
+    "8000, false, false",
+  })
+  void engineThatIgnoresFencingWaitsForTheFormerOwner(
+      long millis, boolean checksFencing, boolean allowed) {
+    OrderRight right =
+        OrderRight.of(
+            FencingNumber.of(7),
+            ACQUIRED,
+            Deadline.at(ACQUIRED.plus(LEASE)),
+            LEASE,
+            ClockDrift.FLEET,
+            FLIGHT);
+    assertThat(right.allows(ACQUIRED.plusMillis(millis), checksFencing, FLIGHT)).isEqualTo(allowed);
+  }
+}
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineClient.java
@@ -104,6 +104,11 @@
     return control(engine, "GET", "/engine/cache-events?after=" + after, "", true);
   }
 
+  /** Reads the list of models that the engine serves. */
+  public CompletableFuture<Either<CallFailure, HttpAnswer>> models(Engine engine) {
+    return control(engine, "GET", "/v1/models", "", true);
+  }
+
   /** Sends an order as JSON with its fencing number inside. */
   public CompletableFuture<Either<CallFailure, HttpAnswer>> order(Engine engine, String json) {
     return control(engine, "POST", "/engine/orders", json, false);
--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/EngineStream.java
@@ -28,6 +28,7 @@
  */
 final class EngineStream implements StreamListener, EngineCall {
   private static final int RETRY_SECONDS = 1;
+  private static final int NOT_FOUND = 404;
   private static final int MAX_ERROR_CHARS = 4096;
 
   private final Engine engine;
@@ -191,6 +192,10 @@
   }
 
   private Outcome outcomeOfWhole() {
+    if (status == NOT_FOUND) {
+      String model = "engine \"" + engine.id() + "\" lacks model \"" + request.model() + "\"";
+      return refused(RefusalCode.UNAVAILABLE, model);
+    }
     if (saysNotRun(status)) {
       return refused(RefusalCode.OVERLOADED, "engine \"" + engine.id() + "\" is full");
     }
@@ -217,7 +222,7 @@
   }
 
   private static boolean saysNotRun(int status) {
-    return status == 429 || status == 503;
+    return status == NOT_FOUND || status == 429 || status == 503;
   }
 
   private static boolean passes(int status) {
--- a/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
@@ -66,6 +66,7 @@
     "200, 'data: a|data: b|data: [DONE]|', Done",
     "200, 'data: a|data: b|', Unknown",
     "400, 'bad', Done",
+    "404, 'no such model', Refused",
     "429, 'full', Refused",
     "503, 'full', Refused",
     "500, 'oops', Failed",
