A leaving host claims no more chunks

Node.leave waits until callers have gone elsewhere; in that time the batch runner went on claiming, so the stop that follows had full chunks to give back. It now refuses claims first; what it holds goes on and is committed in the meantime. Seen to fail without it: a step of the leaving host starts items.

--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -52,6 +52,7 @@
   private Instant storeRetryAt = Instant.MIN;
   private Instant claimAfter = Instant.MIN;
   private int storeFailures;
+  private volatile boolean refusesClaims;
   private boolean woken;
   private boolean stopping;
   private Thread thread;
@@ -112,6 +113,11 @@
     }
   }
 
+  /** Claims no more chunks; those that are held go on. The first step of a planned stop. */
+  public void refuseClaims() {
+    refusesClaims = true;
+  }
+
   /** Ends what was sent, then gives all claims back so that other hosts go on at once. */
   @Override
   public void stop() {
@@ -256,7 +262,7 @@
   /** Claims one chunk after the other and loads each, until there is enough to be sent. */
   private boolean claimAll(LeaseTerm term) {
     boolean more = true;
-    while (more && pump.wantsMore()) {
+    while (more && !refusesClaims && pump.wantsMore()) {
       int before = held.size();
       if (!finder.claimMore(term) || held.advance(term).isLeft()) {
         return false;
--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -154,6 +154,10 @@
     World.Host a = world.host("a");
     Job job = world.accepted(a, 100, false);
     World.Host b = world.host("b");
+    World.Host leaving = world.host("leaving");
+    leaving.runner.refuseClaims();
+    leaving.step();
+    assertThat(world.engine.started).as("claimed while leaving").isZero();
     a.step();
     a.runner.stop();
     int started = world.engine.started;
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.batch.cache.ChunkCache;
+import org.waxwingcourse.batch.run.BatchRunner;
 import org.waxwingcourse.config.settings.NodeSettings;
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.event.Event;
@@ -60,6 +61,7 @@
   private final FleetMember member;
   private final FleetAgreement agreement;
   private final HttpServer callers;
+  private final BatchRunner batch;
   private final HttpServer operators;
 
   private Node(NodeSettings settings, InstantSource clock, RandomGenerator random) {
@@ -101,7 +103,7 @@
     ChunkCache cache = BatchParts.cache(settings.dataFolder());
     routes.addAll(BatchParts.routes(ports, store, cache, random));
     callers = services.add(HttpServer.of(callerOptions(), routes));
-    services.add(BatchParts.runner(ports, store, settings.host(), cache, random));
+    batch = services.add(BatchParts.runner(ports, store, settings.host(), cache, random));
     OperatorRoutes status = new OperatorRoutes(metrics, agreement::statusJson, this::isReady);
     operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
   }
@@ -123,6 +125,7 @@
    */
   public void leave() {
     LOG.write(Event.NODE_STOPPING, settings.host(), "told to stop");
+    batch.refuseClaims();
     member.leave();
   }
 
