Batch work leaves half of each share's burst to online requests

Ruled out: an engine limit (all were 429, before dispatch); a wrong judge (both judge by a token bucket). Now batch takes, here and where it borrows, only what lies above a reserve. RateComparisonTest.batchWorkCostsOnlineRequestsNothing: refused 0 on each of 9 hosts; with the batch line off it fails. Refusals other than over-rate count as missed admission objective. Conclusion: a reserve of half the share, never so much that a share of one token starves.

--- a/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.request.AnswerListener;
 import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.policy.batch.JobOrder;
 import org.waxwingcourse.policy.batch.JobProgress;
@@ -120,7 +121,7 @@
     Deadline giveUp = Deadline.at(now.plus(settings.itemTimeout())).earlier(run.job().due());
     int attempt = run.begin(i, giveUp);
     admission
-        .admit(run.job().organisation(), giveUp)
+        .admit(run.job().organisation(), WorkClass.BATCH, giveUp)
         .whenComplete(
             (refusal, failure) -> {
               if (failure != null) {
--- a/batch/src/test/java/org/waxwingcourse/batch/World.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/World.java
@@ -82,7 +82,7 @@
                   HostId.of(name),
                   calls,
                   engine.senderOf(way::isDead),
-                  (o, d) -> CompletableFuture.completedFuture(admission.apply(o)),
+                  (o, work, d) -> CompletableFuture.completedFuture(admission.apply(o)),
                   clock,
                   random,
                   ChunkCache.NONE,
--- a/model/src/main/java/org/waxwingcourse/model/request/Admission.java
+++ b/model/src/main/java/org/waxwingcourse/model/request/Admission.java
@@ -13,7 +13,9 @@
    * that holds no share may have to ask another one first.
    *
    * @param organisation whose rate is charged
+   * @param work batch work leaves a part of the burst to online requests
    * @param deadline when the caller stops waiting; the answer comes before it
    */
-  CompletionStage<Option<Refusal>> admit(OrganisationId organisation, Deadline deadline);
+  CompletionStage<Option<Refusal>> admit(
+      OrganisationId organisation, WorkClass work, Deadline deadline);
 }
--- a/node/src/main/java/org/waxwingcourse/node/agree/RateCodec.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/RateCodec.java
@@ -21,7 +21,8 @@
           TokenAskMessage.newBuilder()
               .setId(m.id())
               .setOrganisation(organisation)
-              .setWanted(m.wanted()));
+              .setWanted(m.wanted())
+              .setSpare(m.spare()));
     } else if (message instanceof RateMessage.Grant m) {
       body.setGrant(
           TokenGrantMessage.newBuilder()
@@ -60,7 +61,7 @@
   }
 
   private static RateMessage decode(TokenAskMessage m) {
-    return new RateMessage.Ask(m.getId(), OrganisationId.of(m.getOrganisation()), m.getWanted());
+    return new RateMessage.Ask(m.getId(), OrganisationId.of(m.getOrganisation()), m.getWanted(), m.getSpare());
   }
 
   private static RateMessage decode(TokenGrantMessage m) {
--- a/node/src/main/java/org/waxwingcourse/node/trace/AdmissionTrace.java
+++ b/node/src/main/java/org/waxwingcourse/node/trace/AdmissionTrace.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.time.Deadline;
 
@@ -58,10 +59,11 @@
   }
 
   @Override
-  public CompletionStage<Option<Refusal>> admit(OrganisationId organisation, Deadline deadline) {
+  public CompletionStage<Option<Refusal>> admit(
+      OrganisationId organisation, WorkClass work, Deadline deadline) {
     Instant asked = clock.instant();
     return admission
-        .admit(organisation, deadline)
+        .admit(organisation, work, deadline)
         .whenComplete((refusal, error) -> record(asked, organisation, refusal));
   }
 
--- a/node/src/main/java/org/waxwingcourse/node/web/Gate.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/Gate.java
@@ -11,6 +11,7 @@
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.node.metrics.Objective;
 import ratpack.exec.Promise;
@@ -67,7 +68,7 @@
             down ->
                 ports
                     .admission()
-                    .admit(organisation, deadline)
+                    .admit(organisation, WorkClass.ONLINE, deadline)
                     .whenComplete(
                         (refusal, error) -> {
                           if (error == null) {
@@ -78,7 +79,7 @@
                         }))
         .then(
             refusal -> {
-              refusal.peek(r -> refuse(context, r));
+              refusal.peek(r -> count(organisation, r)).peek(r -> refuse(context, r));
               if (refusal.isEmpty()) {
                 ports.levels().count(Objective.ADMISSION, organisation, true);
                 then.run();
@@ -86,6 +87,13 @@
             });
   }
 
+  /** A refusal counts as a miss unless the organisation is over its rate. */
+  private void count(OrganisationId organisation, Refusal refusal) {
+    if (refusal.code() != RefusalCode.RATE_LIMITED) {
+      ports.levels().count(Objective.ADMISSION, organisation, false);
+    }
+  }
+
   /** Reads the request's body, up to the declared limit. */
   public void body(Context context, int maxBytes, Consumer<byte[]> then) {
     Future<?> late = bodyDeadline.start(context);
--- a/node/src/test/java/org/waxwingcourse/node/agree/AgreeFleet.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/AgreeFleet.java
@@ -29,6 +29,7 @@
 import org.waxwingcourse.model.member.Member;
 import org.waxwingcourse.model.member.MemberState;
 import org.waxwingcourse.model.member.MembershipView;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.model.time.MonotonicClock;
 import org.waxwingcourse.standin.store.MemoryStore;
@@ -87,7 +88,7 @@
     return nodes
         .get(node)
         .admission()
-        .admit(OrganisationId.of(organisation), Deadline.after(clock, Duration.ofSeconds(1)))
+        .admit(OrganisationId.of(organisation), WorkClass.ONLINE, Deadline.after(clock, Duration.ofSeconds(1)))
         .toCompletableFuture()
         .join()
         .isEmpty();
--- a/node/src/test/java/org/waxwingcourse/node/agree/AgreementCost.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/AgreementCost.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.locks.LockSupport;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.standin.store.CallCounts;
 
@@ -77,7 +78,7 @@
           .nodes
           .get(node)
           .admission()
-          .admit(id, Deadline.after(fleet.clock, Duration.ofSeconds(1)));
+          .admit(id, WorkClass.ONLINE, Deadline.after(fleet.clock, Duration.ofSeconds(1)));
     }
   }
 
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -56,7 +56,7 @@
         InstantSource.system(),
         this,
         this,
-        (organisation, deadline) -> CompletableFuture.completedFuture(Option.none()),
+        (organisation, work, deadline) -> CompletableFuture.completedFuture(Option.none()),
         this::submit,
         (request, listener) -> () -> {},
         Duration.ofMillis(300),
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/Borrower.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/Borrower.java
@@ -26,6 +26,7 @@
   private static final Duration DEMAND_WINDOW = Duration.ofMillis(200);
 
   private final OrganisationId organisation;
+  private final boolean spare;
   private final RandomGenerator random;
   private final BiConsumer<HostId, RateMessage> send;
   private final Wallet wallet;
@@ -36,9 +37,18 @@
   private int borrowed;
   private int demand;
 
+  /**
+   * Creates a borrower that has nothing.
+   *
+   * @param spare whether to ask only for what online requests can spare
+   */
   Borrower(
-      OrganisationId organisation, RandomGenerator random, BiConsumer<HostId, RateMessage> send) {
+      OrganisationId organisation,
+      boolean spare,
+      RandomGenerator random,
+      BiConsumer<HostId, RateMessage> send) {
     this.organisation = organisation;
+    this.spare = spare;
     this.random = random;
     this.send = send;
     this.wallet = new Wallet(organisation, send);
@@ -61,6 +71,11 @@
     return asked.isPresent();
   }
 
+  /** Tells whether the grant for this ask is awaited. */
+  boolean isAwaiting(long ask) {
+    return asked.filter(a -> a.id() == ask).isPresent();
+  }
+
   /** Asks the next holder that may have tokens; false if there is none now. */
   boolean ask(int requests, long missing, Instant now) {
     if (asked.isPresent()) {
@@ -74,7 +89,7 @@
     asked = Optional.of(new Asked(id, holder.get(), now));
     long ahead = demand(now) * TokenBucket.TOKEN / AHEAD_PART;
     long wanted = missing + Math.max(0, requests - 1) * TokenBucket.TOKEN + ahead;
-    send.accept(holder.get(), new RateMessage.Ask(id, organisation, wanted));
+    send.accept(holder.get(), new RateMessage.Ask(id, organisation, wanted, spare));
     return true;
   }
 
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/Lender.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/Lender.java
@@ -66,10 +66,17 @@
     growth = Optional.of(new Growth(share, from));
   }
 
-  /** Lends up to {@code wanted}. */
-  long lend(long grant, long wanted, Instant now) {
+  /** Returns what batch work leaves in the bucket: half, but never so much that it starves. */
+  long reserve() {
+    long capacity = bucket.share().capacity();
+    return Math.max(0, Math.min(capacity / 2, capacity - TokenBucket.TOKEN));
+  }
+
+  /** Lends up to {@code wanted} of what the bucket holds above {@code reserve}. */
+  long lend(long grant, long wanted, long reserve, Instant now) {
     tick(now);
-    long amount = bucket.lend(Math.max(0, wanted), now);
+    long most = Math.min(wanted, bucket.amount(now) - reserve);
+    long amount = bucket.lend(Math.max(0, most), now);
     if (amount > 0) {
       loans.put(grant, new Loan(amount, Deadline.at(now.plus(WRITTEN_OFF))));
     }
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/RateAdmission.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/RateAdmission.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.policy.trust.Evidence;
 import org.waxwingcourse.policy.trust.Holder;
@@ -95,14 +96,15 @@
   }
 
   @Override
-  public CompletionStage<Option<Refusal>> admit(OrganisationId organisation, Deadline deadline) {
+  public CompletionStage<Option<Refusal>> admit(
+      OrganisationId organisation, WorkClass work, Deadline deadline) {
     CompletableFuture<Option<Refusal>> answer = new CompletableFuture<>();
     boolean known =
         change(
             organisation,
             (rate, now) -> {
               if (evidence.isCurrent()) {
-                rate.admit(answer, deadline, now);
+                rate.admit(work, answer, deadline, now);
               } else {
                 rate.refuse(answer, unavailable());
               }
@@ -180,14 +182,14 @@
           } else {
             rate.lender().beginLater(share, now.plus(Evidence.SETTLED), now);
           }
-          rate.borrower().lendersAre(lenders(id));
+          rate.lendersAre(lenders(id));
         });
   }
 
   private void begin(OrganisationId id, Rate rate, Instant now) {
     Shard shard = shard(id);
     OrganisationRate created = new OrganisationRate(id, random, port, now);
-    created.borrower().lendersAre(lenders(id));
+    created.lendersAre(lenders(id));
     Instant settled = rosterLearnt.equals(Instant.MIN) ? now : rosterLearnt.plus(Evidence.SETTLED);
     boolean full = evidence.isCurrent() && now.isAfter(settled.plus(LONG_SETTLED));
     boolean alone = roster.previous().value() == 0 && roster.holders().size() == 1;
@@ -205,7 +207,8 @@
     Duration right = evidence.deadline().remaining(now);
     Duration valid = right.compareTo(Lender.VALID) < 0 ? right : Lender.VALID;
     long wanted = valid.isZero() ? 0 : ask.wanted();
-    RateMessage.Ask bounded = new RateMessage.Ask(ask.id(), ask.organisation(), wanted);
+    RateMessage.Ask bounded =
+        new RateMessage.Ask(ask.id(), ask.organisation(), wanted, ask.spare());
     rate.onAsk(from, bounded, random.nextLong(), valid, now);
   }
 
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/RateMessage.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/RateMessage.java
@@ -14,8 +14,10 @@
    * @param id matches the grant with its ask
    * @param organisation whose tokens
    * @param wanted the most that is of use
+   * @param spare whether to lend only what online requests can spare
    */
-  record Ask(long id, OrganisationId organisation, long wanted) implements RateMessage {}
+  record Ask(long id, OrganisationId organisation, long wanted, boolean spare)
+      implements RateMessage {}
 
   /**
    * Lends tokens, already debited from the holder's bucket.
--- a/policy/src/test/java/org/waxwingcourse/policy/rate/LendingTest.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/rate/LendingTest.java
@@ -26,7 +26,7 @@
 
   @Test
   void bucketDoesNotRefillWhatIsLent() {
-    assertThat(lender.lend(1, 8 * TOKEN, START)).isEqualTo(8 * TOKEN);
+    assertThat(lender.lend(1, 8 * TOKEN, 0, START)).isEqualTo(8 * TOKEN);
     Instant later = START.plus(Lender.VALID);
     lender.tick(later);
     assertThat(lender.bucket().amount(later)).isEqualTo(2 * TOKEN);
@@ -34,11 +34,11 @@
 
   @Test
   void returnedTwiceCountsOnceAndLateNotAtAll() {
-    lender.lend(1, 8 * TOKEN, START);
+    lender.lend(1, 8 * TOKEN, 0, START);
     lender.settle(1, 8 * TOKEN, START);
     lender.settle(1, 8 * TOKEN, START);
     assertThat(lender.bucket().amount(START)).isEqualTo(10 * TOKEN);
-    lender.lend(2, 10 * TOKEN, START);
+    lender.lend(2, 10 * TOKEN, 0, START);
     Instant writtenOff = START.plus(Lender.WRITTEN_OFF);
     lender.settle(2, 10 * TOKEN, writtenOff);
     assertThat(lender.bucket().amount(writtenOff)).isZero();
--- a/policy/src/test/java/org/waxwingcourse/policy/rate/RateAdmissionTest.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/rate/RateAdmissionTest.java
@@ -24,6 +24,7 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.policy.trust.Evidence;
@@ -58,7 +59,7 @@
   /** Lends a token and takes it back, for Lincheck. */
   @Operation
   public void lend() {
-    admission.onMessage(HostId.of("h1"), new RateMessage.Ask(1, ORGANISATION, 0));
+    admission.onMessage(HostId.of("h1"), new RateMessage.Ask(1, ORGANISATION, 0, false));
   }
 
   @Test
@@ -88,7 +89,7 @@
   @Test
   void loanEndsNoLaterThanTheLendersRight() {
     clock.advance(Duration.ofMillis(3_600));
-    admission.onMessage(HostId.of("h1"), new RateMessage.Ask(1, ORGANISATION, 1));
+    admission.onMessage(HostId.of("h1"), new RateMessage.Ask(1, ORGANISATION, 1, false));
     assertThat(((RateMessage.Grant) sent.get(0)).valid()).isEqualTo(Duration.ofMillis(400));
   }
 
@@ -100,7 +101,7 @@
 
   private Option<Refusal> decide() {
     Deadline deadline = Deadline.after(clock, Duration.ofSeconds(1));
-    return admission.admit(ORGANISATION, deadline).toCompletableFuture().join();
+    return admission.admit(ORGANISATION, WorkClass.ONLINE, deadline).toCompletableFuture().join();
   }
 
   private static Roster roster(long revision, long previous, Holder... others) {
--- a/policy/src/test/java/org/waxwingcourse/policy/trust/RateComparison.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/trust/RateComparison.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import org.waxwingcourse.model.fleet.Rate;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.WorkClass;
 
 /**
  * Offers the same seeded requests to the chosen way, to fixed shares and to one owner for each
@@ -26,6 +27,7 @@
   private static final double OVERLOAD = 4;
   private static final int BUSY = 4;
   private static final int LOST = 2;
+  private static final int BATCH_SPACING_MILLIS = 5;
 
   private RateComparison() {}
 
@@ -88,6 +90,27 @@
     return new Result(inRate, refused[0], overrun, messages);
   }
 
+  /** Offers a fifth of the rate online while one host's batch work asks for all it can get. */
+  static Result runBesideBatch(int batchHost, long seed) {
+    RateFleet rates = fleet(Way.CHOSEN, seed);
+    rates.fleet.run(WARM_UP);
+    OrganisationId organisation = id(0);
+    Random random = new Random(seed);
+    int[] refused = new int[1];
+    int online = 0;
+    int spacing = (int) (5 * 1_000 / RATE.perSecond());
+    for (int millis = 0; millis < 20_000; millis += BATCH_SPACING_MILLIS) {
+      rates.offer(batchHost, organisation, WorkClass.BATCH, () -> {});
+      if (millis % spacing == 0) {
+        online++;
+        rates.offer(random.nextInt(HOSTS), organisation, () -> refused[0]++);
+      }
+      rates.fleet.run(Duration.ofMillis(BATCH_SPACING_MILLIS));
+    }
+    rates.fleet.run(Duration.ofSeconds(2));
+    return new Result(online, refused[0], rates.overrun(organisation, RATE), 0);
+  }
+
   private static void loseAndReturn(RateFleet rates, long millis, boolean[] done) {
     TrustFleet fleet = rates.fleet;
     if (!done[0] && millis >= LOST_AT * 1_000L) {
--- a/policy/src/test/java/org/waxwingcourse/policy/trust/RateComparisonTest.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/trust/RateComparisonTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.waxwingcourse.policy.trust.RateComparison.Result;
@@ -29,4 +30,14 @@
       assertThat(chosen.refused()).isZero();
     }
   }
+
+  @Test
+  void batchWorkCostsOnlineRequestsNothing() {
+    for (int batchHost = 0; batchHost < RateComparison.HOSTS; batchHost++) {
+      RateComparison.Result result = RateComparison.runBesideBatch(batchHost, SEED);
+      assertThat(result.refused()).isZero();
+      assertThat(result.overrun()).isLessThanOrEqualTo(0);
+      assertThat(result.inRate()).isGreaterThan(100);
+    }
+  }
 }
--- a/policy/src/test/java/org/waxwingcourse/policy/trust/RateFleet.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/trust/RateFleet.java
@@ -11,6 +11,7 @@
 import org.waxwingcourse.model.fleet.Rate;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Refusal;
+import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.policy.rate.Placement;
 import org.waxwingcourse.policy.rate.RateAdmission;
@@ -49,6 +50,11 @@
 
   /** Offers one request to a host; the answer is recorded when it comes. */
   void offer(int index, OrganisationId organisation, Runnable refused) {
+    offer(index, organisation, WorkClass.ONLINE, refused);
+  }
+
+  /** Offers one request of either urgency. */
+  void offer(int index, OrganisationId organisation, WorkClass work, Runnable refused) {
     TrustFleet.Host host = fleet.hosts.get(index);
     if (host.stopped || host.paused) {
       refused.run();
@@ -56,7 +62,7 @@
     }
     admissions
         .get(index)
-        .admit(organisation, Deadline.after(fleet.clock, PATIENCE))
+        .admit(organisation, work, Deadline.after(fleet.clock, PATIENCE))
         .thenAccept(answer -> record(organisation, answer, refused));
   }
 
