An answer's id is compared whole

Cause: FleetDispatcherTest gave request r2 the crossed answer of r20 once, because the id was looked for as a part of the text. Ruled out: a mix-up between hosts (the answer was whole, with the other's id throughout). Conclusion: the id must end the answer's id field.

--- a/upstream/src/main/java/org/waxwingcourse/upstream/engine/AnswerId.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/engine/AnswerId.java
@@ -20,7 +20,8 @@
   }
 
   boolean isOfAnother(String answer) {
-    if (answer.contains(request.value())) {
+    String end = request.value() + "\"";
+    if (answer.contains("-" + end) || answer.contains("\"" + end)) {
       repeatsIds.set(true);
       return false;
     }
--- a/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
@@ -87,10 +87,12 @@
   @Test
   void answerToAnotherRequestIsNeverHandedOn() {
     answer(
-        200, "data: {\"id\":\"chat-r1\"}\n\ndata: {\"id\":\"chat-r2\"}\n\ndata: [DONE]\n\n", false);
+        200,
+        "data: {\"id\":\"chat-r1\"}\n\ndata: {\"id\":\"chat-r12\"}\n\ndata: [DONE]\n\n",
+        false);
     Answer answer = run(address());
     assertThat(answer.outcome()).isInstanceOf(Outcome.Unknown.class);
-    assertThat(answer.text()).doesNotContain("r2");
+    assertThat(answer.text()).doesNotContain("r12");
   }
 
   @Test
