Store calls of the agreement leave its lock first

Cause: the agreement called the store under its lock; a store that answers at once feeds other hosts' watches on that thread. Two nodes in one process waited for each other's lock (found by a thread dump of the cost run while it closed 30 nodes). Ruled out: a lock order over nodes. Measured: FleetAgreementTest passes; the dump named the pair of locks. Conclusion: the port hands store calls to the timer's thread.

--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -209,6 +210,14 @@
     }
   }
 
+  private void later(Runnable call) {
+    try {
+      timer.execute(call);
+    } catch (RejectedExecutionException e) {
+      LOG.write(Event.AGREEMENT_FAILED, "the node has stopped");
+    }
+  }
+
   private boolean isListed() {
     return roster.value().filter(r -> r.lists(self.host(), self.incarnation())).isPresent();
   }
@@ -227,7 +236,10 @@
         .orElseGet(() -> unknownIsDead.isPast(clock.instant()));
   }
 
-  /** Sends to other hosts and to the store. */
+  /**
+   * Sends to other hosts and to the store. The agreement calls it under its lock, so the store,
+   * which may answer at once, is called later from the timer's thread.
+   */
   private final class Port implements TrustPort {
     @Override
     public void send(HostId to, TrustMessage message) {
@@ -236,17 +248,17 @@
 
     @Override
     public void readHeads() {
-      store.readHeads();
+      later(store::readHeads);
     }
 
     @Override
     public void readDocuments() {
-      store.readDocuments();
+      later(store::readDocuments);
     }
 
     @Override
     public void writeRoster(Roster next) {
-      store.writeRoster(next);
+      later(() -> store.writeRoster(next));
     }
   }
 }
--- a/node/src/test/java/org/waxwingcourse/node/agree/AgreementCost.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/AgreementCost.java
@@ -3,6 +3,7 @@
 import com.sun.management.OperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.locks.LockSupport;
@@ -23,11 +24,12 @@
 
   private AgreementCost() {}
 
-  /** Prints one row for each size, idle and with admissions. */
+  /** Prints two rows for each size, given or {@link #SIZES}, idle and with admissions. */
   public static void main(String[] arguments) {
     System.out.println(
         "nodes | load | messages | bytes | reads | writes | % of a core | heap MB a node");
-    for (int size : SIZES) {
+    int[] sizes = Arrays.stream(arguments).mapToInt(Integer::parseInt).toArray();
+    for (int size : sizes.length == 0 ? SIZES : sizes) {
       try (AgreeFleet fleet = AgreeFleet.started(size, ORGANISATIONS)) {
         pause(SETTLE);
         measure(fleet, size, false);
