--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -42,6 +43,7 @@
 public final class FleetAgreement implements Service {
   private static final EventLog LOG = EventLog.of(FleetAgreement.class);
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final int ROSTER_TICKS = 10;
   private static final Duration UNKNOWN_IS_DEAD_AFTER = Duration.ofMinutes(1);
   private static final Duration LEAVE_TIMEOUT = Duration.ofSeconds(2);
 
@@ -60,6 +62,7 @@
   private final KeyTrust keys;
   private final RateAdmission rates;
   private final LagAlarm alarm;
+  private long ticks;
 
   /**
    * Creates the agreement of a node.
@@ -176,7 +179,9 @@
   private void tick() {
     try {
       agreement.tick();
-      changer.tick(agreement.storeAnswers());
+      if (ticks++ % ROSTER_TICKS == 0) {
+        changer.tick(agreement.storeAnswers());
+      }
       keys.tick();
       rates.tick();
       alarm.check(agreement.status(), configuration.fault());
@@ -209,6 +214,14 @@
     }
   }
 
+  private void later(Runnable call) {
+    try {
+      timer.execute(call);
+    } catch (RejectedExecutionException e) {
+      LOG.write(Event.AGREEMENT_FAILED, "the node has stopped");
+    }
+  }
+
   private boolean isListed() {
     return roster.value().filter(r -> r.lists(self.host(), self.incarnation())).isPresent();
   }
@@ -227,7 +240,10 @@
         .orElseGet(() -> unknownIsDead.isPast(clock.instant()));
   }
 
-  /** Sends to other hosts and to the store. */
+  /**
+   * Sends to other hosts and to the store. The agreement calls it under its lock, so the store,
+   * which may answer at once, is called later from the timer's thread.
+   */
   private final class Port implements TrustPort {
     @Override
     public void send(HostId to, TrustMessage message) {
@@ -236,17 +252,17 @@
 
     @Override
     public void readHeads() {
-      store.readHeads();
+      later(store::readHeads);
     }
 
     @Override
     public void readDocuments() {
-      store.readDocuments();
+      later(store::readDocuments);
     }
 
     @Override
     public void writeRoster(Roster next) {
-      store.writeRoster(next);
+      later(() -> store.writeRoster(next));
     }
   }
 }
--- a/node/src/test/java/org/waxwingcourse/node/SecretsTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/SecretsTest.java
@@ -14,7 +14,6 @@
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AbstractAppender;
-import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.Property;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -44,12 +43,16 @@
     }
   }
 
+  private Level levelBefore;
+
   @BeforeEach
   void start() {
     LoggerContext context = (LoggerContext) LogManager.getContext(false);
     recorder.start();
     context.getConfiguration().getRootLogger().addAppender(recorder, Level.ALL, null);
-    Configurator.setRootLevel(Level.INFO);
+    levelBefore = context.getConfiguration().getRootLogger().getLevel();
+    context.getConfiguration().getRootLogger().setLevel(Level.ALL);
+    context.updateLoggers();
     fleet = TestFleet.start(1, 1);
   }
 
@@ -58,7 +61,8 @@
     fleet.close();
     LoggerContext context = (LoggerContext) LogManager.getContext(false);
     context.getConfiguration().getRootLogger().removeAppender(recorder.getName());
-    Configurator.setRootLevel(Level.WARN);
+    context.getConfiguration().getRootLogger().setLevel(levelBefore);
+    context.updateLoggers();
   }
 
   @Test
