Crossed first answers are refused, and no broken answer looks whole

(2) Ratpack ends a failed streamed body like a whole one, so a caller could not tell a JSON answer that was cut. Ruled out: a mix-up between hosts (ids in the answers were whole and another request's). Request ids now begin with a mark that proves a crossed answer without having met the engine; event streams end with an error event and no [DONE], other answers with their connection. Conclusion: both are refused now.

--- a/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/ItemPump.java
@@ -8,7 +8,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.UUID;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.waxwingcourse.model.id.JobId;
@@ -141,11 +140,7 @@
     }
     ItemSender.Outgoing item =
         new ItemSender.Outgoing(
-            RequestId.of(run.itemId(i) + "-" + UUID.randomUUID()),
-            run.itemId(i),
-            run.job().organisation(),
-            run.item(i),
-            giveUp);
+            RequestId.random(), run.itemId(i), run.job().organisation(), run.item(i), giveUp);
     run.sent(i, attempt, sender.send(item, new Answer(run, i, attempt)));
   }
 
--- a/model/src/main/java/org/waxwingcourse/model/id/RequestId.java
+++ b/model/src/main/java/org/waxwingcourse/model/id/RequestId.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.model.id;
 
 import java.util.Objects;
+import java.util.UUID;
 
 /**
  * Identifies one request through every host that it crosses.
@@ -16,6 +17,14 @@
     }
   }
 
+  /** Begins every id that {@link #random} makes, so that it is known again in an answer. */
+  public static final String PREFIX = "wxreq.";
+
+  /** Returns an id that no other request has. */
+  public static RequestId random() {
+    return new RequestId(PREFIX + UUID.randomUUID());
+  }
+
   /** Returns the id with the given text form. */
   public static RequestId of(String value) {
     return new RequestId(value);
--- a/node/src/main/java/org/waxwingcourse/node/agree/RateCodec.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/RateCodec.java
@@ -61,7 +61,8 @@
   }
 
   private static RateMessage decode(TokenAskMessage m) {
-    return new RateMessage.Ask(m.getId(), OrganisationId.of(m.getOrganisation()), m.getWanted(), m.getSpare());
+    return new RateMessage.Ask(
+        m.getId(), OrganisationId.of(m.getOrganisation()), m.getWanted(), m.getSpare());
   }
 
   private static RateMessage decode(TokenGrantMessage m) {
--- a/node/src/main/java/org/waxwingcourse/node/web/AnswerStream.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/AnswerStream.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +19,7 @@
  * <p>All state is guarded by this object's lock; the subscriber is called by one thread at a time.
  */
 final class AnswerStream implements AnswerListener, Publisher<ByteBuf>, Subscription {
+  static final String EVENT_STREAM = "text/event-stream";
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
   /**
@@ -32,11 +34,14 @@
   private final CompletableFuture<Start> start = new CompletableFuture<>();
   private final CompletableFuture<Outcome> end = new CompletableFuture<>();
   private final CompletableFuture<Void> abandoned = new CompletableFuture<>();
+  private final CompletableFuture<Void> broken = new CompletableFuture<>();
   private final Deque<byte[]> buffer = new ArrayDeque<>();
   private Subscriber<? super ByteBuf> subscriber;
   private long demand;
   private int buffered;
   private boolean delivering;
+  private boolean eventStream;
+  private boolean ended;
   private boolean finished;
 
   /** Completes once the answer begins or ends. */
@@ -54,8 +59,16 @@
     return abandoned;
   }
 
+  /** Completes once all was handed on of an answer that is not whole. */
+  CompletableFuture<Void> broken() {
+    return broken;
+  }
+
   @Override
   public void onStart(int status, String contentType) {
+    synchronized (this) {
+      eventStream = contentType.startsWith(EVENT_STREAM);
+    }
     start.complete(new Start(status, contentType, null));
   }
 
@@ -63,7 +76,7 @@
   public void onChunk(byte[] bytes) {
     boolean overflow;
     synchronized (this) {
-      if (finished) {
+      if (finished || ended) {
         return;
       }
       buffer.add(bytes);
@@ -78,18 +91,29 @@
 
   @Override
   public void onEnd(Outcome outcome) {
-    start.complete(new Start(0, "", outcome));
-    end.complete(outcome);
-    deliver();
+    end(outcome, outcome instanceof Outcome.Done ? null : ApiError.of(outcome));
+  }
+
+  /** Ends the answer from this side; what comes after is dropped. */
+  void abort(ApiError error) {
+    end(new Outcome.Failed(error.status(), error.message()), error);
   }
 
-  /** Ends the answer from this side, with last bytes for the caller. */
-  void abort(Outcome outcome, byte[] last) {
+  private void end(Outcome outcome, ApiError error) {
     synchronized (this) {
-      buffer.add(last);
-      buffered += last.length;
+      if (ended) {
+        return;
+      }
+      ended = true;
+      if (error != null && eventStream) {
+        byte[] event = ("data: " + error.json() + "\n\n").getBytes(StandardCharsets.UTF_8);
+        buffer.add(event);
+        buffered += event.length;
+      }
     }
-    onEnd(outcome);
+    start.complete(new Start(0, "", outcome));
+    end.complete(outcome);
+    deliver();
   }
 
   @Override
@@ -146,10 +170,22 @@
       }
     }
     if (next == null) {
-      subscriber.onComplete();
+      complete();
     } else {
       subscriber.onNext(Unpooled.wrappedBuffer(next));
     }
     return true;
   }
+
+  /**
+   * An answer that is not whole must not look whole: an event stream ends with an error event and
+   * without the final one, any other answer with its connection.
+   */
+  private void complete() {
+    if (end.join() instanceof Outcome.Done || eventStream) {
+      subscriber.onComplete();
+    } else {
+      broken.complete(null);
+    }
+  }
 }
--- a/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
@@ -6,7 +6,6 @@
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
-import java.util.UUID;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.id.ModelName;
 import org.waxwingcourse.model.id.RequestId;
@@ -77,7 +76,7 @@
       Deadline deadline) {
     InferenceRequest request =
         new InferenceRequest(
-            RequestId.of(UUID.randomUUID().toString()),
+            RequestId.random(),
             caller.organisation().id(),
             chat.model(),
             WorkClass.ONLINE,
--- a/node/src/main/java/org/waxwingcourse/node/web/Delivery.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/Delivery.java
@@ -1,9 +1,10 @@
 package org.waxwingcourse.node.web;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericFutureListener;
-import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import org.waxwingcourse.model.request.Call;
 import org.waxwingcourse.model.request.Outcome;
@@ -14,7 +15,6 @@
 
 /** Delivers an answer to the caller and ends the request if the caller goes away first. */
 final class Delivery {
-  private static final String EVENT_STREAM = "text/event-stream";
 
   private final Gate gate;
   private final Context context;
@@ -30,6 +30,7 @@
   void begin(Call call) {
     cancelWhenGone(call);
     answer.abandoned().thenRun(call::cancel);
+    answer.broken().thenRun(this::closeAfterLastChunk);
     Promise.<AnswerStream.Start>async(down -> answer.start().thenAccept(down::success))
         .then(this::send);
   }
@@ -38,8 +39,7 @@
   void withdraw(Call call) {
     String message = "the key was withdrawn while the request ran";
     ApiError error = ApiError.of(new Refusal(RefusalCode.INVALID_KEY, message, Instant.EPOCH));
-    byte[] last = ("data: " + error.json() + "\n\n").getBytes(StandardCharsets.UTF_8);
-    answer.abort(new Outcome.Failed(error.status(), message), last);
+    answer.abort(error);
     call.cancel();
   }
 
@@ -50,12 +50,23 @@
     }
     context.getResponse().status(start.status());
     context.getResponse().contentType(start.contentType());
-    if (start.contentType().startsWith(EVENT_STREAM)) {
+    if (start.contentType().startsWith(AnswerStream.EVENT_STREAM)) {
       context.getResponse().getHeaders().set("Cache-Control", "no-cache");
     }
     context.getResponse().sendStream(answer);
   }
 
+  private void closeAfterLastChunk() {
+    Channel channel = context.getDirectChannelAccess().getChannel();
+    channel
+        .eventLoop()
+        .execute(
+            () ->
+                channel
+                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(ChannelFutureListener.CLOSE));
+  }
+
   private void cancelWhenGone(Call call) {
     Channel channel = context.getDirectChannelAccess().getChannel();
     GenericFutureListener<Future<Void>> onClose = closed -> call.cancel();
--- a/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Option;
 import java.time.Instant;
 import java.util.List;
-import java.util.UUID;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.fleet.PlainService;
@@ -100,8 +99,7 @@
             headers(context.getRequest().getHeaders()),
             body,
             deadline);
-    return new ServiceRequest(
-        RequestId.of(UUID.randomUUID().toString()), caller.map(c -> c.organisation().id()), call);
+    return new ServiceRequest(RequestId.random(), caller.map(c -> c.organisation().id()), call);
   }
 
   private static List<Header> headers(Headers headers) {
--- a/node/src/test/java/org/waxwingcourse/node/agree/AgreeFleet.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/AgreeFleet.java
@@ -88,7 +88,10 @@
     return nodes
         .get(node)
         .admission()
-        .admit(OrganisationId.of(organisation), WorkClass.ONLINE, Deadline.after(clock, Duration.ofSeconds(1)))
+        .admit(
+            OrganisationId.of(organisation),
+            WorkClass.ONLINE,
+            Deadline.after(clock, Duration.ofSeconds(1)))
         .toCompletableFuture()
         .join()
         .isEmpty();
--- a/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.node.web;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -104,6 +105,14 @@
     ports.cancelled.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
   }
 
+  @Test
+  void answerThatIsNotWholeNeverLooksWhole() throws Exception {
+    assertThatThrownBy(() -> post(chat("break", false), FakePorts.KEY))
+        .isInstanceOf(IOException.class);
+    HttpResponse<String> events = post(chat("break events", true), FakePorts.KEY);
+    assertThat(events.body()).contains("outcome_unknown").doesNotContain("[DONE]");
+  }
+
   @Test
   void slowSenderIsToldAndItsConnectionClosed() throws Exception {
     try (Socket socket = new Socket("127.0.0.1", server.port())) {
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -140,6 +140,11 @@
           new Outcome.Refused(new Refusal(RefusalCode.OVERLOADED, "the queue is full", retryAt)));
     } else if (prompt.contains("lose")) {
       listener.onEnd(new Outcome.Unknown("the answer was lost"));
+    } else if (prompt.contains("break")) {
+      boolean events = prompt.contains("events");
+      listener.onStart(200, events ? "text/event-stream" : "application/json");
+      listener.onChunk("{\"part\":".getBytes(StandardCharsets.UTF_8));
+      listener.onEnd(new Outcome.Unknown("the engine was lost"));
     } else if (prompt.contains("hang")) {
       listener.onStart(200, "text/event-stream");
       listener.onChunk("data: {}\n\n".getBytes(StandardCharsets.UTF_8));
--- a/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/engine/EngineClientTest.java
@@ -95,6 +95,15 @@
     assertThat(answer.text()).doesNotContain("r12");
   }
 
+  @Test
+  void firstAnswerOfAnEngineThatIsCrossedIsNeverHandedOn() {
+    String other = RequestId.random().value();
+    answer(200, "data: {\"id\":\"chat-" + other + "\"}\n\ndata: [DONE]\n\n", false);
+    Answer answer = run(address());
+    assertThat(answer.outcome()).isInstanceOf(Outcome.Unknown.class);
+    assertThat(answer.text()).doesNotContain(other);
+  }
+
   @Test
   void closedPortIsKnownNotToHaveRun() {
     URI closed = address();
