--- a/policy/src/test/java/org/waxwingcourse/policy/queue/EngineQueueSimulationTest.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/queue/EngineQueueSimulationTest.java
@@ -4,18 +4,26 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class EngineQueueSimulationTest {
   private static final double MILLIS = 3_600_000;
   private static final double TARGET = 1.05;
+  private static final double THROUGHPUT = 0.95;
+  private static final String LIGHT = "light";
+  private static final QueueRun.Rate MODERATE = s -> 1.6;
   private static final Map<String, QueueRun.Rate> LOADS =
       new TreeMap<>(
           Map.of(
-              "planned", s -> 2.0,
-              "waves", s -> s % 120 < 60 ? 0.5 : 2.0,
-              "bursts", s -> s % 30 < 20 ? 0.1 : 3.5,
-              "light", s -> 0.4));
+              "planned",
+              s -> 2.0,
+              "waves",
+              s -> s % 120 < 60 ? 0.5 : 2.0,
+              "bursts",
+              s -> s % 30 < 20 ? 0.1 : 3.5,
+              LIGHT,
+              s -> 0.4));
 
   @Test
   void batchLeavesTheOnlineTailWithinFivePerCent() {
@@ -34,23 +42,31 @@
 
   @Test
   void batchThroughputReachesThatOfTheBestFixedRoom() {
-    LOADS.forEach(
-        (name, load) -> {
-          QueueRun off = online(QueueRun.of(false), load).run(MILLIS);
-          QueueRun on = online(QueueRun.of(true), load).run(MILLIS);
-          long best = 0;
-          for (int room = 2; room <= 20; room += 2) {
-            QueueRun fixed = online(QueueRun.ofFixedRoom(room), load).run(MILLIS);
-            if (first(fixed, off, 0.95) < TARGET && gap(fixed, off, 0.95) < TARGET) {
-              best = Math.max(best, fixed.batchTokens);
-            }
-          }
-          System.out.printf(
-              "%s: %.3f of the best fixed room%n", name, on.batchTokens / (double) best);
-          if (!name.equals("light")) {
-            assertThat(on.batchTokens).isGreaterThan((long) (0.95 * best));
-          }
-        });
+    LOADS.keySet().stream()
+        .filter(name -> !name.equals(LIGHT))
+        .forEach(name -> assertThat(shareOfBestFixedRoom(name)).as(name).isGreaterThan(THROUGHPUT));
+  }
+
+  @Test
+  @Tag("known-red")
+  void batchThroughputReachesThatOfTheBestFixedRoomAtLightLoad() {
+    assertThat(shareOfBestFixedRoom(LIGHT)).isGreaterThan(THROUGHPUT);
+  }
+
+  private static double shareOfBestFixedRoom(String name) {
+    QueueRun.Rate load = LOADS.get(name);
+    QueueRun off = online(QueueRun.of(false), load).run(MILLIS);
+    QueueRun on = online(QueueRun.of(true), load).run(MILLIS);
+    long best = 0;
+    for (int room = 2; room <= 20; room += 2) {
+      QueueRun fixed = online(QueueRun.ofFixedRoom(room), load).run(MILLIS);
+      if (first(fixed, off, 0.95) < TARGET && gap(fixed, off, 0.95) < TARGET) {
+        best = Math.max(best, fixed.batchTokens);
+      }
+    }
+    double share = on.batchTokens / (double) best;
+    System.out.printf("%s: %.3f of the best fixed room%n", name, share);
+    return share;
   }
 
   @Test
@@ -80,19 +96,28 @@
 
   @Test
   void noOrganisationIsHarmedByAnotherAtSeveralTimesItsRate() {
-    QueueRun.Rate load = s -> 1.6;
-    QueueRun alone = online(QueueRun.of(false), load).run(MILLIS / 2);
-    QueueRun fair = online(QueueRun.of(false).traffic("o0", s -> 2.4, 99), load).run(MILLIS / 2);
-    QueueRun line =
-        online(QueueRun.of(false).inOneLine().traffic("o0", s -> 2.4, 99), load).run(MILLIS / 2);
+    QueueRun alone = online(QueueRun.of(false), MODERATE).run(MILLIS / 2);
+    QueueRun fair = flooded(QueueRun.of(false));
+    QueueRun line = flooded(QueueRun.of(false).inOneLine());
     System.out.printf(
         "worst served: fair %.3f, one line %.3f%n", worst(fair, alone), worst(line, alone));
-    System.out.printf(
-        "worst tail: fair %.3f, one line %.3f%n", worstTail(fair, alone), worstTail(line, alone));
     assertThat(worst(fair, alone)).isGreaterThan(0.9);
     assertThat(worst(line, alone)).isLessThan(0.9);
   }
 
+  @Test
+  @Tag("known-red")
+  void noOrganisationsTailIsHarmedByAnotherAtSeveralTimesItsRate() {
+    QueueRun alone = online(QueueRun.of(false), MODERATE).run(MILLIS / 2);
+    QueueRun fair = flooded(QueueRun.of(false));
+    System.out.printf("worst tail: fair %.3f%n", worstTail(fair, alone));
+    assertThat(worstTail(fair, alone)).isLessThan(1.1);
+  }
+
+  private static QueueRun flooded(QueueRun run) {
+    return online(run.traffic("o0", s -> 2.4, 99), MODERATE).run(MILLIS / 2);
+  }
+
   private static double worst(QueueRun run, QueueRun alone) {
     return alone.servedByOrganisation.keySet().stream()
         .filter(o -> !o.equals("o0"))
