Batch deadlines are counted, the burn report has its name, one backoff in place of two

Ruled out: counting at the job's end (a host sees only its own commits). Conclusion: a commit listener feeds the counter; policy.retry.Backoff serves both.

--- a/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/BatchRunner.java
@@ -22,7 +22,7 @@
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.request.Admission;
 import org.waxwingcourse.model.service.Service;
-import org.waxwingcourse.policy.batch.Backoff;
+import org.waxwingcourse.policy.retry.Backoff;
 
 /**
  * Runs batch work on one host. One thread talks to the store; items are sent and answered on the
@@ -32,7 +32,7 @@
 public final class BatchRunner implements Service {
   private static final EventLog LOG = EventLog.of(BatchRunner.class);
   private static final Backoff STORE_BACKOFF =
-      new Backoff(Duration.ofSeconds(2), Duration.ofSeconds(30));
+      Backoff.of(Duration.ofSeconds(2), Duration.ofSeconds(30));
   private static final int OUTAGE_FAILURES = 3;
   private static final Duration IDLE = Duration.ofSeconds(5);
   private static final Duration STOP_PATIENCE = Duration.ofSeconds(20);
@@ -68,6 +68,7 @@
    * @param random gives jitter and starting points
    * @param cache copies of input chunks
    * @param mostTries tries of an item as now configured
+   * @param commits hears of committed chunks
    * @param settings how much is held at once
    */
   public record Parts(
@@ -79,6 +80,7 @@
       RandomGenerator random,
       ChunkCache cache,
       IntSupplier mostTries,
+      CommitListener commits,
       RunSettings settings) {}
 
   /** Creates a runner that holds nothing. */
@@ -92,7 +94,9 @@
     this.pump = new ItemPump(parts.sender(), parts.admission(), clock, settings, this::wakeUp);
     Claims claims = new Claims(calls, parts.host(), () -> UUID.randomUUID().toString());
     Results results = new Results(calls, parts.cache());
-    this.held = new HeldChunks(claims, results, pump, live, clock, settings, parts.mostTries());
+    this.held =
+        new HeldChunks(
+            claims, results, pump, live, clock, settings, parts.mostTries(), parts.commits());
     this.sweeper = new Sweeper(calls, clock, random);
     this.finder =
         new WorkFinder(
@@ -231,7 +235,7 @@
       return;
     }
     storeFailures++;
-    Duration wait = STORE_BACKOFF.wait(storeFailures, random);
+    Duration wait = STORE_BACKOFF.wait(storeFailures - 1, random);
     storeRetryAt = clock.instant().plus(wait);
     LOG.write(Event.BATCH_STORE_WAIT, wait, held.size());
   }
@@ -242,7 +246,7 @@
    */
   private boolean talkToStore() {
     if (storeFailures >= OUTAGE_FAILURES) {
-      claimAfter = clock.instant().plus(STORE_BACKOFF.longest());
+      claimAfter = clock.instant().plus(STORE_BACKOFF.cap());
     }
     if (!live.refresh()) {
       return false;
--- a/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
@@ -27,6 +27,7 @@
   private static final EventLog LOG = EventLog.of(HeldChunks.class);
 
   private final Claims claims;
+  private final CommitListener commits;
   private final Results results;
   private final ItemPump pump;
   private final LiveJobs live;
@@ -52,8 +53,10 @@
       LiveJobs live,
       InstantSource clock,
       RunSettings settings,
-      IntSupplier mostTries) {
+      IntSupplier mostTries,
+      CommitListener commits) {
     this.claims = claims;
+    this.commits = commits;
     this.results = results;
     this.pump = pump;
     this.live = live;
@@ -206,8 +209,12 @@
   }
 
   private Step commit(HeldChunk chunk, ChunkRun run) {
-    WriteOutcome outcome = claims.commit(chunk.claim, run.lines(), run.counts(), run.expired());
+    Job.Counts counts = run.counts();
+    WriteOutcome outcome = claims.commit(chunk.claim, run.lines(), counts, run.expired());
     if (outcome instanceof WriteOutcome.Done) {
+      int items = counts.succeeded() + counts.failed();
+      int inTime = run.expired() ? counts.succeeded() : items;
+      commits.onCommitted(run.job().organisation(), inTime, items);
       return Step.GONE;
     }
     return lost(outcome, chunk, run);
--- a/batch/src/main/java/org/waxwingcourse/batch/store/StoreCalls.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/store/StoreCalls.java
@@ -13,8 +13,8 @@
 import org.waxwingcourse.platform.store.StoreFailure;
 import org.waxwingcourse.platform.store.Transaction;
 import org.waxwingcourse.platform.store.WriteOutcome;
-import org.waxwingcourse.policy.batch.Backoff;
 import org.waxwingcourse.policy.batch.CallBudget;
+import org.waxwingcourse.policy.retry.Backoff;
 
 /**
  * Blocking calls to the store inside a budget.
@@ -25,7 +25,7 @@
  */
 public final class StoreCalls {
   private static final int TRIES = 4;
-  private static final Backoff BACKOFF = new Backoff(Duration.ofMillis(50), Duration.ofMillis(800));
+  private static final Backoff BACKOFF = Backoff.of(Duration.ofMillis(50), Duration.ofMillis(800));
   private static final double CALLS_PER_SECOND = 20;
   private static final int BURST = 40;
 
@@ -51,7 +51,7 @@
   public Either<StoreFailure, Snapshot> read(KeyRange range) {
     Either<StoreFailure, Snapshot> answer = once(range);
     for (int n = 1; n < TRIES && answer.isLeft(); n++) {
-      pause.await(BACKOFF.wait(n, random));
+      pause.await(BACKOFF.wait(n - 1, random));
       answer = once(range);
     }
     return answer;
@@ -67,7 +67,7 @@
     WriteOutcome outcome = once(transaction);
     boolean doubtful = outcome instanceof WriteOutcome.Unknown;
     for (int n = 1; n < TRIES && !decided(outcome); n++) {
-      pause.await(BACKOFF.wait(n, random));
+      pause.await(BACKOFF.wait(n - 1, random));
       outcome = once(transaction);
       doubtful |= outcome instanceof WriteOutcome.Unknown;
     }
--- a/batch/src/test/java/org/waxwingcourse/batch/World.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/World.java
@@ -87,6 +87,7 @@
                   random,
                   ChunkCache.NONE,
                   () -> 3,
+                  (organisation, inTime, items) -> {},
                   settings));
     }
 
--- a/cli/src/main/java/org/waxwingcourse/cli/command/ReportCommand.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/ReportCommand.java
@@ -22,10 +22,11 @@
 import org.waxwingcourse.cli.report.SampleFile;
 import org.waxwingcourse.http.HttpCaller;
 
-/** {@code waxwing report}: samples the nodes' counters and prints service-level burn. */
+/** {@code waxwing report burn}: samples the nodes' counters and prints service-level burn. */
 public final class ReportCommand implements Command {
   private static final String SAMPLES = "samples";
   private static final String HTML = "html";
+  private static final String BURN = "burn";
 
   @Override
   public String name() {
@@ -34,7 +35,7 @@
 
   @Override
   public String arguments() {
-    return "";
+    return BURN;
   }
 
   @Override
@@ -52,6 +53,9 @@
 
   @Override
   public ExitCode run(CommandLine line, List<String> arguments, Terminal terminal) {
+    if (!arguments.equals(List.of(BURN))) {
+      return terminal.fail(ExitCode.USAGE, "give the report's name, \"%s\"", BURN);
+    }
     return Flags.nodes(line)
         .fold(
             wrong -> terminal.fail(ExitCode.USAGE, "%s", wrong),
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -15,6 +15,7 @@
 import org.waxwingcourse.batch.store.StoreCalls;
 import org.waxwingcourse.model.fleet.ConfigurationSource;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.node.metrics.Objective;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.Gate;
 import org.waxwingcourse.node.web.Routes;
@@ -62,6 +63,8 @@
             random,
             cache,
             () -> tries(ports.configuration()),
+            (organisation, inTime, items) ->
+                ports.levels().count(Objective.BATCH_DEADLINE, organisation, inTime, items),
             RunSettings.STANDARD));
   }
 
--- a/node/src/main/java/org/waxwingcourse/node/metrics/ServiceLevels.java
+++ b/node/src/main/java/org/waxwingcourse/node/metrics/ServiceLevels.java
@@ -24,11 +24,14 @@
 
   /** Counts one event. */
   public void count(Objective objective, OrganisationId organisation, boolean good) {
+    count(objective, organisation, good ? 1 : 0, 1);
+  }
+
+  /** Counts {@code total} events, of which {@code good} met the objective. */
+  public void count(Objective objective, OrganisationId organisation, int good, int total) {
     String name = MetricRegistry.name("slo", objective.wireName(), organisation.value());
-    registry.counter(name + ".total").inc();
-    if (good) {
-      registry.counter(name + ".good").inc();
-    }
+    registry.counter(name + ".total").inc(total);
+    registry.counter(name + ".good").inc(good);
   }
 
   /** Records a latency and counts whether it was within its bound. */
--- a/policy/src/main/java/org/waxwingcourse/policy/retry/Backoff.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/retry/Backoff.java
@@ -22,15 +22,24 @@
     return new Backoff(base, cap);
   }
 
+  /**
+   * Returns how long to wait before a retry, more than zero.
+   *
+   * @param retry zero for the first retry
+   */
+  public Duration wait(int retry, RandomGenerator random) {
+    long scale = base.toNanos() << Math.min(retry, MAX_DOUBLINGS);
+    long limit = Math.max(1, Math.min(scale, cap.toNanos()));
+    return Duration.ofNanos(1 + random.nextLong(limit));
+  }
+
   /**
    * Returns when to retry, or none if that is not before the request's deadline.
    *
    * @param retry zero for the first retry
    */
   public Option<Instant> next(int retry, Instant now, Deadline deadline, RandomGenerator random) {
-    long scale = base.toNanos() << Math.min(retry, MAX_DOUBLINGS);
-    long limit = Math.min(scale, cap.toNanos());
-    Instant at = now.plusNanos(limit == 0 ? 0 : random.nextLong(limit));
+    Instant at = now.plus(wait(retry, random));
     return deadline.isPast(at) ? Option.none() : Option.some(at);
   }
 }
--- a/policy/src/test/java/org/waxwingcourse/policy/batch/JobOrderTest.java
+++ b/policy/src/test/java/org/waxwingcourse/policy/batch/JobOrderTest.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.policy.retry.Backoff;
 
 class JobOrderTest {
   private static final Instant NOW = Instant.ofEpochSecond(100_000);
@@ -74,10 +75,10 @@
 
   @Test
   void backoffStaysUnderItsCeilingAndBudgetUnderItsRate() {
-    Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofSeconds(30));
+    Backoff backoff = Backoff.of(Duration.ofMillis(100), Duration.ofSeconds(30));
     java.util.Random random = new java.util.Random(1);
     for (int n = 1; n < 100; n++) {
-      assertThat(backoff.wait(n, random)).isPositive().isLessThanOrEqualTo(Duration.ofSeconds(30));
+      assertThat(backoff.wait(n - 1, random)).isPositive().isLessThanOrEqualTo(backoff.cap());
     }
     CallBudget budget = new CallBudget(() -> NOW, 10, 5);
     Duration last = Duration.ZERO;
