--- a/load/src/main/java/org/waxwingcourse/load/history/TracedAdmission.java
+++ b/load/src/main/java/org/waxwingcourse/load/history/TracedAdmission.java
@@ -5,7 +5,8 @@
 import org.waxwingcourse.model.id.OrganisationId;
 
 /**
- * One line of a node's trace: {@code asked_ms,answered_ms,host,organisation,admitted|refused}.
+ * One line of a node's trace: {@code
+ * asked_ms,answered_ms,host,organisation,online|batch,admitted|refused}.
  *
  * @param askedMillis when the admission was asked for, milliseconds since the epoch
  * @param answeredMillis when it was answered
@@ -19,7 +20,7 @@
     HostId host,
     OrganisationId organisation,
     boolean admitted) {
-  private static final int FIELDS = 5;
+  private static final int FIELDS = 6;
 
   /** Reads one line; the left side says what is wrong with it. */
   public static Either<String, TracedAdmission> parse(String line) {
@@ -34,7 +35,7 @@
               Long.parseLong(fields[1]),
               HostId.of(fields[2]),
               OrganisationId.of(fields[3]),
-              fields[4].equals("admitted")));
+              fields[5].equals("admitted")));
     } catch (IllegalArgumentException e) {
       return Either.left("line \"" + line + "\" cannot be read: " + e.getMessage());
     }
--- a/load/src/test/java/org/waxwingcourse/load/history/RateBoundTest.java
+++ b/load/src/test/java/org/waxwingcourse/load/history/RateBoundTest.java
@@ -20,7 +20,7 @@
       long spacing, long uncertainty, double perSecond, int burst, int broken) {
     List<TracedAdmission> history = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
-      String line = i * spacing + "," + (i * spacing + uncertainty) + ",h,o,admitted";
+      String line = i * spacing + "," + (i * spacing + uncertainty) + ",h,o,online,admitted";
       history.add(TracedAdmission.parse(line).get());
     }
     double excess = RateBound.excess(history, Rate.of(perSecond, burst));
--- a/node/src/main/java/org/waxwingcourse/node/trace/AdmissionTrace.java
+++ b/node/src/main/java/org/waxwingcourse/node/trace/AdmissionTrace.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Locale;
 import java.util.concurrent.CompletionStage;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -20,8 +21,8 @@
 
 /**
  * Records each request that an admission was asked about: one line {@code
- * asked_ms,answered_ms,host,organisation,admitted|refused}, with times in milliseconds since the
- * epoch. The decision fell between the two times. Lines are in the order of the answers.
+ * asked_ms,answered_ms,host,organisation,online|batch,admitted|refused}, with times in milliseconds
+ * since the epoch. The decision fell between the two times. Lines are in the order of the answers.
  */
 public final class AdmissionTrace implements Admission, Service {
   private final Admission admission;
@@ -64,16 +65,24 @@
     Instant asked = clock.instant();
     return admission
         .admit(organisation, work, deadline)
-        .whenComplete((refusal, error) -> record(asked, organisation, refusal));
+        .whenComplete((refusal, error) -> record(asked, organisation, work, refusal));
   }
 
   private synchronized void record(
-      Instant asked, OrganisationId organisation, Option<Refusal> refusal) {
+      Instant asked, OrganisationId organisation, WorkClass work, Option<Refusal> refusal) {
     String answer = refusal != null && refusal.isEmpty() ? "admitted" : "refused";
     long answered = clock.instant().toEpochMilli();
+    String line =
+        String.join(
+            ",",
+            Long.toString(asked.toEpochMilli()),
+            Long.toString(answered),
+            host.value(),
+            organisation.value(),
+            work.name().toLowerCase(Locale.ROOT),
+            answer);
     try {
-      writer.write(
-          asked.toEpochMilli() + "," + answered + "," + host + "," + organisation + "," + answer);
+      writer.write(line);
       writer.newLine();
       writer.flush();
     } catch (IOException e) {
