--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -90,17 +90,13 @@
             new OnceServiceDispatcher(new DirectServiceDispatcher(plainServices), store, clock),
             Duration.ofMillis(settings.limits().requestBodyMillis()),
             ServiceLevels.of(metrics));
-    List<Routes> routes = new ArrayList<>();
     LimitRoutes limits =
         new LimitRoutes(clock, settings.limits().connections(), settings.limits().requests());
     PlannedStop stop = member.plannedStop();
     stop.waitFor(limits::requestsInProgress);
     stop.waitFor(dispatcher::requestsServed);
-    routes.add(limits);
-    routes.add(new HostRoutes(member::answer, new Gate(ports)));
-    routes.add(new DrainRoutes(stop::takesRequests, clock));
-    routes.addAll(CallerRoutes.of(ports));
     ChunkCache cache = BatchParts.cache(settings.dataFolder());
+    List<Routes> routes = routes(ports, limits);
     routes.addAll(BatchParts.routes(ports, store, cache, random));
     callers = services.add(HttpServer.of(callerOptions(), routes));
     batch = services.add(BatchParts.runner(ports, store, settings.host(), cache, random));
@@ -166,6 +162,15 @@
         member.view());
   }
 
+  private List<Routes> routes(CallerPorts ports, LimitRoutes limits) {
+    List<Routes> routes = new ArrayList<>();
+    routes.add(limits);
+    routes.add(new HostRoutes(member::answer, new Gate(ports)));
+    routes.add(new DrainRoutes(member.plannedStop()::takesRequests, ports.clock()));
+    routes.addAll(CallerRoutes.of(ports));
+    return routes;
+  }
+
   private Admission traced(Admission admission, InstantSource clock) {
     if (settings.traceFile().isEmpty()) {
       return admission;
