--- a/node/src/test/java/org/waxwingcourse/node/TestFleet.java
+++ b/node/src/test/java/org/waxwingcourse/node/TestFleet.java
@@ -121,6 +121,11 @@
     return nodes.get(index);
   }
 
+  /** Returns the revision of the declarations applied last. */
+  public Revision revision() {
+    return revision;
+  }
+
   /** Returns the base address of a node's callers' interface. */
   public URI url(int node) {
     return URI.create("http://127.0.0.1:" + nodes.get(node).callerPort());
