A request inside the rate that a full queue refuses counts as a miss

Cause: the admission objective counted a request as good once its rate allowed it, so a refusal by overload was not in the burn report. Seen to fail: CallerInterfaceTest counted 1 good for a refused request. Ruled out: counting in dispatch (it does not know callers from batch). Conclusion: counted at the answer's end.

--- a/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
@@ -95,6 +95,7 @@
     Authenticator.Session session =
         ports.authenticator().open(caller.key(), () -> delivery.withdraw(call));
     answer.end().thenRun(session::close);
+    answer.end().thenAccept(end -> gate.countEnd(request.organisation(), end));
     delivery.begin(call);
   }
 
--- a/node/src/main/java/org/waxwingcourse/node/web/Gate.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/Gate.java
@@ -9,6 +9,7 @@
 import org.waxwingcourse.model.fleet.Organisation;
 import org.waxwingcourse.model.id.KeyHash;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.request.WorkClass;
@@ -81,12 +82,17 @@
             refusal -> {
               refusal.peek(r -> count(organisation, r)).peek(r -> refuse(context, r));
               if (refusal.isEmpty()) {
-                ports.levels().count(Objective.ADMISSION, organisation, true);
                 then.run();
               }
             });
   }
 
+  /** Counts whether a request inside the rate was refused after all, as by a full queue. */
+  public void countEnd(OrganisationId organisation, Outcome outcome) {
+    boolean served = !(outcome instanceof Outcome.Refused);
+    ports.levels().count(Objective.ADMISSION, organisation, served);
+  }
+
   /** A refusal counts as a miss unless the organisation is over its rate. */
   private void count(OrganisationId organisation, Refusal refusal) {
     if (refusal.code() != RefusalCode.RATE_LIMITED) {
--- a/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
@@ -117,6 +117,7 @@
           Authenticator.Session session =
               ports.authenticator().open(c.key(), () -> delivery.withdraw(call));
           answer.end().thenRun(session::close);
+          answer.end().thenAccept(end -> gate.countEnd(c.organisation().id(), end));
         });
     delivery.begin(call);
   }
--- a/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
@@ -62,6 +62,8 @@
   void refusalComesAtOnceAndSaysWhenToComeBack() throws Exception {
     HttpResponse<String> answer = post(chat("refuse", false), FakePorts.KEY);
     assertThat(answer.headers().firstValue("Retry-After")).hasValue("7");
+    assertThat(ports.metrics.counter("slo.admission.parish.total").getCount()).isEqualTo(1);
+    assertThat(ports.metrics.counter("slo.admission.parish.good").getCount()).isZero();
   }
 
   @Test
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -43,6 +43,7 @@
   static final int MAX_REQUESTS = 3;
   private static final int MAX_BODY = 2048;
 
+  final MetricRegistry metrics = new MetricRegistry();
   final CompletableFuture<Void> cancelled = new CompletableFuture<>();
   volatile Runnable withdraw = () -> {};
 
@@ -60,7 +61,7 @@
         this::submit,
         (request, listener) -> () -> {},
         Duration.ofMillis(300),
-        ServiceLevels.of(new MetricRegistry()));
+        ServiceLevels.of(metrics));
   }
 
   /** Starts a server of the given routes. */
