The linear search for a key's owner is gone from the configuration

Cause: since the agreement indexes keys by hash, only a test's fake called FleetConfiguration.owner, which scans every key of every organisation. Conclusion: one way to find a key's owner in the product.

--- a/model/src/main/java/org/waxwingcourse/model/fleet/FleetConfiguration.java
+++ b/model/src/main/java/org/waxwingcourse/model/fleet/FleetConfiguration.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import org.waxwingcourse.model.id.KeyHash;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.ServiceName;
@@ -34,13 +32,6 @@
     exceptions = List.copyOf(exceptions);
   }
 
-  /** Returns the organisation that the key belongs to. */
-  public Optional<Organisation> owner(KeyHash key) {
-    return organisations.values().stream()
-        .filter(o -> o.keys().stream().anyMatch(k -> k.matches(key)))
-        .findFirst();
-  }
-
   /** Returns the same configuration as accepted at {@code accepted}. */
   public FleetConfiguration at(Revision accepted) {
     return new FleetConfiguration(accepted, defaults, organisations, engines, services, exceptions);
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -118,7 +118,11 @@
 
   @Override
   public Either<Refusal, Organisation> authenticate(KeyHash key) {
-    return Option.ofOptional(current().flatMap(c -> c.owner(key)))
+    return Option.ofOptional(
+            current().stream()
+                .flatMap(c -> c.organisations().values().stream())
+                .filter(o -> o.keys().contains(key))
+                .findFirst())
         .toEither(new Refusal(RefusalCode.INVALID_KEY, "the key does not work", Instant.EPOCH));
   }
 
