The store port and its etcd client move to a module of their own, store/

Cause: platform/ is to hold only the translation of the users' platform. Change: module platform becomes store, packages org.waxwingcourse.store, .etcd and .hosts; no behaviour changes.

--- a/batch/src/main/java/org/waxwingcourse/batch/intake/Upload.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/intake/Upload.java
@@ -23,9 +23,9 @@
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * One file on its way in. Lines are checked as they come and stored chunk by chunk under a name of
--- a/batch/src/main/java/org/waxwingcourse/batch/job/ChunkStates.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/ChunkStates.java
@@ -8,8 +8,8 @@
 import org.waxwingcourse.batch.record.Codec;
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.Keys;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.Snapshot;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.policy.batch.JobProgress;
 
 /**
--- a/batch/src/main/java/org/waxwingcourse/batch/job/Jobs.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/Jobs.java
@@ -23,12 +23,12 @@
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** Accepts, finds, lists, cancels and ends jobs. Every host answers the same. */
 public final class Jobs {
--- a/batch/src/main/java/org/waxwingcourse/batch/job/Results.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/Results.java
@@ -14,10 +14,10 @@
 import org.waxwingcourse.batch.record.ResultHead;
 import org.waxwingcourse.batch.store.StoreCalls;
 import org.waxwingcourse.model.id.FileId;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.StoreFailure;
 
 /** Reads committed results and input files, a chunk at a time, from any host. */
 public final class Results {
--- a/batch/src/main/java/org/waxwingcourse/batch/job/StoredJob.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/StoredJob.java
@@ -3,7 +3,7 @@
 import org.waxwingcourse.batch.record.Codec;
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.store.Entry;
 
 /**
  * A manifest with the revision that stored it.
--- a/batch/src/main/java/org/waxwingcourse/batch/record/Codec.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/record/Codec.java
@@ -15,7 +15,7 @@
 import java.util.List;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
-import org.waxwingcourse.platform.store.Entry;
+import org.waxwingcourse.store.Entry;
 
 /** Turns records into the bytes that are stored, and back. */
 public final class Codec {
--- a/batch/src/main/java/org/waxwingcourse/batch/run/Claims.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/Claims.java
@@ -15,11 +15,11 @@
 import org.waxwingcourse.batch.store.StoreCalls;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** The writes by which a chunk changes hands. Each is one compare-and-swap. */
 final class Claims {
--- a/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/HeldChunks.java
@@ -16,8 +16,8 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * Brings each chunk that this host holds one step further: load, mark, commit, claim again after a
--- a/batch/src/main/java/org/waxwingcourse/batch/run/LeaseKeeper.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/LeaseKeeper.java
@@ -5,10 +5,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import org.waxwingcourse.platform.store.Lease;
-import org.waxwingcourse.platform.store.LeaseId;
-import org.waxwingcourse.platform.store.Store;
-import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.store.Lease;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.policy.lease.ClockDrift;
 import org.waxwingcourse.policy.lease.HeldLease;
 
--- a/batch/src/main/java/org/waxwingcourse/batch/run/LeaseTerm.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/LeaseTerm.java
@@ -1,7 +1,7 @@
 package org.waxwingcourse.batch.run;
 
 import java.time.Instant;
-import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.policy.lease.HeldLease;
 
 /** One lease of this host from its grant until it lapses, with the renewals in between. */
--- a/batch/src/main/java/org/waxwingcourse/batch/run/LiveJobs.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/LiveJobs.java
@@ -15,12 +15,12 @@
 import org.waxwingcourse.batch.store.StoreCalls;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Watch;
-import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Watch;
+import org.waxwingcourse.store.WatchListener;
 
 /**
  * The jobs that have not ended, kept by one watch. It may lag: nothing is right because of it,
--- a/batch/src/main/java/org/waxwingcourse/batch/run/Sweeper.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/Sweeper.java
@@ -21,12 +21,12 @@
 import org.waxwingcourse.model.id.FileId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * Removes files, abandoned uploads and ended jobs after their retention deadline, a few entries at
--- a/batch/src/main/java/org/waxwingcourse/batch/run/WorkFinder.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/WorkFinder.java
@@ -21,8 +21,8 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.policy.batch.JobOrder;
 import org.waxwingcourse.policy.batch.JobProgress;
 
--- a/batch/src/test/java/org/waxwingcourse/batch/CostTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/CostTest.java
@@ -13,7 +13,7 @@
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.Keys;
 import org.waxwingcourse.batch.run.RunSettings;
-import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.store.CallCounts;
 
 /** Calls to the store, throughput and recovery, with the settings in force; prints its figures. */
--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -19,9 +19,9 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 import org.waxwingcourse.standin.store.StoreFaults;
 
 class FailureTest {
--- a/batch/src/test/java/org/waxwingcourse/batch/SweepTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/SweepTest.java
@@ -13,8 +13,8 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
 
 /** Old files and jobs go, and nothing that a live job needs. */
 class SweepTest {
--- a/cli/src/main/java/org/waxwingcourse/cli/StoreSession.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/StoreSession.java
@@ -14,9 +14,9 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.service.ServiceGroup;
 import org.waxwingcourse.model.time.MonotonicClock;
-import org.waxwingcourse.platform.etcd.EtcdOptions;
-import org.waxwingcourse.platform.etcd.EtcdStore;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.etcd.EtcdOptions;
+import org.waxwingcourse.store.etcd.EtcdStore;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.policy.configuration.Document;
 
 /** Connects a command to the platform store for as long as the command runs. */
--- a/cli/src/main/java/org/waxwingcourse/cli/command/ApplyCommand.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/ApplyCommand.java
@@ -16,7 +16,7 @@
 import org.waxwingcourse.config.store.Change;
 import org.waxwingcourse.config.store.ConfigurationWriter;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 
 /** {@code waxwing apply}: puts declarations in force by compare-and-swap. */
 public final class ApplyCommand implements Command {
--- a/cli/src/main/java/org/waxwingcourse/cli/command/Declared.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/Declared.java
@@ -11,7 +11,7 @@
 import org.waxwingcourse.config.declaration.DeclarationReader;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 
 /**
  * Declarations beside what is stored.
--- a/cli/src/main/java/org/waxwingcourse/cli/command/DiffCommand.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/DiffCommand.java
@@ -8,7 +8,7 @@
 import org.waxwingcourse.cli.Flags;
 import org.waxwingcourse.cli.StoreSession;
 import org.waxwingcourse.cli.Terminal;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 
 /** {@code waxwing diff}: shows what applying declarations would change. */
 public final class DiffCommand implements Command {
--- a/cli/src/main/java/org/waxwingcourse/cli/command/JobCommand.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/JobCommand.java
@@ -23,7 +23,7 @@
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Outcome;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 
 /** {@code waxwing job}: lists batch jobs, shows one, cancels one, says why one is late. */
 public final class JobCommand implements Command {
--- a/config/src/test/java/org/waxwingcourse/config/store/ConfigurationWriterTest.java
+++ b/config/src/test/java/org/waxwingcourse/config/store/ConfigurationWriterTest.java
@@ -24,7 +24,7 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
-import org.waxwingcourse.platform.store.Transaction;
+import org.waxwingcourse.store.Transaction;
 
 class ConfigurationWriterTest {
   private static final int MAX_VALUE_BYTES = 1 << 20;
--- a/config/src/test/java/org/waxwingcourse/config/store/TinyStore.java
+++ b/config/src/test/java/org/waxwingcourse/config/store/TinyStore.java
@@ -7,17 +7,17 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Lease;
-import org.waxwingcourse.platform.store.LeaseId;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.Store;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.Watch;
-import org.waxwingcourse.platform.store.WatchListener;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Lease;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.Watch;
+import org.waxwingcourse.store.WatchListener;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** A store with compare-and-swap only, which can lose answers and hold one write back. */
 final class TinyStore implements Store {
--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -25,7 +25,7 @@
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.peer.Channel;
 import org.waxwingcourse.peer.Peers;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.policy.configuration.ConfigurationFollower;
 import org.waxwingcourse.policy.configuration.DocumentFollower;
 import org.waxwingcourse.policy.rate.RateAdmission;
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -19,7 +19,7 @@
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.Gate;
 import org.waxwingcourse.node.web.Routes;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 
 /** Joins batch work to the node's ports. */
 public final class BatchParts {
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
@@ -30,7 +30,7 @@
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.peer.Channel;
 import org.waxwingcourse.peer.Peers;
-import org.waxwingcourse.platform.store.Store;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.policy.retry.RetryPolicy;
 import org.waxwingcourse.policy.route.EnginePicker;
 import org.waxwingcourse.policy.route.EngineView;
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/OnceServiceDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/OnceServiceDispatcher.java
@@ -16,8 +16,8 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.platform.store.Store;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.WriteOutcome;
 import org.waxwingcourse.policy.idempotency.Claim;
 import org.waxwingcourse.policy.idempotency.ClaimedAnswer;
 
--- a/node/src/main/java/org/waxwingcourse/node/member/HostRegistration.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/HostRegistration.java
@@ -5,12 +5,12 @@
 import org.waxwingcourse.model.member.Member;
 import org.waxwingcourse.model.member.MemberState;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.hosts.HostList;
-import org.waxwingcourse.platform.hosts.ListedHost;
-import org.waxwingcourse.platform.hosts.ListedHostCodec;
-import org.waxwingcourse.platform.store.Store;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.hosts.HostList;
+import org.waxwingcourse.store.hosts.ListedHost;
+import org.waxwingcourse.store.hosts.ListedHostCodec;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * Keeps this host's entry for the platform's list: one write at the start, one when it leaves and
--- a/node/src/test/java/org/waxwingcourse/node/agree/FleetAgreementTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/FleetAgreementTest.java
@@ -8,7 +8,7 @@
 import org.waxwingcourse.model.fleet.Rate;
 import org.waxwingcourse.model.id.KeyHash;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.store.StoreFaults;
 
 class FleetAgreementTest {
--- a/node/src/test/java/org/waxwingcourse/node/dispatch/EngineOrdersTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/dispatch/EngineOrdersTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.WorkClass;
-import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.engine.EngineOptions;
 
 class EngineOrdersTest {
--- a/standin/src/main/java/org/waxwingcourse/standin/platform/LaggingHostList.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/LaggingHostList.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
-import org.waxwingcourse.platform.hosts.HostList;
-import org.waxwingcourse.platform.hosts.ListedHost;
-import org.waxwingcourse.platform.hosts.ListedHostCodec;
-import org.waxwingcourse.platform.store.KeyRange;
+import org.waxwingcourse.store.hosts.HostList;
+import org.waxwingcourse.store.hosts.ListedHost;
+import org.waxwingcourse.store.hosts.ListedHostCodec;
+import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.standin.web.Lagged;
 
--- a/standin/src/main/java/org/waxwingcourse/standin/store/EntryTable.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/store/EntryTable.java
@@ -9,12 +9,12 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.LeaseId;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** Entries by key with their revisions, and a bounded history of changes. Not thread-safe. */
 final class EntryTable {
--- a/standin/src/main/java/org/waxwingcourse/standin/store/LeaseTable.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/store/LeaseTable.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.store.Lease;
-import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.store.Lease;
+import org.waxwingcourse.store.LeaseId;
 
 /** Leases with their deadlines. Not thread-safe. */
 final class LeaseTable {
--- a/standin/src/main/java/org/waxwingcourse/standin/store/MemoryStore.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/store/MemoryStore.java
@@ -15,16 +15,16 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Lease;
-import org.waxwingcourse.platform.store.LeaseId;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.Store;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.Watch;
-import org.waxwingcourse.platform.store.WatchListener;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Lease;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.Watch;
+import org.waxwingcourse.store.WatchListener;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * A store in memory with the limits and the faults of the platform's.
--- a/standin/src/main/java/org/waxwingcourse/standin/store/MemoryWatch.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/store/MemoryWatch.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Watch;
-import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Watch;
+import org.waxwingcourse.store.WatchListener;
 
 /**
  * A watch with its own place in the history. Deliveries never overlap: a call during a delivery
--- a/standin/src/test/java/org/waxwingcourse/standin/store/MemoryStoreTest.java
+++ b/standin/src/test/java/org/waxwingcourse/standin/store/MemoryStoreTest.java
@@ -9,13 +9,13 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.ManualClock;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Lease;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WatchListener;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Lease;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WatchListener;
+import org.waxwingcourse.store.WriteOutcome;
 
 class MemoryStoreTest {
   private final ManualClock clock = ManualClock.at(Instant.EPOCH);
--- a/platform/src/main/java/org/waxwingcourse/platform/store/Entry.java
+++ b/store/src/main/java/org/waxwingcourse/store/Entry.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
--- a/platform/src/main/java/org/waxwingcourse/platform/store/KeyRange.java
+++ b/store/src/main/java/org/waxwingcourse/store/KeyRange.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 /**
  * One key, or all keys that begin with a prefix.
--- a/platform/src/main/java/org/waxwingcourse/platform/store/LeaseId.java
+++ b/store/src/main/java/org/waxwingcourse/store/LeaseId.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 /**
  * Identifies a lease of the store.
--- a/platform/src/main/java/org/waxwingcourse/platform/store/Snapshot.java
+++ b/store/src/main/java/org/waxwingcourse/store/Snapshot.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/waxwingcourse/platform/store/Store.java
+++ b/store/src/main/java/org/waxwingcourse/store/Store.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 import io.vavr.control.Either;
 import java.time.Duration;
--- a/platform/src/main/java/org/waxwingcourse/platform/store/StoreFailure.java
+++ b/store/src/main/java/org/waxwingcourse/store/StoreFailure.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 /**
  * A read or lease call that gave no answer.
--- a/platform/src/main/java/org/waxwingcourse/platform/store/Watch.java
+++ b/store/src/main/java/org/waxwingcourse/store/Watch.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 /** A watch in progress. */
 public interface Watch {
--- a/platform/src/main/java/org/waxwingcourse/platform/store/WatchListener.java
+++ b/store/src/main/java/org/waxwingcourse/store/WatchListener.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
 
 import java.util.List;
 import org.waxwingcourse.model.id.Revision;
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/EtcdGateway.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/EtcdGateway.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import io.vavr.control.Either;
 import java.net.URI;
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/EtcdJson.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/EtcdJson.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonInclude;
@@ -15,9 +15,9 @@
 import java.util.Arrays;
 import java.util.function.Function;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.LeaseId;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.LeaseId;
 
 /**
  * Encodes etcd's messages as its JSON gateway does: snake case, bytes in base64, 64-bit numbers as
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/EtcdMessages.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/EtcdMessages.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/EtcdOptions.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/EtcdOptions.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import java.net.URI;
 import java.time.Duration;
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/EtcdStore.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/EtcdStore.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import io.vavr.control.Either;
 import java.time.Duration;
@@ -15,17 +15,17 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.Lease;
-import org.waxwingcourse.platform.store.LeaseId;
-import org.waxwingcourse.platform.store.Snapshot;
-import org.waxwingcourse.platform.store.Store;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.Watch;
-import org.waxwingcourse.platform.store.WatchListener;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Lease;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.Watch;
+import org.waxwingcourse.store.WatchListener;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * The store over etcd's JSON gateway.
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/EtcdWatch.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/EtcdWatch.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
@@ -11,11 +11,11 @@
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.http.StreamListener;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Watch;
-import org.waxwingcourse.platform.store.WatchListener;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Watch;
+import org.waxwingcourse.store.WatchListener;
 
 /**
  * One watch over a series of calls. Each call lasts for a bounded time and the next begins after
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/LineSplitter.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/LineSplitter.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/TransactionCodec.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/TransactionCodec.java
@@ -1,11 +1,11 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** Writes transactions in etcd's form and reads how they ended. */
 final class TransactionCodec {
--- a/platform/src/main/java/org/waxwingcourse/platform/etcd/package-info.java
+++ b/store/src/main/java/org/waxwingcourse/store/etcd/package-info.java
@@ -1,2 +1,2 @@
 /** The store port over etcd's published JSON form, the gateway to its version 3 API. */
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
--- a/platform/src/main/java/org/waxwingcourse/platform/hosts/HostList.java
+++ b/store/src/main/java/org/waxwingcourse/store/hosts/HostList.java
@@ -1,9 +1,9 @@
-package org.waxwingcourse.platform.hosts;
+package org.waxwingcourse.store.hosts;
 
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.store.StoreFailure;
 
 /** The platform's list of hosts, which lags behind the truth by some seconds. */
 public interface HostList {
--- a/platform/src/main/java/org/waxwingcourse/platform/hosts/HttpHostList.java
+++ b/store/src/main/java/org/waxwingcourse/store/hosts/HttpHostList.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.hosts;
+package org.waxwingcourse.store.hosts;
 
 import io.vavr.control.Either;
 import java.net.URI;
@@ -10,7 +10,7 @@
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.http.HttpRequest;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.platform.store.StoreFailure;
+import org.waxwingcourse.store.StoreFailure;
 
 /** Reads the host list from {@code GET /hosts} of the platform. */
 public final class HttpHostList implements HostList {
--- a/platform/src/main/java/org/waxwingcourse/platform/hosts/ListedHost.java
+++ b/store/src/main/java/org/waxwingcourse/store/hosts/ListedHost.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.hosts;
+package org.waxwingcourse.store.hosts;
 
 import java.net.InetSocketAddress;
 import java.net.URI;
--- a/platform/src/main/java/org/waxwingcourse/platform/hosts/ListedHostCodec.java
+++ b/store/src/main/java/org/waxwingcourse/store/hosts/ListedHostCodec.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.hosts;
+package org.waxwingcourse.store.hosts;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/platform/src/main/java/org/waxwingcourse/platform/hosts/package-info.java
+++ b/store/src/main/java/org/waxwingcourse/store/hosts/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's lagging list of live and leaving hosts. */
-package org.waxwingcourse.platform.hosts;
+package org.waxwingcourse.store.hosts;
--- a/platform/src/main/java/org/waxwingcourse/platform/store/package-info.java
+++ b/store/src/main/java/org/waxwingcourse/store/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's key-value service as this system sees it: compare-and-swap, leases, watches. */
-package org.waxwingcourse.platform.store;
+package org.waxwingcourse.store;
--- a/platform/src/test/java/org/waxwingcourse/platform/etcd/MalformedAnswerTest.java
+++ b/store/src/test/java/org/waxwingcourse/store/etcd/MalformedAnswerTest.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.platform.etcd;
+package org.waxwingcourse.store.etcd;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -22,13 +22,13 @@
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.MonotonicClock;
-import org.waxwingcourse.platform.store.Entry;
-import org.waxwingcourse.platform.store.KeyRange;
-import org.waxwingcourse.platform.store.LeaseId;
-import org.waxwingcourse.platform.store.StoreFailure;
-import org.waxwingcourse.platform.store.Transaction;
-import org.waxwingcourse.platform.store.WatchListener;
-import org.waxwingcourse.platform.store.WriteOutcome;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WatchListener;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** The store answers every call with one given text, whatever was asked. */
 class MalformedAnswerTest {
