--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -0,0 +1,253 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.plan.OrganisationTable;
+import org.waxwingcourse.fleet.plan.Plan;
+import org.waxwingcourse.fleet.plan.ServicePlan;
+import org.waxwingcourse.fleet.slot.Decision;
+import org.waxwingcourse.fleet.slot.OrganisationRates;
+import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.slot.RunId;
+import org.waxwingcourse.fleet.slot.ServiceSlots;
+import org.waxwingcourse.fleet.slot.SlotLoad;
+import org.waxwingcourse.fleet.slot.SlotRequest;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.model.request.WorkClass;
+import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.peer.Channel;
+import org.waxwingcourse.peer.Peers;
+import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.RunningList;
+import org.waxwingcourse.wire.fleet.SlotAsk;
+import org.waxwingcourse.wire.fleet.SlotEnd;
+import org.waxwingcourse.wire.fleet.SlotGrant;
+import org.waxwingcourse.wire.fleet.SlotRefusal;
+import org.waxwingcourse.wire.fleet.SlotYield;
+
+/**
+ * Hands out the slots of all engines to the hosts that have chosen this one as coordinator. It
+ * keeps nothing that must last: what runs is told by each host when it attaches.
+ */
+public final class Coordinator {
+  private static final EventLog LOG = EventLog.of(Coordinator.class);
+  private static final int DEFAULT_SLOTS = 8;
+
+  private final Peers peers;
+  private final InstantSource clock;
+  private final OrganisationRates rates =
+      new OrganisationRates(OrganisationTable.of(List.of()));
+  private final Map<ServiceName, ServiceSlots> services = new ConcurrentHashMap<>();
+  private volatile Option<Plan> plan = Option.none();
+  private volatile double part;
+  private volatile Map<ServiceName, List<EngineEntry>> engines = Map.of();
+
+  /** Creates a coordinator that serves nobody yet. */
+  public Coordinator(Peers peers, InstantSource clock) {
+    this.peers = peers;
+    this.clock = clock;
+  }
+
+  /** Takes a configuration into force. */
+  public void plan(Plan next) {
+    plan = Option.some(next);
+    rates.resize(next.organisations(), part, clock.instant());
+  }
+
+  /** Takes the engines that the store names. */
+  public void engines(Collection<EngineEntry> entries) {
+    engines = entries.stream().collect(Collectors.groupingBy(EngineEntry::service));
+    Set<ServiceName> names = new HashSet<>(engines.keySet());
+    names.addAll(services.keySet());
+    for (ServiceName name : names) {
+      List<EngineEntry> own = engines.getOrDefault(name, List.of());
+      carryOut(slots(name).engines(own, defaultSlots(name), clock.instant()));
+    }
+  }
+
+  /** Sets the part of the fleet that is served from here, in [0, 1]. */
+  public void part(double newPart) {
+    if (newPart == part) {
+      return;
+    }
+    part = newPart;
+    plan.forEach(p -> rates.resize(p.organisations(), newPart, clock.instant()));
+    services.values().forEach(s -> s.share(newPart));
+  }
+
+  /** Begins with the bucket levels that the coordinator before told. */
+  public void inherit(Map<OrganisationId, Long> levels) {
+    rates.inherit(levels);
+    plan.forEach(p -> rates.resize(p.organisations(), part, clock.instant()));
+  }
+
+  /** Returns what each organisation's bucket holds, billionths of a token. */
+  public Map<OrganisationId, Long> levels() {
+    return rates.levels(clock.instant());
+  }
+
+  /** Returns the load of a service. */
+  public SlotLoad load(ServiceName service) {
+    return slots(service).load(clock.instant());
+  }
+
+  /** Returns the services with engines or requests. */
+  public Set<ServiceName> services() {
+    return Set.copyOf(services.keySet());
+  }
+
+  /** A host takes its slots elsewhere or is gone. */
+  public void hostGone(HostId host) {
+    services.values().forEach(s -> carryOut(s.hostGone(host, clock.instant())));
+  }
+
+  /** Looks after what waits; called every few milliseconds. */
+  public void tick() {
+    services.values().forEach(s -> carryOut(s.tick(clock.instant())));
+  }
+
+  void onAsk(HostId from, SlotAsk ask) {
+    Instant now = clock.instant();
+    SlotRequest request = request(from, ask, now);
+    Duration wait =
+        request.chargedTo().map(o -> rates.take(o, now)).getOrElse(Duration.ZERO);
+    if (!wait.isZero()) {
+      String reason = "organisation \"" + ask.getOrganisation() + "\" is over its rate";
+      refuse(new Decision.Refuse(request, true, now.plus(wait), reason));
+      return;
+    }
+    carryOut(slots(request.service()).offer(request, now));
+  }
+
+  void onEnd(HostId from, SlotEnd end) {
+    RunEnd runEnd =
+        new RunEnd(
+            RunEnd.How.valueOf(end.getHow().name()),
+            Duration.ofNanos(end.getFirstEventNanos()),
+            Duration.ofNanos(end.getGapNanos()));
+    RunId id = new RunId(from, end.getNumber());
+    services.values().forEach(s -> carryOut(s.end(id, runEnd, clock.instant())));
+  }
+
+  void onWithdraw(HostId from, long number) {
+    services.values().forEach(s -> s.withdraw(new RunId(from, number)));
+  }
+
+  void onSilence(HostId from, long number) {
+    services.values().forEach(s -> s.silent(new RunId(from, number), clock.instant()));
+  }
+
+  void onRunning(HostId from, RunningList list) {
+    hostGone(from);
+    list.getRunsList()
+        .forEach(
+            r ->
+                slots(ServiceName.of(r.getService()))
+                    .adopt(
+                        new RunId(from, r.getNumber()),
+                        UpstreamId.of(r.getEngine()),
+                        !r.getBatch(),
+                        clock.instant()));
+  }
+
+  private SlotRequest request(HostId from, SlotAsk ask, Instant now) {
+    return new SlotRequest(
+        new RunId(from, ask.getNumber()),
+        RequestId.of(ask.getRequest()),
+        ServiceName.of(ask.getService()),
+        ask.getBatch() ? WorkClass.BATCH : WorkClass.ONLINE,
+        ask.getRank(),
+        Option.when(ask.getCharge(), () -> OrganisationId.of(ask.getOrganisation())),
+        now,
+        Deadline.at(now.plusNanos(ask.getStartWithinNanos())),
+        Deadline.at(now.plusNanos(ask.getGiveUpWithinNanos())),
+        ask.getPromptPartsList(),
+        DataCentreId.of(ask.getDataCentre()),
+        ask.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()));
+  }
+
+  private ServiceSlots slots(ServiceName service) {
+    return services.computeIfAbsent(
+        service,
+        name -> {
+          ServiceSlots slots = new ServiceSlots();
+          slots.share(part);
+          slots.engines(
+              engines.getOrDefault(name, List.of()), defaultSlots(name), clock.instant());
+          return slots;
+        });
+  }
+
+  private int defaultSlots(ServiceName service) {
+    return plan.flatMap(p -> Option.of(p.services().get(service)))
+        .map(ServicePlan::slots)
+        .filter(s -> s > 0)
+        .getOrElse(DEFAULT_SLOTS);
+  }
+
+  private void carryOut(List<Decision> decisions) {
+    for (Decision decision : decisions) {
+      if (decision instanceof Decision.Grant grant) {
+        grant(grant);
+      } else if (decision instanceof Decision.Refuse refuse) {
+        refuse.request().chargedTo().forEach(o -> rates.giveBack(o, clock.instant()));
+        refuse(refuse);
+      } else if (decision instanceof Decision.Yield yield) {
+        SlotYield.Builder message = SlotYield.newBuilder().setNumber(yield.run().number());
+        send(yield.run().host(), FleetMessage.newBuilder().setYield(message));
+      }
+    }
+  }
+
+  private void grant(Decision.Grant grant) {
+    SlotRequest request = grant.request();
+    Duration waited = Duration.between(request.askedAt(), clock.instant());
+    SlotGrant.Builder message =
+        SlotGrant.newBuilder()
+            .setNumber(request.id().number())
+            .setEngine(grant.engine().value())
+            .setWaitedNanos(waited.toNanos());
+    send(request.id().host(), FleetMessage.newBuilder().setGrant(message));
+  }
+
+  private void refuse(Decision.Refuse refuse) {
+    SlotRequest request = refuse.request();
+    Duration retryAfter = Duration.between(clock.instant(), refuse.retryAt());
+    LOG.write(
+        Event.SLOT_REFUSED,
+        request.request(),
+        request.id().host(),
+        refuse.reason(),
+        retryAfter.toMillis(),
+        part,
+        load(request.service()));
+    SlotRefusal.Builder message =
+        SlotRefusal.newBuilder()
+            .setNumber(request.id().number())
+            .setOverRate(refuse.overRate())
+            .setRetryAfterNanos(Math.max(0, retryAfter.toNanos()))
+            .setReason(refuse.reason());
+    send(request.id().host(), FleetMessage.newBuilder().setRefusal(message));
+  }
+
+  private void send(HostId to, FleetMessage.Builder message) {
+    peers.send(to, Channel.FLEET, message.build().toByteArray());
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -0,0 +1,292 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.FleetHost;
+import org.waxwingcourse.fleet.view.Stamp;
+import org.waxwingcourse.fleet.view.StoreFollower;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.peer.Channel;
+import org.waxwingcourse.peer.Peers;
+import org.waxwingcourse.wire.fleet.BucketLevel;
+import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.Ping;
+import org.waxwingcourse.wire.fleet.Pong;
+
+/**
+ * Keeps a host attached to its coordinator. A host pings the first few candidates; their answers
+ * show who is alive, vouch for the configuration and carry the views that the host lacks, so that
+ * only the coordinator has to follow the store.
+ */
+public final class FleetLink {
+  private static final EventLog LOG = EventLog.of(FleetLink.class);
+
+  /** Candidates that are pinged all the time; two may be lost at once without a search. */
+  private static final int CANDIDATES = 3;
+
+  /** A host that has not answered for this long is taken for lost; three pings and a margin. */
+  private static final Duration ANSWER_LIMIT = Duration.ofMillis(700);
+
+  /** A host that has not pinged for this long has detached. */
+  private static final Duration ATTACH_LIMIT = Duration.ofMillis(1100);
+
+  /** A host reads the store itself if it has done so within this time; two reads and a margin. */
+  private static final Duration CONTACT_LIMIT = Duration.ofMillis(1600);
+
+  /** How long a coordinator may be out of contact before this host follows the store too. */
+  private static final Duration FOLLOW_AFTER = Duration.ofMillis(600);
+
+  private final FleetHost self;
+  private final Peers peers;
+  private final Views views;
+  private final Clocks clocks;
+  private final StoreFollower follower;
+  private final Coordinator coordinator;
+  private final SlotClient slots;
+  private final Map<HostId, Answers> answers = new HashMap<>();
+  private final Map<HostId, Attached> attached = new HashMap<>();
+  private final Map<OrganisationId, Long> levels = new HashMap<>();
+  private HostId target;
+  private Instant contactAt;
+  private Instant levelsAt = Instant.MIN;
+
+  /** Creates the link of {@code self}, which is not attached to anyone. */
+  public FleetLink(
+      FleetHost self,
+      Peers peers,
+      Views views,
+      Clocks clocks,
+      StoreFollower follower,
+      Coordinator coordinator,
+      SlotClient slots) {
+    this.self = self;
+    this.peers = peers;
+    this.views = views;
+    this.clocks = clocks;
+    this.follower = follower;
+    this.coordinator = coordinator;
+    this.slots = slots;
+    this.contactAt = clocks.instant();
+  }
+
+  /** What the last answer of a host said, and when it came. */
+  private record Answers(Instant at, boolean inContact) {}
+
+  /** When an attached host pinged last. */
+  private record Attached(Instant at, boolean takesCallers) {}
+
+  /** Chooses the coordinator, pings, and looks after the hosts attached here. */
+  public void tick() {
+    Instant now = clocks.instant();
+    List<HostId> order = order();
+    HostId next;
+    List<HostId> lost;
+    synchronized (this) {
+      next = CoordinatorChoice.choose(order, self.id(), h -> answers(h, now), h -> inContact(h));
+      lost = dropDetached(now);
+    }
+    lost.forEach(this::detached);
+    if (!next.equals(target)) {
+      changeTarget(next, now);
+    }
+    ping(order, now);
+    follow(next, now);
+    coordinator.part(part());
+  }
+
+  /** Tells whether slots can be had: a coordinator that reads the store has been chosen. */
+  public synchronized boolean isAttached() {
+    return target != null && inContact(target);
+  }
+
+  /** Tells whether this host hands out slots for itself or others. */
+  public synchronized boolean isCoordinating() {
+    return self.id().equals(target);
+  }
+
+  void onPing(HostId from, Ping ping) {
+    if (ping.getAttached()) {
+      synchronized (this) {
+        attached.put(from, new Attached(clocks.instant(), ping.getTakesCallers()));
+      }
+    }
+    Pong.Builder pong =
+        Pong.newBuilder()
+            .setSentNanos(ping.getSentNanos())
+            .setSentMillis(ping.getSentMillis())
+            .setBoot(self.boot())
+            .setInContact(views.evidence().ownIsWithin(CONTACT_LIMIT))
+            .setConfigurationRevision(views.planRevision().value());
+    views
+        .evidence()
+        .age()
+        .forEach(a -> pong.setHasEvidence(true).setEvidenceAgeNanos(a.toNanos()));
+    views
+        .document()
+        .filter(d -> d.revision().value() > ping.getConfiguration())
+        .forEach(d -> pong.setConfiguration(ByteString.copyFrom(d.bytes())));
+    if (views.engines().revision().value() > ping.getEngines()) {
+      pong.setEngines(FleetMessages.table(views.engines()));
+    }
+    if (views.hosts().revision().value() > ping.getHosts()) {
+      pong.setHosts(FleetMessages.table(views.hosts()));
+    }
+    if (ping.getAttached()) {
+      coordinator
+          .levels()
+          .forEach(
+              (id, amount) ->
+                  pong.addBuckets(
+                      BucketLevel.newBuilder().setOrganisation(id.value()).setAmount(amount)));
+    }
+    send(from, FleetMessage.newBuilder().setPong(pong));
+  }
+
+  void onPong(HostId from, Pong pong) {
+    Instant now = clocks.instant();
+    synchronized (this) {
+      answers.put(from, new Answers(now, pong.getInContact()));
+      if (from.equals(target) && pong.getBucketsCount() > 0) {
+        levels.clear();
+        pong.getBucketsList()
+            .forEach(b -> levels.put(OrganisationId.of(b.getOrganisation()), b.getAmount()));
+        levelsAt = now;
+      }
+    }
+    Revision revision = Revision.of(pong.getConfigurationRevision());
+    if (!pong.getConfiguration().isEmpty()) {
+      views.offer(new Views.Document(revision, pong.getConfiguration().toByteArray()));
+    }
+    if (pong.hasEngines()) {
+      FleetMessages.apply(pong.getEngines(), views.engines());
+    }
+    if (pong.hasHosts()) {
+      FleetMessages.apply(pong.getHosts(), views.hosts());
+    }
+    if (pong.getHasEvidence() && !revision.isAfter(views.planRevision())) {
+      Stamp sent = FleetMessages.stamp(pong.getSentNanos(), pong.getSentMillis());
+      views
+          .evidence()
+          .confirmVouched(sent.minus(Duration.ofNanos(pong.getEvidenceAgeNanos())));
+    }
+  }
+
+  private List<HostId> order() {
+    List<HostId> order =
+        new ArrayList<>(
+            views.fleet().ordered().stream()
+                .filter(h -> !h.leaving())
+                .map(FleetHost::id)
+                .toList());
+    if (!order.contains(self.id())) {
+      order.add(self.id());
+    }
+    return order;
+  }
+
+  private boolean answers(HostId host, Instant now) {
+    Answers last = answers.get(host);
+    return last != null && now.isBefore(last.at.plus(ANSWER_LIMIT));
+  }
+
+  private boolean inContact(HostId host) {
+    if (host.equals(self.id())) {
+      return views.evidence().ownIsWithin(CONTACT_LIMIT);
+    }
+    Answers last = answers.get(host);
+    return last != null && last.inContact;
+  }
+
+  private void changeTarget(HostId next, Instant now) {
+    HostId before;
+    synchronized (this) {
+      before = target;
+      target = next;
+      contactAt = now;
+      if (next.equals(self.id()) && now.isBefore(levelsAt.plus(ATTACH_LIMIT))) {
+        coordinator.inherit(levels);
+      }
+    }
+    LOG.write(Event.COORDINATOR_CHOSEN, next, before, views.hosts().revision().value());
+    slots.attach(next);
+  }
+
+  private void ping(List<HostId> order, Instant now) {
+    Set<HostId> whom = new HashSet<>(order.subList(0, Math.min(CANDIDATES, order.size())));
+    whom.add(target);
+    boolean none = whom.stream().noneMatch(h -> answers(h, now));
+    if (none) {
+      whom.addAll(order);
+    }
+    whom.remove(self.id());
+    Stamp sent = clocks.now();
+    for (HostId host : whom) {
+      Ping.Builder ping =
+          Ping.newBuilder()
+              .setSentNanos(FleetMessages.nanos(sent.steady()))
+              .setSentMillis(sent.wall().toEpochMilli())
+              .setBoot(self.boot())
+              .setAttached(host.equals(target))
+              .setConfiguration(views.planRevision().value())
+              .setEngines(views.engines().revision().value())
+              .setHosts(views.hosts().revision().value())
+              .setTakesCallers(self.takesCallers());
+      send(host, FleetMessage.newBuilder().setPing(ping));
+    }
+  }
+
+  private void follow(HostId chosen, Instant now) {
+    boolean serves;
+    boolean starved;
+    synchronized (this) {
+      if (inContact(chosen) && !chosen.equals(self.id())) {
+        contactAt = now;
+      }
+      serves = chosen.equals(self.id()) || !attached.isEmpty();
+      starved = now.isAfter(contactAt.plus(FOLLOW_AFTER));
+    }
+    follower.follow(serves || starved);
+  }
+
+  private List<HostId> dropDetached(Instant now) {
+    List<HostId> lost =
+        attached.entrySet().stream()
+            .filter(e -> now.isAfter(e.getValue().at.plus(ATTACH_LIMIT)))
+            .map(Map.Entry::getKey)
+            .toList();
+    lost.forEach(attached::remove);
+    return lost;
+  }
+
+  private void detached(HostId host) {
+    LOG.write(Event.HOST_DETACHED, host, ATTACH_LIMIT.toMillis());
+    coordinator.hostGone(host);
+  }
+
+  /** Returns the part of the hosts that take callers which is attached here. */
+  private synchronized double part() {
+    int all = views.fleet().callerHosts().size();
+    long here = attached.values().stream().filter(Attached::takesCallers).count();
+    if (self.id().equals(target) && self.takesCallers()) {
+      here++;
+    }
+    return all == 0 ? 1 : Math.min(1, (double) here / all);
+  }
+
+  private void send(HostId to, FleetMessage.Builder message) {
+    peers.send(to, Channel.FLEET, message.build().toByteArray());
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessages.java
@@ -0,0 +1,76 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Option;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.fleet.view.EntryTable;
+import org.waxwingcourse.fleet.view.Stamp;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.Table;
+import org.waxwingcourse.wire.fleet.TableEntry;
+
+/** Turns parts of fleet messages into the values that the code works on, and back. */
+final class FleetMessages {
+  private static final EventLog LOG = EventLog.of(FleetMessages.class);
+  private static final long NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  private FleetMessages() {}
+
+  static Option<FleetMessage> read(HostId from, byte[] payload) {
+    try {
+      return Option.some(FleetMessage.parseFrom(payload));
+    } catch (InvalidProtocolBufferException e) {
+      LOG.write(Event.FLEET_MESSAGE_UNREADABLE, from, e.getMessage());
+      return Option.none();
+    }
+  }
+
+  static long nanos(Instant instant) {
+    return instant.getEpochSecond() * NANOS_PER_SECOND + instant.getNano();
+  }
+
+  static Stamp stamp(long steadyNanos, long wallMillis) {
+    return new Stamp(Instant.ofEpochSecond(0, steadyNanos), Instant.ofEpochMilli(wallMillis));
+  }
+
+  static Table table(EntryTable table) {
+    Table.Builder builder = Table.newBuilder().setRevision(table.revision().value());
+    for (Entry e : table.entries()) {
+      builder.addEntries(
+          TableEntry.newBuilder()
+              .setKey(e.key())
+              .setValue(ByteString.copyFrom(e.value()))
+              .setCreated(e.created().value())
+              .setModified(e.modified().value()));
+    }
+    return builder.build();
+  }
+
+  static void apply(Table copy, EntryTable table) {
+    Revision revision = Revision.of(copy.getRevision());
+    if (!revision.isAfter(table.revision())) {
+      return;
+    }
+    List<Entry> entries =
+        copy.getEntriesList().stream()
+            .map(
+                e ->
+                    new Entry(
+                        e.getKey(),
+                        e.getValue().toByteArray(),
+                        Revision.of(e.getCreated()),
+                        Revision.of(e.getModified()),
+                        LeaseId.NONE))
+            .toList();
+    table.copy(revision, entries);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -0,0 +1,165 @@
+package org.waxwingcourse.fleet.job;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.engine.EngineCalls;
+import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.KeyNames;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
+import org.waxwingcourse.wire.fleet.ItemHeader;
+import org.waxwingcourse.wire.fleet.JobItem;
+import org.waxwingcourse.wire.fleet.JobRecord;
+import org.waxwingcourse.wire.fleet.JobResult;
+
+/** The jobs that this host runs. */
+final class JobRunner {
+  private static final EventLog LOG = EventLog.of(JobRunner.class);
+
+  private final Ports ports;
+  private final Map<JobId, RunningJob> running = new ConcurrentHashMap<>();
+  private final Set<JobId> taking = ConcurrentHashMap.newKeySet();
+  private volatile boolean stopped;
+
+  /**
+   * What running jobs works with.
+   *
+   * @param self this process
+   * @param store the entries of jobs
+   * @param clock the steady clock
+   * @param wall the wall clock, by which jobs are due
+   * @param timer runs what is due; it does not block
+   * @param random for the choice between a route's services
+   * @param views what the host knows
+   * @param engines the engines
+   * @param calls sends to engines
+   * @param slots asks for slots
+   * @param promptParts reads the ids of shared prompt parts from an item's headers
+   */
+  record Ports(
+      RunnerName self,
+      JobStore store,
+      InstantSource clock,
+      InstantSource wall,
+      ScheduledExecutorService timer,
+      RandomGenerator random,
+      Views views,
+      EngineDirectory engines,
+      EngineCalls calls,
+      SlotClient slots,
+      Function<List<ItemHeader>, List<Long>> promptParts) {}
+
+  JobRunner(Ports ports) {
+    this.ports = ports;
+  }
+
+  Option<RunningJob> get(JobId job) {
+    return Option.of(running.get(job));
+  }
+
+  int size() {
+    return running.size();
+  }
+
+  /** Runs a job that has just been accepted here. */
+  void start(JobId id, JobStore.Stored stored, List<JobItem> items) {
+    start(id, stored, items, List.of());
+  }
+
+  private void start(
+      JobId id, JobStore.Stored stored, List<JobItem> items, List<JobResult> results) {
+    if (stopped) {
+      return;
+    }
+    RunningJob job =
+        new RunningJob(id, stored, items, results, ports, () -> running.remove(id));
+    if (running.putIfAbsent(id, job) == null) {
+      job.begin();
+    }
+  }
+
+  /** Takes over a job whose runner is gone, unless it is finished, ended or run here already. */
+  void take(JobId id) {
+    if (stopped || running.containsKey(id) || !taking.add(id)) {
+      return;
+    }
+    ports.store().record(id).thenAccept(answer -> onRecord(id, answer));
+  }
+
+  private void onRecord(JobId id, Either<StoreFailure, Option<JobStore.Stored>> answer) {
+    if (answer.isLeft() || answer.get().isEmpty()) {
+      taking.remove(id);
+      return;
+    }
+    JobStore.Stored found = answer.get().get();
+    JobRecord record = found.record();
+    if (record.getClosed() || record.getListedCount() == record.getItemTokensCount()) {
+      taking.remove(id);
+      ports.store().write(Transaction.builder().delete(KeyNames.runner(id)).build());
+      return;
+    }
+    JobRecord own =
+        record.toBuilder()
+            .setRunner(ports.self().host().value())
+            .setRunnerBoot(ports.self().boot())
+            .build();
+    Transaction claim =
+        Transaction.builder()
+            .unchanged(KeyNames.job(id), found.revision())
+            .put(KeyNames.job(id), own.toByteArray())
+            .put(KeyNames.runner(id), ports.self().encode())
+            .build();
+    ports.store().write(claim).thenAccept(outcome -> onClaimed(id, own, outcome));
+  }
+
+  private void onClaimed(JobId id, JobRecord own, WriteOutcome outcome) {
+    if (!(outcome instanceof WriteOutcome.Done done)) {
+      taking.remove(id);
+      return;
+    }
+    LOG.write(Event.JOB_TAKEN, id, own.getListedCount(), own.getItemTokensCount());
+    JobStore.Stored stored = new JobStore.Stored(own, done.revision());
+    ports
+        .store()
+        .items(id)
+        .thenCombine(
+            ports.store().results(id),
+            (items, results) -> {
+              taking.remove(id);
+              if (items.isRight() && results.isRight()) {
+                start(id, stored, items.get(), results.get());
+              } else {
+                LOG.write(Event.JOB_UNREADABLE, id);
+                ports
+                    .timer()
+                    .schedule(() -> take(id), 1, java.util.concurrent.TimeUnit.SECONDS);
+              }
+              return null;
+            });
+  }
+
+  /** The job was ended in the store. */
+  void closed(JobId id) {
+    get(id).forEach(job -> job.stop("the job was ended"));
+  }
+
+  /** Stops all jobs; their records name this host until another takes them. */
+  void stop() {
+    stopped = true;
+    running.values().forEach(job -> job.stop("this host stops"));
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
@@ -0,0 +1,122 @@
+package org.waxwingcourse.fleet.job;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.Parser;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.waxwingcourse.fleet.view.KeyNames;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreFailure;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.store.WriteOutcome;
+import org.waxwingcourse.wire.fleet.JobItem;
+import org.waxwingcourse.wire.fleet.JobItems;
+import org.waxwingcourse.wire.fleet.JobRecord;
+import org.waxwingcourse.wire.fleet.JobResult;
+import org.waxwingcourse.wire.fleet.JobResults;
+
+/** Reads and writes the entries of jobs. */
+final class JobStore {
+  private final Store store;
+
+  JobStore(Store store) {
+    this.store = store;
+  }
+
+  /**
+   * A job's record with the revision that wrote it.
+   *
+   * @param record the record
+   * @param revision for the next compare-and-swap
+   */
+  record Stored(JobRecord record, Revision revision) {}
+
+  /** Reads a job's record; none if there is no such job. */
+  CompletableFuture<Either<StoreFailure, Option<Stored>>> record(JobId job) {
+    return store
+        .read(KeyRange.ofKey(KeyNames.job(job)))
+        .thenApply(answer -> answer.flatMap(s -> first(s)));
+  }
+
+  /** Reads all items of a job, in order. */
+  CompletableFuture<Either<StoreFailure, List<JobItem>>> items(JobId job) {
+    return parts(KeyNames.items(job, 0), JobItems.parser())
+        .thenApply(
+            answer ->
+                answer.map(
+                    parts -> parts.stream().flatMap(p -> p.getItemsList().stream()).toList()));
+  }
+
+  /** Reads all results of a job, by position. */
+  CompletableFuture<Either<StoreFailure, List<JobResult>>> results(JobId job) {
+    return parts(KeyNames.results(job, 0), JobResults.parser())
+        .thenApply(
+            answer ->
+                answer.map(
+                    parts -> parts.stream().flatMap(p -> p.getResultsList().stream()).toList()));
+  }
+
+  CompletableFuture<WriteOutcome> write(Transaction transaction) {
+    return store.write(transaction);
+  }
+
+  CompletableFuture<Either<StoreFailure, Snapshot>> read(KeyRange range) {
+    return store.read(range);
+  }
+
+  static Either<StoreFailure, Stored> parse(Entry entry) {
+    return message(entry, JobRecord.parser()).map(r -> new Stored(r, entry.modified()));
+  }
+
+  static <M extends Message> Either<StoreFailure, M> message(Entry entry, Parser<M> parser) {
+    try {
+      return Either.right(parser.parseFrom(entry.value()));
+    } catch (InvalidProtocolBufferException e) {
+      String message = "entry \"" + entry.key() + "\" cannot be read: " + e.getMessage();
+      return Either.left(new StoreFailure(StoreFailure.Kind.MALFORMED, message));
+    }
+  }
+
+  private static Either<StoreFailure, Option<Stored>> first(Snapshot snapshot) {
+    return snapshot.first().isEmpty()
+        ? Either.right(Option.none())
+        : parse(snapshot.first().get()).map(Option::some);
+  }
+
+  private <M extends Message> CompletableFuture<Either<StoreFailure, List<M>>> parts(
+      String firstKey, Parser<M> parser) {
+    String prefix = firstKey.substring(0, firstKey.lastIndexOf('/') + 1);
+    return store
+        .read(KeyRange.ofPrefix(prefix))
+        .thenApply(answer -> answer.flatMap(s -> inOrder(s, prefix, parser)));
+  }
+
+  private static <M extends Message> Either<StoreFailure, List<M>> inOrder(
+      Snapshot snapshot, String prefix, Parser<M> parser) {
+    List<M> parts = new ArrayList<>();
+    List<Entry> ordered =
+        snapshot.entries().stream()
+            .sorted(
+                Comparator.comparingInt(
+                    (Entry e) -> Integer.parseInt(e.key().substring(prefix.length()))))
+            .toList();
+    for (Entry entry : ordered) {
+      Either<StoreFailure, M> part = message(entry, parser);
+      if (part.isLeft()) {
+        return Either.left(part.getLeft());
+      }
+      parts.add(part.get());
+    }
+    return Either.right(parts);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunnerName.java
@@ -0,0 +1,32 @@
+package org.waxwingcourse.fleet.job;
+
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import org.waxwingcourse.model.id.HostId;
+
+/**
+ * The process that runs a job.
+ *
+ * @param host its host
+ * @param boot number of the process
+ */
+public record RunnerName(HostId host, long boot) {
+  private static final char SEPARATOR = '@';
+
+  byte[] encode() {
+    return (host.value() + SEPARATOR + boot).getBytes(StandardCharsets.UTF_8);
+  }
+
+  static Option<RunnerName> decode(String text) {
+    int at = text.lastIndexOf(SEPARATOR);
+    try {
+      return at <= 0
+          ? Option.none()
+          : Option.some(
+              new RunnerName(
+                  HostId.of(text.substring(0, at)), Long.parseLong(text.substring(at + 1))));
+    } catch (NumberFormatException e) {
+      return Option.none();
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
@@ -0,0 +1,47 @@
+package org.waxwingcourse.fleet.online;
+
+import io.vavr.control.Option;
+import java.time.Instant;
+import java.util.List;
+import org.waxwingcourse.http.Header;
+import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.time.Deadline;
+
+/**
+ * One request of a caller, whole.
+ *
+ * @param id the caller's id of this attempt
+ * @param host host name that the caller asked for
+ * @param method HTTP method
+ * @param target path and query, byte for byte
+ * @param headers end-to-end headers without the key
+ * @param body the whole body
+ * @param key the caller's key
+ * @param promptParts ids of the shared parts of its prompt, in order
+ * @param resumeAfter the last event that the caller already has
+ * @param arrivedAt when it had been read
+ * @param deadline when the caller stops waiting, none if it does not say
+ */
+public record OnlineRequest(
+    RequestId id,
+    String host,
+    String method,
+    String target,
+    List<Header> headers,
+    byte[] body,
+    Option<String> key,
+    List<Long> promptParts,
+    Option<Long> resumeAfter,
+    Instant arrivedAt,
+    Option<Deadline> deadline) {
+  /** Copies the lists. */
+  public OnlineRequest {
+    headers = List.copyOf(headers);
+    promptParts = List.copyOf(promptParts);
+  }
+
+  @Override
+  public String toString() {
+    return "OnlineRequest[" + id + ", " + method + " " + target + "]";
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
@@ -0,0 +1,83 @@
+package org.waxwingcourse.fleet.online;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.engine.EngineCalls;
+import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.request.Call;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.request.Refusal;
+
+/** Serves requests whose callers wait: lets them in, gets a slot, and runs them on an engine. */
+public final class OnlineService {
+  private static final EventLog LOG = EventLog.of(OnlineService.class);
+
+  private final Ports ports;
+  private final AtomicInteger underway = new AtomicInteger();
+
+  /**
+   * What the service works with.
+   *
+   * @param clock the steady clock
+   * @param timer runs checks that are due; they do not block
+   * @param random for the choice between a route's services
+   * @param gate lets requests in
+   * @param views what the host knows
+   * @param engines the engines
+   * @param calls sends to engines
+   * @param slots asks for slots
+   * @param metrics counts outcomes and times
+   */
+  public record Ports(
+      InstantSource clock,
+      ScheduledExecutorService timer,
+      RandomGenerator random,
+      Gate gate,
+      Views views,
+      EngineDirectory engines,
+      EngineCalls calls,
+      SlotClient slots,
+      MetricRegistry metrics) {}
+
+  /** Creates the service. */
+  public OnlineService(Ports ports) {
+    this.ports = ports;
+  }
+
+  /** Serves a request; cancelling the result tells that the caller is gone. */
+  public Call serve(OnlineRequest request, AnswerSink sink) {
+    Either<Refusal, Gate.Admitted> admitted =
+        ports.gate().admit(request.host(), request.target(), request.key());
+    if (admitted.isLeft()) {
+      Refusal refusal = admitted.getLeft();
+      LOG.write(
+          Event.REQUEST_DENIED,
+          request.id(),
+          refusal.code(),
+          refusal.message(),
+          ports.views().planRevision().value(),
+          ports.views().evidence().age().map(a -> a.toMillis() + " ms").getOrElse("none"));
+      ports.metrics().counter("requests.denied." + refusal.code().wireName()).inc();
+      sink.onEnd(new Outcome.Refused(refusal));
+      return () -> {};
+    }
+    underway.incrementAndGet();
+    OnlineRun run =
+        new OnlineRun(request, admitted.get(), ports, sink, underway::decrementAndGet);
+    run.begin();
+    return run;
+  }
+
+  /** Returns the requests that have not ended. */
+  public int underway() {
+    return underway.get();
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/package-info.java
@@ -0,0 +1,2 @@
+/** Serves requests whose callers wait. */
+package org.waxwingcourse.fleet.online;
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/OrganisationTable.java
@@ -0,0 +1,46 @@
+package org.waxwingcourse.fleet.plan;
+
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.waxwingcourse.model.id.OrganisationId;
+
+/** The organisations, found by key or by id. */
+public final class OrganisationTable {
+  private final Map<String, OrganisationPlan> byKey = new HashMap<>();
+  private final Map<OrganisationId, OrganisationPlan> byId = new HashMap<>();
+
+  private OrganisationTable(List<OrganisationPlan> organisations) {
+    for (OrganisationPlan organisation : organisations) {
+      byId.put(organisation.id(), organisation);
+      organisation.keys().forEach(key -> byKey.put(key, organisation));
+    }
+  }
+
+  /** Returns a table of the given organisations. */
+  public static OrganisationTable of(List<OrganisationPlan> organisations) {
+    return new OrganisationTable(organisations);
+  }
+
+  /** Tells whether no organisation is declared, so that no route asks for a key. */
+  public boolean isEmpty() {
+    return byId.isEmpty();
+  }
+
+  /** Returns the organisation that holds a key. */
+  public Option<OrganisationPlan> byKey(String key) {
+    return Option.of(byKey.get(key));
+  }
+
+  /** Returns the organisation with that id. */
+  public Option<OrganisationPlan> byId(OrganisationId id) {
+    return Option.of(byId.get(id));
+  }
+
+  /** Returns all organisations. */
+  public Collection<OrganisationPlan> all() {
+    return byId.values();
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/package-info.java
@@ -0,0 +1,2 @@
+/** What operators have declared: routes, services, limits and organisations, as values. */
+package org.waxwingcourse.fleet.plan;
--- a/node/src/main/java/org/waxwingcourse/node/web/BodyDeadline.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/BodyDeadline.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.node.web;
+package org.waxwingcourse.http.server;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -12,23 +12,32 @@
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import ratpack.handling.Context;
 
 /**
  * Ends a request whose body has not arrived by a deadline. The answer is written to the connection
  * itself, since Ratpack gives no way to answer while it still reads the body.
  */
-final class BodyDeadline {
+public final class BodyDeadline {
   private static final int REQUEST_TIMEOUT = 408;
 
   private final Duration patience;
+  private final Function<String, String> errorBody;
 
-  BodyDeadline(Duration patience) {
+  /**
+   * Creates a deadline that ends after {@code patience}.
+   *
+   * @param patience time in which a body must arrive
+   * @param errorBody the front's JSON for an error message
+   */
+  public BodyDeadline(Duration patience, Function<String, String> errorBody) {
     this.patience = patience;
+    this.errorBody = errorBody;
   }
 
   /** Starts the deadline; the caller cancels the result once the body has arrived. */
-  Future<?> start(Context context) {
+  public Future<?> start(Context context) {
     Channel channel = context.getDirectChannelAccess().getChannel();
     return channel
         .eventLoop()
@@ -37,9 +46,7 @@
 
   private void end(Channel channel) {
     String message = "the body did not arrive within " + patience.toMillis() + " ms";
-    ApiError error =
-        new ApiError(REQUEST_TIMEOUT, "body_too_slow", message, ApiError.Run.NOT_RUN, null);
-    byte[] body = error.json().getBytes(StandardCharsets.UTF_8);
+    byte[] body = errorBody.apply(message).getBytes(StandardCharsets.UTF_8);
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_TIMEOUT, Unpooled.wrappedBuffer(body));
--- /dev/null
+++ b/http/src/main/java/org/waxwingcourse/http/server/HeaderSize.java
@@ -0,0 +1,19 @@
+package org.waxwingcourse.http.server;
+
+import ratpack.http.Headers;
+
+/** Measures request headers. */
+public final class HeaderSize {
+  private HeaderSize() {}
+
+  /** Returns the bytes of all names and values. */
+  public static int of(Headers headers) {
+    int bytes = 0;
+    for (String name : headers.getNames()) {
+      for (String value : headers.getAll(name)) {
+        bytes += name.length() + value.length();
+      }
+    }
+    return bytes;
+  }
+}
--- a/node/src/main/java/org/waxwingcourse/node/web/HttpServer.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
@@ -1,27 +1,17 @@
-package org.waxwingcourse.node.web;
+package org.waxwingcourse.http.server;
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
-import org.waxwingcourse.model.event.Event;
-import org.waxwingcourse.model.event.EventLog;
-import org.waxwingcourse.model.request.Refusal;
-import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.service.Service;
 import ratpack.error.ClientErrorHandler;
 import ratpack.error.ServerErrorHandler;
 import ratpack.handling.Chain;
-import ratpack.handling.Context;
-import ratpack.http.ConnectionClosedException;
 import ratpack.server.RatpackServer;
 import ratpack.server.ServerConfigBuilder;
 
-/** A Ratpack server whose errors have the form of the OpenAI API. */
+/** A Ratpack server of routes, with the error answers of its front. */
 public final class HttpServer implements Service {
-  private static final EventLog LOG = EventLog.of(HttpServer.class);
-  private static final int NOT_FOUND = 404;
-
   /** Ratpack cuts a connection at this many times the limit; up to there a handler refuses. */
   private static final int HEADER_ROOM = 4;
 
@@ -38,16 +28,19 @@
 
   private final Options options;
   private final List<Routes> routes;
+  private final ErrorAnswers errors;
   private RatpackServer server;
 
-  private HttpServer(Options options, List<Routes> routes) {
+  private HttpServer(Options options, List<Routes> routes, ErrorAnswers errors) {
     this.options = options;
     this.routes = List.copyOf(routes);
+    this.errors = errors;
   }
 
   /** Returns a server of the given routes. */
-  public static HttpServer of(Options options, List<Routes> routes) {
-    return new HttpServer(options, routes);
+  public static HttpServer of(
+      Options options, List<Routes> routes, ErrorAnswers errors) {
+    return new HttpServer(options, routes, errors);
   }
 
   @Override
@@ -60,8 +53,8 @@
                       .registryOf(
                           registry ->
                               registry
-                                  .add(ServerErrorHandler.class, HttpServer::serverError)
-                                  .add(ClientErrorHandler.class, HttpServer::clientError))
+                                  .add(ServerErrorHandler.class, errors::failed)
+                                  .add(ClientErrorHandler.class, errors::refused))
                       .handlers(this::addRoutes));
     } catch (Exception e) {
       throw new IllegalStateException("no server can listen on " + options.address(), e);
@@ -100,23 +93,4 @@
       part.addTo(chain);
     }
   }
-
-  private static void serverError(Context context, Throwable error) {
-    if (error instanceof ConnectionClosedException) {
-      return;
-    }
-    LOG.write(Event.REQUEST_FAILED, context.getRequest().getPath(), error.toString());
-    new ApiError(500, "internal_error", "the host failed", ApiError.Run.UNKNOWN, null)
-        .send(context, Instant.EPOCH);
-  }
-
-  private static void clientError(Context context, int status) {
-    String path = "/" + context.getRequest().getPath();
-    String message =
-        status == NOT_FOUND ? "path \"" + path + "\" does not exist" : "status " + status;
-    RefusalCode code = status == NOT_FOUND ? RefusalCode.NOT_FOUND : RefusalCode.INVALID_REQUEST;
-    ApiError error = ApiError.of(new Refusal(code, message, Instant.EPOCH));
-    new ApiError(status, error.code(), message, ApiError.Run.NOT_RUN, null)
-        .send(context, Instant.EPOCH);
-  }
 }
--- /dev/null
+++ b/http/src/main/java/org/waxwingcourse/http/server/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server that all fronts share. */
+package org.waxwingcourse.http.server;
--- a/node/src/main/java/org/waxwingcourse/node/Node.java
+++ b/node/src/main/java/org/waxwingcourse/node/Node.java
@@ -28,13 +28,14 @@
 import org.waxwingcourse.node.member.HostRoutes;
 import org.waxwingcourse.node.metrics.ServiceLevels;
 import org.waxwingcourse.node.trace.AdmissionTrace;
+import org.waxwingcourse.node.web.ApiErrors;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.CallerRoutes;
 import org.waxwingcourse.node.web.Gate;
-import org.waxwingcourse.node.web.HttpServer;
+import org.waxwingcourse.http.server.HttpServer;
 import org.waxwingcourse.node.web.LimitRoutes;
 import org.waxwingcourse.node.web.OperatorRoutes;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.store.etcd.EtcdOptions;
 import org.waxwingcourse.store.etcd.EtcdStore;
 import org.waxwingcourse.store.hosts.HostList;
@@ -102,10 +103,10 @@
     ChunkCache cache = BatchParts.cache(settings.dataFolder());
     List<Routes> routes = routes(ports, limits);
     routes.addAll(BatchParts.routes(ports, store, cache, random));
-    callers = services.add(HttpServer.of(callerOptions(), routes));
+    callers = services.add(HttpServer.of(callerOptions(), routes, new ApiErrors()));
     batch = services.add(BatchParts.runner(ports, store, settings.host(), cache, random));
     OperatorRoutes status = new OperatorRoutes(metrics, agreement::statusJson, this::isReady);
-    operators = services.add(HttpServer.of(operatorOptions(), List.of(status)));
+    operators = services.add(HttpServer.of(operatorOptions(), List.of(status), new ApiErrors()));
   }
 
   /** Returns a node with the given settings. */
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -18,7 +18,7 @@
 import org.waxwingcourse.node.metrics.Objective;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.Gate;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.store.Store;
 
 /** Joins batch work to the node's ports. */
--- a/node/src/main/java/org/waxwingcourse/node/batch/FileRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/FileRoutes.java
@@ -17,7 +17,7 @@
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Outcome;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.store.StoreFailure;
 import ratpack.exec.Blocking;
 import ratpack.handling.Chain;
--- a/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
@@ -22,7 +22,7 @@
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.node.web.CallerPorts;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 
--- a/node/src/main/java/org/waxwingcourse/node/batch/UploadRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/UploadRoutes.java
@@ -17,7 +17,7 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import ratpack.exec.Blocking;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
--- a/node/src/main/java/org/waxwingcourse/node/member/DrainRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/DrainRoutes.java
@@ -6,7 +6,7 @@
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.node.web.ApiError;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 
--- a/node/src/main/java/org/waxwingcourse/node/member/HostRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/HostRoutes.java
@@ -13,7 +13,7 @@
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.node.web.Gate;
-import org.waxwingcourse.node.web.Routes;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.policy.hosts.HostAnswer;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
--- a/node/src/main/java/org/waxwingcourse/node/web/CallerRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/CallerRoutes.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.Routes;
 import java.util.List;
 
 /** All routes that serve the online path. */
--- a/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.Routes;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/node/src/main/java/org/waxwingcourse/node/web/Gate.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/Gate.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import org.waxwingcourse.http.server.BodyDeadline;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.fleet.Organisation;
 import org.waxwingcourse.model.id.KeyHash;
@@ -31,12 +32,14 @@
   public record Caller(KeyHash key, Organisation organisation) {}
 
   private final CallerPorts ports;
+  private static final int REQUEST_TIMEOUT = 408;
+
   private final BodyDeadline bodyDeadline;
 
   /** Returns the checks over the node's ports. */
   public Gate(CallerPorts ports) {
     this.ports = ports;
-    this.bodyDeadline = new BodyDeadline(ports.bodyPatience());
+    this.bodyDeadline = new BodyDeadline(ports.bodyPatience(), Gate::bodyTooSlow);
   }
 
   /** Returns the node's present instant. */
@@ -127,4 +130,9 @@
   public void refuse(Context context, Refusal refusal) {
     ApiError.of(refusal).send(context, now());
   }
+
+  private static String bodyTooSlow(String message) {
+    return new ApiError(REQUEST_TIMEOUT, "body_too_slow", message, ApiError.Run.NOT_RUN, null)
+        .json();
+  }
 }
--- a/node/src/main/java/org/waxwingcourse/node/web/LimitRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/LimitRoutes.java
@@ -1,5 +1,7 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.HeaderSize;
+import org.waxwingcourse.http.server.Routes;
 import io.netty.channel.Channel;
 import io.netty.util.AttributeKey;
 import java.time.InstantSource;
@@ -8,7 +10,6 @@
 import org.waxwingcourse.model.request.RefusalCode;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
-import ratpack.http.Headers;
 
 /**
  * Bounds headers, caller connections and requests in progress; stands before all other routes. A
@@ -48,7 +49,7 @@
     countConnection(context.getDirectChannelAccess().getChannel());
     requests.incrementAndGet();
     context.onClose(outcome -> requests.decrementAndGet());
-    if (headerBytes(context.getRequest().getHeaders()) > maxHeaderBytes) {
+    if (HeaderSize.of(context.getRequest().getHeaders()) > maxHeaderBytes) {
       headerTooLarge().send(context, clock.instant());
     } else if (connections.get() > maxConnections) {
       context.getResponse().getHeaders().set("Connection", "close");
@@ -67,16 +68,6 @@
     }
   }
 
-  private static int headerBytes(Headers headers) {
-    int bytes = 0;
-    for (String name : headers.getNames()) {
-      for (String value : headers.getAll(name)) {
-        bytes += name.length() + value.length();
-      }
-    }
-    return bytes;
-  }
-
   private ApiError headerTooLarge() {
     String message = "the header exceeds " + maxHeaderBytes + " bytes";
     return new ApiError(HEADER_TOO_LARGE, "header_too_large", message, ApiError.Run.NOT_RUN, null);
--- a/node/src/main/java/org/waxwingcourse/node/web/OperatorRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/OperatorRoutes.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.Routes;
 import com.codahale.metrics.MetricRegistry;
 import java.util.function.Supplier;
 import org.waxwingcourse.node.metrics.MetricsJson;
--- a/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.Routes;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Instant;
--- a/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.HttpServer;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -1,5 +1,7 @@
 package org.waxwingcourse.node.web;
 
+import org.waxwingcourse.http.server.Routes;
+import org.waxwingcourse.http.server.HttpServer;
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -69,7 +71,7 @@
     HttpServer.Options options =
         new HttpServer.Options(
             new InetSocketAddress("127.0.0.1", 0), 2, 8192, Duration.ofSeconds(60));
-    HttpServer server = HttpServer.of(options, routes);
+    HttpServer server = HttpServer.of(options, routes, new ApiErrors());
     server.start();
     return server;
   }
--- a/peer/src/main/java/org/waxwingcourse/peer/Channel.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/Channel.java
@@ -11,7 +11,9 @@
   /** Requests forwarded to the owner of an engine. */
   DISPATCH(4),
   /** Batch progress and cancellation. */
-  BATCH(5);
+  BATCH(5),
+  /** Coordination of hosts that share a store. */
+  FLEET(6);
 
   private final int number;
 
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/Share.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/Share.java
@@ -9,7 +9,7 @@
  * @param capacity part of the burst, in billionths of a token
  * @param perSecond part of the rate, tokens per second
  */
-record Share(long capacity, double perSecond) {
+public record Share(long capacity, double perSecond) {
   /** Nothing. */
   static final Share NONE = new Share(0, 0);
 
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/TokenBucket.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/TokenBucket.java
@@ -8,9 +8,9 @@
  * whole billionths of a token, so that nothing is created by rounding. What is lent to other hosts
  * counts against the capacity until it is settled. Not safe for use by several threads.
  */
-final class TokenBucket {
+public final class TokenBucket {
   /** One token. */
-  static final long TOKEN = 1_000_000_000L;
+  public static final long TOKEN = 1_000_000_000L;
 
   private static final Duration LONGEST_WAIT = Duration.ofSeconds(10);
 
@@ -19,7 +19,8 @@
   private long lent;
   private Instant filledAt;
 
-  TokenBucket(Instant now) {
+  /** Creates an empty bucket without a share. */
+  public TokenBucket(Instant now) {
     filledAt = now;
   }
 
@@ -28,7 +29,7 @@
   }
 
   /** Changes capacity and rate; what is in the bucket stays, as far as it fits. */
-  void resize(Share newShare, Instant now) {
+  public void resize(Share newShare, Instant now) {
     fill(now);
     share = newShare;
     amount = Math.min(amount, room());
@@ -44,19 +45,26 @@
     amount = 0;
   }
 
-  long amount(Instant now) {
+  /** Returns what the bucket holds. */
+  public long amount(Instant now) {
     fill(now);
     return amount;
   }
 
   /** Takes up to {@code wanted}, and returns what was taken. */
-  long take(long wanted, Instant now) {
+  public long take(long wanted, Instant now) {
     fill(now);
     long taken = Math.min(wanted, amount);
     amount -= taken;
     return taken;
   }
 
+  /** Puts back what was taken and not spent, as far as it fits. */
+  public void giveBack(long unspent, Instant now) {
+    fill(now);
+    amount = Math.min(amount + unspent, room());
+  }
+
   /** Takes up to {@code wanted} for another host. */
   long lend(long wanted, Instant now) {
     long taken = take(wanted, now);
@@ -72,7 +80,7 @@
   }
 
   /** Returns how long until the bucket holds {@code wanted}, bounded. */
-  Duration timeUntil(long wanted, Instant now) {
+  public Duration timeUntil(long wanted, Instant now) {
     long missing = wanted - amount(now);
     if (missing <= 0) {
       return Duration.ZERO;
