Slots: the wait is read off the starts of what runs; replay tests of the load patterns

Change: the k-th free slot is predicted from the starts of the running streams. Ruled out: a larger margin on the mean rate (refuses while slots come free in time).

--- a/batch/src/main/java/org/waxwingcourse/batch/job/ChunkStates.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/job/ChunkStates.java
@@ -8,9 +8,9 @@
 import org.waxwingcourse.batch.record.Codec;
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.Keys;
+import org.waxwingcourse.policy.batch.JobProgress;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.Snapshot;
-import org.waxwingcourse.policy.batch.JobProgress;
 
 /**
  * The states of a job's chunks at one revision.
--- a/batch/src/main/java/org/waxwingcourse/batch/run/LeaseKeeper.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/LeaseKeeper.java
@@ -5,12 +5,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import org.waxwingcourse.policy.lease.ClockDrift;
+import org.waxwingcourse.policy.lease.HeldLease;
 import org.waxwingcourse.store.Lease;
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.StoreFailure;
-import org.waxwingcourse.policy.lease.ClockDrift;
-import org.waxwingcourse.policy.lease.HeldLease;
 
 /**
  * Keeps the one lease that all claims of this host hang on. A lapsed lease is never used or renewed
--- a/batch/src/main/java/org/waxwingcourse/batch/run/LeaseTerm.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/LeaseTerm.java
@@ -1,8 +1,8 @@
 package org.waxwingcourse.batch.run;
 
 import java.time.Instant;
-import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.policy.lease.HeldLease;
+import org.waxwingcourse.store.LeaseId;
 
 /** One lease of this host from its grant until it lapses, with the renewals in between. */
 final class LeaseTerm {
--- a/batch/src/main/java/org/waxwingcourse/batch/run/WorkFinder.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/run/WorkFinder.java
@@ -21,10 +21,10 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
-import org.waxwingcourse.store.Entry;
-import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.policy.batch.JobOrder;
 import org.waxwingcourse.policy.batch.JobProgress;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.StoreFailure;
 
 /**
  * Finds free chunks and claims them, with few reads: a job is read before a claim, and a job that
--- a/batch/src/main/java/org/waxwingcourse/batch/store/StoreCalls.java
+++ b/batch/src/main/java/org/waxwingcourse/batch/store/StoreCalls.java
@@ -6,6 +6,8 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.policy.batch.CallBudget;
+import org.waxwingcourse.policy.retry.Backoff;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Snapshot;
@@ -13,8 +15,6 @@
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
-import org.waxwingcourse.policy.batch.CallBudget;
-import org.waxwingcourse.policy.retry.Backoff;
 
 /**
  * Blocking calls to the store inside a budget.
--- a/batch/src/test/java/org/waxwingcourse/batch/CostTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/CostTest.java
@@ -13,8 +13,8 @@
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.Keys;
 import org.waxwingcourse.batch.run.RunSettings;
-import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.store.CallCounts;
+import org.waxwingcourse.store.KeyRange;
 
 /** Calls to the store, throughput and recovery, with the settings in force; prints its figures. */
 class CostTest {
--- a/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
+++ b/batch/src/test/java/org/waxwingcourse/batch/FailureTest.java
@@ -19,10 +19,10 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.standin.store.StoreFaults;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
-import org.waxwingcourse.standin.store.StoreFaults;
 
 class FailureTest {
   private final World world = new World(6);
--- a/cli/src/main/java/org/waxwingcourse/cli/StoreSession.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/StoreSession.java
@@ -14,10 +14,10 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.service.ServiceGroup;
 import org.waxwingcourse.model.time.MonotonicClock;
+import org.waxwingcourse.policy.configuration.Document;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.etcd.EtcdOptions;
 import org.waxwingcourse.store.etcd.EtcdStore;
-import org.waxwingcourse.store.Store;
-import org.waxwingcourse.policy.configuration.Document;
 
 /** Connects a command to the platform store for as long as the command runs. */
 public final class StoreSession {
--- a/config/src/main/java/org/waxwingcourse/config/store/ConfigurationWriter.java
+++ b/config/src/main/java/org/waxwingcourse/config/store/ConfigurationWriter.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.policy.configuration.Document;
+import org.waxwingcourse.policy.configuration.Part;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Snapshot;
@@ -17,8 +19,6 @@
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
-import org.waxwingcourse.policy.configuration.Document;
-import org.waxwingcourse.policy.configuration.Part;
 
 /**
  * Changes the configuration by compare-and-swap on its head entry. A write whose answer is lost is
--- a/config/src/main/java/org/waxwingcourse/config/store/StoredDocument.java
+++ b/config/src/main/java/org/waxwingcourse/config/store/StoredDocument.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Optional;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.store.Entry;
-import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.policy.configuration.Delta;
 import org.waxwingcourse.policy.configuration.Document;
 import org.waxwingcourse.policy.configuration.Part;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.Snapshot;
 
 /** Builds documents and deltas from entries of the store. */
 public final class StoredDocument {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -117,8 +117,7 @@
       Function<List<ItemHeader>, List<Long>> promptParts) {}
 
   /** Creates a host. */
-  public FleetNode(
-      FleetSettings settings, Outside outside, Clocks clocks, MetricRegistry metrics) {
+  public FleetNode(FleetSettings settings, Outside outside, Clocks clocks, MetricRegistry metrics) {
     this.settings = settings;
     this.clocks = clocks;
     this.random = new SecureRandom();
@@ -260,8 +259,7 @@
     PeerSettings peerSettings =
         PeerSettings.of(settings.host(), settings.peers(), FleetSecret.of(secret))
             .withHeartbeat(PEER_HEARTBEAT, PEER_SILENCE);
-    NettyPeers opened =
-        NettyPeers.of(peerSettings, this::peerAddress, clocks.steady(), random);
+    NettyPeers opened = NettyPeers.of(peerSettings, this::peerAddress, clocks.steady(), random);
     opened.handle(Channel.FLEET, channel::onMessage);
     opened.start();
     transport = opened;
@@ -328,8 +326,7 @@
   private void register(MetricRegistry metrics) {
     metrics.register("requests.underway", (Gauge<Integer>) online::underway);
     metrics.register("jobs.running", (Gauge<Integer>) jobs::running);
-    metrics.register(
-        "configuration.revision", (Gauge<Long>) () -> views.planRevision().value());
+    metrics.register("configuration.revision", (Gauge<Long>) () -> views.planRevision().value());
     metrics.register(
         "configuration.evidence_age_ms",
         (Gauge<Long>) () -> views.evidence().age().map(Duration::toMillis).getOrElse(-1L));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -52,8 +52,7 @@
 
   private final Peers peers;
   private final InstantSource clock;
-  private final OrganisationRates rates =
-      new OrganisationRates(OrganisationTable.of(List.of()));
+  private final OrganisationRates rates = new OrganisationRates(OrganisationTable.of(List.of()));
   private final Map<ServiceName, ServiceSlots> services = new ConcurrentHashMap<>();
   private volatile Option<Plan> plan = Option.none();
   private volatile double part;
@@ -126,8 +125,7 @@
   void onAsk(HostId from, SlotAsk ask) {
     Instant now = clock.instant();
     SlotRequest request = request(from, ask, now);
-    Duration wait =
-        request.chargedTo().map(o -> rates.take(o, now)).getOrElse(Duration.ZERO);
+    Duration wait = request.chargedTo().map(o -> rates.take(o, now)).getOrElse(Duration.ZERO);
     if (!wait.isZero()) {
       String reason = "organisation \"" + ask.getOrganisation() + "\" is over its rate";
       refuse(new Decision.Refuse(request, true, now.plus(wait), reason));
@@ -189,8 +187,7 @@
         name -> {
           ServiceSlots slots = new ServiceSlots();
           slots.share(part);
-          slots.engines(
-              engines.getOrDefault(name, List.of()), defaultSlots(name), clock.instant());
+          slots.engines(engines.getOrDefault(name, List.of()), defaultSlots(name), clock.instant());
           return slots;
         });
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetChannel.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetChannel.java
@@ -17,8 +17,7 @@
   }
 
   /** Creates the channel's handler. */
-  public FleetChannel(
-      FleetLink link, Coordinator coordinator, SlotClient slots, JobMessages jobs) {
+  public FleetChannel(FleetLink link, Coordinator coordinator, SlotClient slots, JobMessages jobs) {
     this.link = link;
     this.coordinator = coordinator;
     this.slots = slots;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -130,10 +130,7 @@
             .setBoot(self.boot())
             .setInContact(views.evidence().ownIsWithin(CONTACT_LIMIT))
             .setConfigurationRevision(views.planRevision().value());
-    views
-        .evidence()
-        .age()
-        .forEach(a -> pong.setHasEvidence(true).setEvidenceAgeNanos(a.toNanos()));
+    views.evidence().age().forEach(a -> pong.setHasEvidence(true).setEvidenceAgeNanos(a.toNanos()));
     views
         .document()
         .filter(d -> d.revision().value() > ping.getConfiguration())
@@ -178,19 +175,14 @@
     }
     if (pong.getHasEvidence() && !revision.isAfter(views.planRevision())) {
       Stamp sent = FleetMessages.stamp(pong.getSentNanos(), pong.getSentMillis());
-      views
-          .evidence()
-          .confirmVouched(sent.minus(Duration.ofNanos(pong.getEvidenceAgeNanos())));
+      views.evidence().confirmVouched(sent.minus(Duration.ofNanos(pong.getEvidenceAgeNanos())));
     }
   }
 
   private List<HostId> order() {
     List<HostId> order =
         new ArrayList<>(
-            views.fleet().ordered().stream()
-                .filter(h -> !h.leaving())
-                .map(FleetHost::id)
-                .toList());
+            views.fleet().ordered().stream().filter(h -> !h.leaving()).map(FleetHost::id).toList());
     if (!order.contains(self.id())) {
       order.add(self.id());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -85,8 +85,7 @@
   /** A slot that has not been granted is no longer wanted. */
   public void withdraw(long number) {
     if (pending.remove(number) != null) {
-      send(
-          FleetMessage.newBuilder().setWithdraw(SlotWithdraw.newBuilder().setNumber(number)));
+      send(FleetMessage.newBuilder().setWithdraw(SlotWithdraw.newBuilder().setNumber(number)));
     }
   }
 
@@ -139,8 +138,7 @@
     }
     SlotEnd.Builder end =
         SlotEnd.newBuilder().setNumber(grant.getNumber()).setHow(SlotEnd.How.CANCELLED);
-    peers.send(
-        from, Channel.FLEET, FleetMessage.newBuilder().setEnd(end).build().toByteArray());
+    peers.send(from, Channel.FLEET, FleetMessage.newBuilder().setEnd(end).build().toByteArray());
   }
 
   void onRefusal(SlotRefusal refusal) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -68,8 +68,7 @@
   private int failures;
   private boolean done;
 
-  ItemRun(
-      int index, JobItem item, RunningJob job, JobRunner.Ports ports, ResultListener listener) {
+  ItemRun(int index, JobItem item, RunningJob job, JobRunner.Ports ports, ResultListener listener) {
     this.index = index;
     this.item = item;
     this.job = job;
@@ -189,9 +188,7 @@
 
   private void later() {
     slot = 0;
-    ports
-        .timer()
-        .schedule(this::begin, RETRY_PAUSE.toNanos(), TimeUnit.NANOSECONDS);
+    ports.timer().schedule(this::begin, RETRY_PAUSE.toNanos(), TimeUnit.NANOSECONDS);
   }
 
   private void result(boolean completed, String text) {
@@ -267,8 +264,7 @@
         if (closed || attempt != this) {
           return;
         }
-        Duration left =
-            SILENCE_LIMIT.minus(Duration.between(lastAt, ports.clock().instant()));
+        Duration left = SILENCE_LIMIT.minus(Duration.between(lastAt, ports.clock().instant()));
         if (!left.isNegative() && !left.isZero()) {
           watch(left);
         } else {
@@ -322,8 +318,7 @@
       lastAt = ports.clock().instant();
       firstAt = firstAt == null ? lastAt : firstAt;
       count++;
-      boolean known =
-          event.id() != EventSplitter.NO_ID && lastEvent.exists(l -> event.id() <= l);
+      boolean known = event.id() != EventSplitter.NO_ID && lastEvent.exists(l -> event.id() <= l);
       if (known) {
         return;
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -138,8 +138,7 @@
       WriteOutcome outcome) {
     if (outcome instanceof WriteOutcome.Done done) {
       counts.put(countKey(job), new Counted(next.tokens(), done.revision()));
-      LOG.write(
-          Event.JOB_ACCEPTED, job.id(), job.organisation(), job.items().size(), job.tokens());
+      LOG.write(Event.JOB_ACCEPTED, job.id(), job.organisation(), job.items().size(), job.tokens());
       runner.start(job.id(), new JobStore.Stored(record, done.revision()), job.items());
       return done(new JobAnswer.Accepted());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -85,8 +85,7 @@
     if (stopped) {
       return;
     }
-    RunningJob job =
-        new RunningJob(id, stored, items, results, ports, () -> running.remove(id));
+    RunningJob job = new RunningJob(id, stored, items, results, ports, () -> running.remove(id));
     if (running.putIfAbsent(id, job) == null) {
       job.begin();
     }
@@ -144,9 +143,7 @@
                 start(id, stored, items.get(), results.get());
               } else {
                 LOG.write(Event.JOB_UNREADABLE, id);
-                ports
-                    .timer()
-                    .schedule(() -> take(id), 1, java.util.concurrent.TimeUnit.SECONDS);
+                ports.timer().schedule(() -> take(id), 1, java.util.concurrent.TimeUnit.SECONDS);
               }
               return null;
             });
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -212,8 +212,7 @@
     switch (message.getBodyCase()) {
       case JOB_READ -> answerRead(from, message.getJobRead());
       case JOB_PAGE -> {
-        CompletableFuture<Option<JobPage>> waiting =
-            asked.remove(message.getJobPage().getNumber());
+        CompletableFuture<Option<JobPage>> waiting = asked.remove(message.getJobPage().getNumber());
         if (waiting != null) {
           waiting.complete(Option.some(message.getJobPage()));
         }
@@ -229,8 +228,7 @@
     LOG.write(Event.JOB_ASSIGNED, job, host);
     send(
         host,
-        FleetMessage.newBuilder()
-            .setJobAssigned(JobAssigned.newBuilder().setJob(job.value())));
+        FleetMessage.newBuilder().setJobAssigned(JobAssigned.newBuilder().setJob(job.value())));
   }
 
   /** Tells whether this host's claim on its jobs is in force: its entry stands in the store. */
@@ -261,8 +259,7 @@
             page -> {
               if (page.isDefined() && page.get().getKnown()) {
                 cached.add(page.get().getAfter(), page.get().getResultsList());
-                return done(
-                    new JobAnswer.Page(cached.total(), after, page.get().getResultsList()));
+                return done(new JobAnswer.Page(cached.total(), after, page.get().getResultsList()));
               }
               return load(job).thenApply(answer -> pageOf(answer, organisation, after));
             });
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSupervisor.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSupervisor.java
@@ -62,8 +62,7 @@
   }
 
   private boolean isRun(Option<RunnerName> runner) {
-    return runner.exists(
-        r -> views.fleet().get(r.host()).exists(h -> h.boot() == r.boot()));
+    return runner.exists(r -> views.fleet().get(r.host()).exists(h -> h.boot() == r.boot()));
   }
 
   private void give(JobId job) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -179,8 +179,7 @@
 
   private void finish(String why) {
     over = true;
-    LOG.write(
-        Event.JOB_LEFT, id, why, listed.size(), stored.record().getItemTokensCount());
+    LOG.write(Event.JOB_LEFT, id, why, listed.size(), stored.record().getItemTokensCount());
     ports.timer().execute(onOver);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -43,7 +43,9 @@
 final class OnlineRun implements Call {
   private static final EventLog LOG = EventLog.of(OnlineRun.class);
 
-  /** Sends that no engine ran, for one request; bounds the work that a fleet of full engines costs. */
+  /**
+   * Sends that no engine ran, for one request; bounds the work that a fleet of full engines costs.
+   */
   private static final int MAX_SENDS = 6;
 
   /** When a caller may come back if every engine that was tried was full. */
@@ -89,15 +91,13 @@
     this.route = admitted.route();
     this.service = route.pick(ports.random().nextDouble());
     Deadline unstated = Deadline.at(request.arrivedAt().plus(route.timeout()));
-    this.limits =
-        RunLimits.of(route, request.arrivedAt(), request.deadline().getOrElse(unstated));
+    this.limits = RunLimits.of(route, request.arrivedAt(), request.deadline().getOrElse(unstated));
     this.lastEvent = request.resumeAfter();
   }
 
   synchronized void begin() {
     Duration left = limits.answerBy().remaining(now());
-    answerTimer =
-        ports.timer().schedule(this::timedOut, left.toNanos(), TimeUnit.NANOSECONDS);
+    answerTimer = ports.timer().schedule(this::timedOut, left.toNanos(), TimeUnit.NANOSECONDS);
     askSlot();
   }
 
@@ -403,8 +403,7 @@
       firstAt = firstAt == null ? at : firstAt;
       lastAt = at;
       count++;
-      boolean known =
-          event.id() != EventSplitter.NO_ID && lastEvent.exists(l -> event.id() <= l);
+      boolean known = event.id() != EventSplitter.NO_ID && lastEvent.exists(l -> event.id() <= l);
       if (known) {
         return;
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
@@ -70,8 +70,7 @@
       return () -> {};
     }
     underway.incrementAndGet();
-    OnlineRun run =
-        new OnlineRun(request, admitted.get(), ports, sink, underway::decrementAndGet);
+    OnlineRun run = new OnlineRun(request, admitted.get(), ports, sink, underway::decrementAndGet);
     run.begin();
     return run;
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
@@ -150,7 +150,7 @@
       List<SlotRequest> past = queue.stream().filter(r -> r.giveUpAt().isPast(now)).toList();
       for (SlotRequest request : past) {
         queue.remove(request);
-        decisions.add(refuse(request, now.plus(waitFor(online.size())), "no slot came in time"));
+        decisions.add(refuse(request, freeAt(online.size() + 1, now), "no slot came in time"));
       }
     }
     return fill(now, decisions);
@@ -174,7 +174,7 @@
   private void offerOnline(SlotRequest request, Instant now, List<Decision> decisions) {
     int ahead = online.headSet(request).size();
     boolean free = ahead == 0 && place(request, now).isDefined();
-    Instant start = free ? now : now.plus(waitFor(ahead + 1));
+    Instant start = free ? now : freeAt(ahead + 1, now);
     if (request.startBy().isPast(start)) {
       String reason = ahead + " requests wait before it for " + usableSlots(now) + " slots";
       decisions.add(refuse(request, start, reason));
@@ -219,18 +219,14 @@
   }
 
   private SlotRequest nextBatch(Instant now) {
-    return batch.stream()
-        .filter(r -> !r.startBy().isPast(now))
-        .findFirst()
-        .orElseGet(batch::first);
+    return batch.stream().filter(r -> !r.startBy().isPast(now)).findFirst().orElseGet(batch::first);
   }
 
   /** Returns the engine for an online request: one with a free slot, else one that runs batch. */
   private Option<EngineSlots> place(SlotRequest request, Instant now) {
     Option<EngineSlots> free =
         isWithinShare(now) ? best(request, now, EngineSlots::hasFree) : Option.none();
-    return free.orElse(
-        () -> best(request, now, e -> !e.condition().isOnProbe() && canYield(e)));
+    return free.orElse(() -> best(request, now, e -> !e.condition().isOnProbe() && canYield(e)));
   }
 
   private static boolean canYield(EngineSlots engine) {
@@ -291,13 +287,25 @@
         .sum();
   }
 
-  /** Returns the time until the given number of online runs will have ended. */
-  private Duration waitFor(int count) {
-    int running =
+  /**
+   * Returns when the given number of slots will have come free, as far as the mean run time tells:
+   * runs that began together end together, so the time is read off the starts of what runs.
+   */
+  private Instant freeAt(int count, Instant now) {
+    Duration run = Duration.ofNanos((long) (runMillis * 1e6));
+    List<Instant> ends =
         engines.values().stream()
-            .mapToInt(e -> (int) e.runs().values().stream().filter(r -> r.online()).count())
-            .sum();
-    return Duration.ofNanos((long) (count * runMillis * 1e6 / Math.max(1, running)));
+            .flatMap(e -> e.runs().values().stream())
+            .filter(EngineSlots.Run::online)
+            .map(r -> r.since().plus(run))
+            .map(end -> end.isBefore(now) ? now : end)
+            .sorted()
+            .toList();
+    if (ends.isEmpty()) {
+      return now.plus(run);
+    }
+    int rounds = (count - 1) / ends.size();
+    return ends.get((count - 1) % ends.size()).plus(run.multipliedBy(rounds));
   }
 
   private void learn(EngineSlots.Run run, RunEnd end, Instant now) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/Registration.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/Registration.java
@@ -138,8 +138,7 @@
   }
 
   private void later(Runnable step, WriteOutcome outcome) {
-    boolean settled =
-        outcome instanceof WriteOutcome.Done || outcome instanceof WriteOutcome.Lost;
+    boolean settled = outcome instanceof WriteOutcome.Done || outcome instanceof WriteOutcome.Lost;
     timer.schedule(step, settled ? 0 : RETRY.toMillis(), TimeUnit.MILLISECONDS);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -25,7 +25,9 @@
 public final class StoreFollower {
   private static final EventLog LOG = EventLog.of(StoreFollower.class);
 
-  /** Pause between two reads of the configuration; a third of the bound on bringing it into force. */
+  /**
+   * Pause between two reads of the configuration; a third of the bound on bringing it into force.
+   */
   private static final Duration READ_INTERVAL = Duration.ofMillis(700);
 
   /** Pause before a broken watch is begun again; keeps a store that refuses from being flooded. */
@@ -111,9 +113,7 @@
     }
     answer.forEach(
         snapshot -> {
-          snapshot
-              .first()
-              .ifPresent(e -> views.offer(new Views.Document(e.modified(), e.value())));
+          snapshot.first().ifPresent(e -> views.offer(new Views.Document(e.modified(), e.value())));
           views.evidence().confirmOwn(asked);
         });
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/Views.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/Views.java
@@ -23,8 +23,7 @@
   private final Evidence evidence;
   private final EntryTable engines = new EntryTable();
   private final EntryTable hosts = new EntryTable();
-  private final AtomicReference<FleetHosts> fleet =
-      new AtomicReference<>(FleetHosts.of(List.of()));
+  private final AtomicReference<FleetHosts> fleet = new AtomicReference<>(FleetHosts.of(List.of()));
   private final List<Consumer<Plan>> planListeners = new CopyOnWriteArrayList<>();
   private volatile Option<Document> document = Option.none();
   private volatile Option<Plan> plan = Option.none();
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/ServiceSlotsTest.java
@@ -0,0 +1,79 @@
+package org.waxwingcourse.fleet.slot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.waxwingcourse.model.request.WorkClass;
+
+/** Load patterns against the sharing out of slots. */
+class ServiceSlotsTest {
+  private static final int ENGINES = 6;
+  private static final int SLOTS = 8;
+  private static final double MEAN_RATE = 29;
+
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1, 2, 3, 4})
+  void peaksOfTwiceTheMeanStartAtOnceWhileBatchFillsTheTroughs(long seed) {
+    SlotSimulation s = new SlotSimulation(ENGINES, SLOTS, seed);
+    s.batch(200);
+    for (int period = 0; period < 4; period++) {
+      Duration start = Duration.ofMillis(6600L * period);
+      s.online(start, start.plusMillis(3800), 0.377 * MEAN_RATE);
+      s.online(start.plusMillis(3800), start.plusMillis(6600), 1.84 * MEAN_RATE);
+    }
+    s.run(Duration.ofSeconds(26));
+    assertThat(s.refusals).hasSizeLessThanOrEqualTo(s.waits.size() / 100);
+    assertThat(s.waits).allMatch(w -> w.compareTo(SlotSimulation.OBJECTIVE_WAIT) <= 0);
+    assertThat(s.grantedBatch).isGreaterThan(ENGINES * SLOTS);
+    assertThat(s.fullestEngine).isLessThanOrEqualTo(SLOTS);
+  }
+
+  @Test
+  void onlineTakesABatchSlotAtOnce() {
+    SlotSimulation s = new SlotSimulation(1, 2, 0);
+    s.batch(4);
+    assertThat(s.grantedBatch).isEqualTo(2);
+    s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    assertThat(s.waits).containsExactly(Duration.ZERO);
+    assertThat(s.yields).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1, 2})
+  void whatCannotStartInTimeIsRefusedWhenItComes(long seed) {
+    SlotSimulation s = new SlotSimulation(ENGINES, SLOTS, seed);
+    s.online(Duration.ZERO, Duration.ofSeconds(4), 2 * 67);
+    s.run(Duration.ofSeconds(4));
+    long late =
+        s.waits.stream().filter(w -> w.compareTo(SlotSimulation.OBJECTIVE_WAIT) > 0).count();
+    assertThat(s.refusals).isNotEmpty();
+    assertThat(late).isLessThan(s.waits.size() / 20);
+    assertThat(s.refusals)
+        .allMatch(r -> r.retryAt().isAfter(r.request().askedAt()), "a time to come back");
+  }
+
+  @Test
+  void nothingIsRefusedWhileSlotsAreFree() {
+    SlotSimulation s = new SlotSimulation(ENGINES, SLOTS, 0);
+    for (int i = 0; i < ENGINES * SLOTS; i++) {
+      s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    }
+    assertThat(s.refusals).isEmpty();
+    assertThat(s.waits).hasSize(ENGINES * SLOTS).allMatch(Duration::isZero);
+  }
+
+  @Test
+  void anEngineThatIsLostGetsNothingUntilAProbeSucceeds() {
+    SlotSimulation s = new SlotSimulation(2, SLOTS, 0);
+    s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    s.lose(0);
+    s.lose(1);
+    s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    assertThat(s.waits).hasSize(3);
+    assertThat(s.load.values().stream().filter(n -> n > 0)).hasSize(1);
+  }
+}
--- a/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
@@ -38,8 +38,7 @@
   }
 
   /** Returns a server of the given routes. */
-  public static HttpServer of(
-      Options options, List<Routes> routes, ErrorAnswers errors) {
+  public static HttpServer of(Options options, List<Routes> routes, ErrorAnswers errors) {
     return new HttpServer(options, routes, errors);
   }
 
--- a/http/src/main/java/org/waxwingcourse/http/server/MetricsText.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/MetricsText.java
@@ -20,7 +20,9 @@
     StringBuilder out = new StringBuilder();
     registry
         .getCounters()
-        .forEach((name, c) -> out.append(name(name)).append("_total ").append(c.getCount()).append('\n'));
+        .forEach(
+            (name, c) ->
+                out.append(name(name)).append("_total ").append(c.getCount()).append('\n'));
     registry.getGauges().forEach((name, gauge) -> gauge(out, name, gauge));
     registry.getTimers().forEach((name, timer) -> timer(out, name, timer));
     return out.toString();
--- a/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/FleetAgreement.java
@@ -25,7 +25,6 @@
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.peer.Channel;
 import org.waxwingcourse.peer.Peers;
-import org.waxwingcourse.store.Store;
 import org.waxwingcourse.policy.configuration.ConfigurationFollower;
 import org.waxwingcourse.policy.configuration.DocumentFollower;
 import org.waxwingcourse.policy.rate.RateAdmission;
@@ -38,6 +37,7 @@
 import org.waxwingcourse.policy.trust.RosterChanger;
 import org.waxwingcourse.policy.trust.TrustMessage;
 import org.waxwingcourse.policy.trust.TrustPort;
+import org.waxwingcourse.store.Store;
 
 /** Configuration, keys and rates of one node, as agreed with the other hosts. */
 public final class FleetAgreement implements Service {
--- a/node/src/main/java/org/waxwingcourse/node/agree/StoreLink.java
+++ b/node/src/main/java/org/waxwingcourse/node/agree/StoreLink.java
@@ -10,6 +10,10 @@
 import org.waxwingcourse.config.store.ConfigurationKeys;
 import org.waxwingcourse.config.store.StoredDocument;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.policy.configuration.Delta;
+import org.waxwingcourse.policy.trust.Agreement;
+import org.waxwingcourse.policy.trust.Roster;
+import org.waxwingcourse.policy.trust.Versions;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Snapshot;
@@ -18,10 +22,6 @@
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.Watch;
 import org.waxwingcourse.store.WatchListener;
-import org.waxwingcourse.policy.configuration.Delta;
-import org.waxwingcourse.policy.trust.Agreement;
-import org.waxwingcourse.policy.trust.Roster;
-import org.waxwingcourse.policy.trust.Versions;
 
 /**
  * Follows the stored documents by one watch, and reads what the agreement asks for. After a broken
--- a/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/BatchParts.java
@@ -13,12 +13,12 @@
 import org.waxwingcourse.batch.run.RunSettings;
 import org.waxwingcourse.batch.store.Pause;
 import org.waxwingcourse.batch.store.StoreCalls;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.fleet.ConfigurationSource;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.node.metrics.Objective;
 import org.waxwingcourse.node.web.CallerPorts;
 import org.waxwingcourse.node.web.Gate;
-import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.store.Store;
 
 /** Joins batch work to the node's ports. */
--- a/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/batch/JobRoutes.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.batch.record.Job;
 import org.waxwingcourse.batch.record.Keys;
 import org.waxwingcourse.batch.store.Pause;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.id.ServiceName;
@@ -22,7 +23,6 @@
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.node.web.CallerPorts;
-import org.waxwingcourse.http.server.Routes;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/ClaimStore.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/ClaimStore.java
@@ -9,14 +9,14 @@
 import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.Deadline;
+import org.waxwingcourse.policy.idempotency.Claim;
+import org.waxwingcourse.policy.idempotency.ClaimedAnswer;
 import org.waxwingcourse.store.Lease;
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
-import org.waxwingcourse.policy.idempotency.Claim;
-import org.waxwingcourse.policy.idempotency.ClaimedAnswer;
 import org.waxwingcourse.wire.ServiceClaim;
 
 /** Keeps claims in the platform's store, on leases that many claims share. */
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/EngineOrders.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/EngineOrders.java
@@ -21,12 +21,12 @@
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.ModelName;
 import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.policy.lease.ClockDrift;
+import org.waxwingcourse.policy.order.OrderRight;
 import org.waxwingcourse.store.Lease;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
-import org.waxwingcourse.policy.lease.ClockDrift;
-import org.waxwingcourse.policy.order.OrderRight;
 import org.waxwingcourse.upstream.engine.EngineClient;
 
 /**
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/FleetDispatcher.java
@@ -30,11 +30,11 @@
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.peer.Channel;
 import org.waxwingcourse.peer.Peers;
-import org.waxwingcourse.store.Store;
 import org.waxwingcourse.policy.retry.RetryPolicy;
 import org.waxwingcourse.policy.route.EnginePicker;
 import org.waxwingcourse.policy.route.EngineView;
 import org.waxwingcourse.policy.route.PrefixIndex;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.upstream.engine.EngineClient;
 import org.waxwingcourse.wire.DispatchLoad;
 
--- a/node/src/main/java/org/waxwingcourse/node/dispatch/OnceServiceDispatcher.java
+++ b/node/src/main/java/org/waxwingcourse/node/dispatch/OnceServiceDispatcher.java
@@ -16,10 +16,10 @@
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.store.Store;
-import org.waxwingcourse.store.WriteOutcome;
 import org.waxwingcourse.policy.idempotency.Claim;
 import org.waxwingcourse.policy.idempotency.ClaimedAnswer;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.WriteOutcome;
 
 /**
  * Lets a call that may not be repeated run at most once for each idempotency key, whichever hosts
--- a/node/src/main/java/org/waxwingcourse/node/member/DrainRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/DrainRoutes.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.function.BooleanSupplier;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.node.web.ApiError;
-import org.waxwingcourse.http.server.Routes;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 
--- a/node/src/main/java/org/waxwingcourse/node/member/FleetMember.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/FleetMember.java
@@ -31,8 +31,6 @@
 import org.waxwingcourse.peer.PeerStatistics;
 import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.peer.member.GossipCodec;
-import org.waxwingcourse.store.hosts.HostList;
-import org.waxwingcourse.store.Store;
 import org.waxwingcourse.policy.hosts.HostAnswer;
 import org.waxwingcourse.policy.hosts.HostAnswers;
 import org.waxwingcourse.policy.hosts.ListedLeaving;
@@ -42,6 +40,8 @@
 import org.waxwingcourse.policy.member.MemberLocation;
 import org.waxwingcourse.policy.member.MembershipSettings;
 import org.waxwingcourse.policy.member.Swim;
+import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.hosts.HostList;
 
 /**
  * Makes the node a member of the fleet: carries messages between hosts from its start, joins the
--- a/node/src/main/java/org/waxwingcourse/node/member/HostRegistration.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/HostRegistration.java
@@ -5,12 +5,12 @@
 import org.waxwingcourse.model.member.Member;
 import org.waxwingcourse.model.member.MemberState;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.store.hosts.HostList;
-import org.waxwingcourse.store.hosts.ListedHost;
-import org.waxwingcourse.store.hosts.ListedHostCodec;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
+import org.waxwingcourse.store.hosts.HostList;
+import org.waxwingcourse.store.hosts.ListedHost;
+import org.waxwingcourse.store.hosts.ListedHostCodec;
 
 /**
  * Keeps this host's entry for the platform's list: one write at the start, one when it leaves and
--- a/node/src/main/java/org/waxwingcourse/node/member/ListedHosts.java
+++ b/node/src/main/java/org/waxwingcourse/node/member/ListedHosts.java
@@ -6,11 +6,11 @@
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.time.Deadline;
-import org.waxwingcourse.store.hosts.HostList;
-import org.waxwingcourse.store.hosts.ListedHost;
 import org.waxwingcourse.policy.hosts.ListedLeaving;
 import org.waxwingcourse.policy.member.Seed;
 import org.waxwingcourse.policy.member.Swim;
+import org.waxwingcourse.store.hosts.HostList;
+import org.waxwingcourse.store.hosts.ListedHost;
 
 /** Reads the platform's list now and then: often while no other host is known, then seldom. */
 final class ListedHosts {
--- a/node/src/main/java/org/waxwingcourse/node/web/CallerRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/CallerRoutes.java
@@ -1,7 +1,7 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.Routes;
 import java.util.List;
+import org.waxwingcourse.http.server.Routes;
 
 /** All routes that serve the online path. */
 public final class CallerRoutes {
--- a/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ChatRoutes.java
@@ -1,12 +1,12 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.Routes;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.id.ModelName;
 import org.waxwingcourse.model.id.RequestId;
--- a/node/src/main/java/org/waxwingcourse/node/web/LimitRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/LimitRoutes.java
@@ -1,11 +1,11 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.HeaderSize;
-import org.waxwingcourse.http.server.Routes;
 import io.netty.channel.Channel;
 import io.netty.util.AttributeKey;
 import java.time.InstantSource;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.waxwingcourse.http.server.HeaderSize;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import ratpack.handling.Chain;
--- a/node/src/main/java/org/waxwingcourse/node/web/OperatorRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/OperatorRoutes.java
@@ -1,8 +1,8 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.Routes;
 import com.codahale.metrics.MetricRegistry;
 import java.util.function.Supplier;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.node.metrics.MetricsJson;
 import ratpack.handling.Chain;
 
--- a/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ServiceRoutes.java
@@ -1,11 +1,11 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.Routes;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Instant;
 import java.util.List;
 import org.waxwingcourse.http.Header;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.fleet.FleetConfiguration;
 import org.waxwingcourse.model.fleet.PlainService;
 import org.waxwingcourse.model.id.RequestId;
--- a/node/src/test/java/org/waxwingcourse/node/agree/FleetAgreementTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/agree/FleetAgreementTest.java
@@ -8,8 +8,8 @@
 import org.waxwingcourse.model.fleet.Rate;
 import org.waxwingcourse.model.id.KeyHash;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.store.StoreFaults;
+import org.waxwingcourse.store.KeyRange;
 
 class FleetAgreementTest {
   private static final int NODES = 5;
--- a/node/src/test/java/org/waxwingcourse/node/batch/BatchApiTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/batch/BatchApiTest.java
@@ -29,9 +29,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.waxwingcourse.batch.cache.ChunkCache;
 import org.waxwingcourse.batch.run.BatchRunner;
+import org.waxwingcourse.http.server.HttpServer;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.node.web.FakePorts;
-import org.waxwingcourse.http.server.HttpServer;
 import org.waxwingcourse.standin.store.MemoryStore;
 
 /** The published client against the batch API, over a store in memory. */
--- a/node/src/test/java/org/waxwingcourse/node/dispatch/EngineOrdersTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/dispatch/EngineOrdersTest.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.WorkClass;
-import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.standin.engine.EngineOptions;
+import org.waxwingcourse.store.KeyRange;
 
 class EngineOrdersTest {
   private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(60);
--- a/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/CallerInterfaceTest.java
@@ -1,6 +1,5 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.HttpServer;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
@@ -19,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.waxwingcourse.http.server.HttpServer;
 
 /** What a caller sees of good and bad requests, over small fakes. */
 class CallerInterfaceTest {
--- a/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
+++ b/node/src/test/java/org/waxwingcourse/node/web/FakePorts.java
@@ -1,7 +1,5 @@
 package org.waxwingcourse.node.web;
 
-import org.waxwingcourse.http.server.Routes;
-import org.waxwingcourse.http.server.HttpServer;
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -18,6 +16,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.waxwingcourse.http.server.HttpServer;
+import org.waxwingcourse.http.server.Routes;
 import org.waxwingcourse.model.fleet.ConfigurationSource;
 import org.waxwingcourse.model.fleet.Defaults;
 import org.waxwingcourse.model.fleet.Engine;
--- a/standin/src/main/java/org/waxwingcourse/standin/platform/LaggingHostList.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/LaggingHostList.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.standin.web.Lagged;
+import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.hosts.HostList;
 import org.waxwingcourse.store.hosts.ListedHost;
 import org.waxwingcourse.store.hosts.ListedHostCodec;
-import org.waxwingcourse.store.KeyRange;
-import org.waxwingcourse.standin.store.MemoryStore;
-import org.waxwingcourse.standin.web.Lagged;
 
 /**
  * Shows the registered hosts as they were some time ago: new hosts come late, and hosts that are
--- a/standin/src/main/java/org/waxwingcourse/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/PlatformStandIn.java
@@ -7,11 +7,11 @@
 import java.util.concurrent.TimeUnit;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.model.time.MonotonicClock;
-import org.waxwingcourse.store.hosts.ListedHostCodec;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.standin.store.StoreFaults;
 import org.waxwingcourse.standin.web.Answers;
 import org.waxwingcourse.standin.web.StandInServer;
+import org.waxwingcourse.store.hosts.ListedHostCodec;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
 
--- a/standin/src/main/java/org/waxwingcourse/standin/platform/TxnForm.java
+++ b/standin/src/main/java/org/waxwingcourse/standin/platform/TxnForm.java
@@ -3,12 +3,12 @@
 import io.vavr.control.Either;
 import java.util.List;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.store.etcd.EtcdJson;
-import org.waxwingcourse.store.etcd.EtcdMessages;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
+import org.waxwingcourse.store.etcd.EtcdJson;
+import org.waxwingcourse.store.etcd.EtcdMessages;
 
 /** Reads transactions from etcd's form and writes their answers. */
 final class TxnForm {
--- a/standin/src/test/java/org/waxwingcourse/standin/store/StoreHistoryTest.java
+++ b/standin/src/test/java/org/waxwingcourse/standin/store/StoreHistoryTest.java
@@ -14,15 +14,15 @@
 import org.waxwingcourse.http.HttpCaller;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.MonotonicClock;
-import org.waxwingcourse.store.etcd.EtcdOptions;
-import org.waxwingcourse.store.etcd.EtcdStore;
+import org.waxwingcourse.standin.platform.PlatformOptions;
+import org.waxwingcourse.standin.platform.PlatformStandIn;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
-import org.waxwingcourse.standin.platform.PlatformOptions;
-import org.waxwingcourse.standin.platform.PlatformStandIn;
+import org.waxwingcourse.store.etcd.EtcdOptions;
+import org.waxwingcourse.store.etcd.EtcdStore;
 
 /** Checks whole histories of concurrent writers. */
 class StoreHistoryTest {
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/HttpExchanges.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/HttpExchanges.java
@@ -75,8 +75,7 @@
               protected void initChannel(SocketChannel connection) {
                 connection
                     .pipeline()
-                    .addLast(
-                        new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                     .addLast(new ExchangeHandler());
               }
             })
