--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -167,6 +167,7 @@
     channel = new FleetChannel(link, coordinator, slots, jobs);
     supervisor = new JobSupervisor(outside.store(), views, clocks, jobs);
     sweep = new JobSweep(outside.store(), clocks.wall(), settings.jobRetention());
+    registration.onNewTerm(jobs::onNewTerm);
     views.onPlan(coordinator::plan);
     engines.onChange(coordinator::engines);
     register(metrics);
@@ -175,6 +176,7 @@
   @Override
   public void start() {
     registration.start().thenAccept(this::join);
+    follower.readConfiguration();
   }
 
   /** Tells whether callers may be sent here. */
@@ -275,7 +277,7 @@
   }
 
   private void whenCoordinating(Runnable step) {
-    if (link.isCoordinating()) {
+    if (link.isSettledCoordinator()) {
       step.run();
     }
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -49,6 +49,9 @@
   /** How long a coordinator may be out of contact before this host follows the store too. */
   private static final Duration FOLLOW_AFTER = Duration.ofMillis(600);
 
+  /** Hosts that start together find each other within this time. */
+  private static final Duration SETTLE_TIME = Duration.ofMillis(800);
+
   private final FleetHost self;
   private final Peers peers;
   private final Views views;
@@ -60,6 +63,7 @@
   private final Map<HostId, Attached> attached = new HashMap<>();
   private final Map<OrganisationId, Long> levels = new HashMap<>();
   private HostId target;
+  private Instant targetSince = Instant.MAX;
   private Instant contactAt;
   private Instant levelsAt = Instant.MIN;
 
@@ -112,9 +116,11 @@
     return target != null && inContact(target);
   }
 
-  /** Tells whether this host hands out slots for itself or others. */
-  public synchronized boolean isCoordinating() {
-    return self.id().equals(target);
+  /** Tells whether this host has been the coordinator for long enough to act for the fleet. */
+  public synchronized boolean isSettledCoordinator() {
+    return self.id().equals(target)
+        && inContact(target)
+        && clocks.instant().isAfter(targetSince.plus(SETTLE_TIME));
   }
 
   void onPing(HostId from, Ping ping) {
@@ -207,6 +213,7 @@
     synchronized (this) {
       before = target;
       target = next;
+      targetSince = now;
       contactAt = now;
       if (next.equals(self.id()) && now.isBefore(levelsAt.plus(ATTACH_LIMIT))) {
         coordinator.inherit(levels);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -119,9 +119,10 @@
                       : known(job, fresh));
     }
     Counted next = counted.with(job, record);
+    long term = runner.term();
     return store
         .write(transaction(job, record, parts, countKey, next))
-        .thenCompose(outcome -> settle(job, record, parts, races, next, outcome));
+        .thenCompose(outcome -> settle(job, record, parts, races, next, term, outcome));
   }
 
   private static boolean fits(JobSubmission job, Counted counted, JobRecord record) {
@@ -135,11 +136,13 @@
       List<JobItems> parts,
       int races,
       Counted next,
+      long term,
       WriteOutcome outcome) {
     if (outcome instanceof WriteOutcome.Done done) {
       counts.put(countKey(job), new Counted(next.tokens(), done.revision()));
       LOG.write(Event.JOB_ACCEPTED, job.id(), job.organisation(), job.items().size(), job.tokens());
-      runner.start(job.id(), new JobStore.Stored(record, done.revision()), job.items());
+      JobStore.Stored stored = new JobStore.Stored(record, done.revision());
+      runner.start(job.id(), stored, job.items(), term);
       return done(new JobAnswer.Accepted());
     }
     if (outcome instanceof WriteOutcome.Lost lost) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -14,9 +14,11 @@
 import org.waxwingcourse.fleet.engine.EngineCalls;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.KeyNames;
+import org.waxwingcourse.fleet.view.Registration;
 import org.waxwingcourse.fleet.view.Views;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
@@ -39,6 +41,7 @@
    * What running jobs works with.
    *
    * @param self this process
+   * @param registration shows under which term this host holds its jobs
    * @param store the entries of jobs
    * @param clock the steady clock
    * @param wall the wall clock, by which jobs are due
@@ -52,6 +55,7 @@
    */
   record Ports(
       RunnerName self,
+      Registration registration,
       JobStore store,
       InstantSource clock,
       InstantSource wall,
@@ -75,23 +79,33 @@
     return running.size();
   }
 
-  /** Runs a job that has just been accepted here. */
-  void start(JobId id, JobStore.Stored stored, List<JobItem> items) {
-    start(id, stored, items, List.of());
+  /** Returns the term under which a job that is written now is held. */
+  long term() {
+    return ports.registration().term();
+  }
+
+  /** Runs a job that has just been accepted here, written under {@code term}. */
+  void start(JobId id, JobStore.Stored stored, List<JobItem> items, long term) {
+    start(id, stored, items, List.of(), term);
   }
 
   private void start(
-      JobId id, JobStore.Stored stored, List<JobItem> items, List<JobResult> results) {
+      JobId id, JobStore.Stored stored, List<JobItem> items, List<JobResult> results, long term) {
     if (stopped) {
       return;
     }
-    RunningJob job = new RunningJob(id, stored, items, results, ports, () -> running.remove(id));
+    RunningJob job =
+        new RunningJob(id, stored, items, results, term, ports, () -> running.remove(id));
     if (running.putIfAbsent(id, job) == null) {
       job.begin();
     }
   }
 
-  /** Takes over a job whose runner is gone, unless it is finished, ended or run here already. */
+  /**
+   * Takes over a job whose runner is gone, unless it is finished, ended or run here already. The
+   * claim holds only while the runner's entry does not stand in the store; a runner whose entry has
+   * lapsed confirms its jobs before it speaks for them again.
+   */
   void take(JobId id) {
     if (stopped || running.containsKey(id) || !taking.add(id)) {
       return;
@@ -111,27 +125,37 @@
       ports.store().write(Transaction.builder().delete(KeyNames.runner(id)).build());
       return;
     }
+    long term = term();
+    if (isOwn(record)) {
+      resume(id, found, term);
+      return;
+    }
     JobRecord own =
         record.toBuilder()
             .setRunner(ports.self().host().value())
             .setRunnerBoot(ports.self().boot())
             .build();
+    String runnersEntry = KeyNames.host(HostId.of(record.getRunner()), record.getRunnerBoot());
     Transaction claim =
         Transaction.builder()
             .unchanged(KeyNames.job(id), found.revision())
+            .absent(runnersEntry)
             .put(KeyNames.job(id), own.toByteArray())
             .put(KeyNames.runner(id), ports.self().encode())
             .build();
-    ports.store().write(claim).thenAccept(outcome -> onClaimed(id, own, outcome));
+    ports.store().write(claim).thenAccept(outcome -> onClaimed(id, own, term, outcome));
   }
 
-  private void onClaimed(JobId id, JobRecord own, WriteOutcome outcome) {
+  private void onClaimed(JobId id, JobRecord own, long term, WriteOutcome outcome) {
     if (!(outcome instanceof WriteOutcome.Done done)) {
       taking.remove(id);
       return;
     }
     LOG.write(Event.JOB_TAKEN, id, own.getListedCount(), own.getItemTokensCount());
-    JobStore.Stored stored = new JobStore.Stored(own, done.revision());
+    resume(id, new JobStore.Stored(own, done.revision()), term);
+  }
+
+  private void resume(JobId id, JobStore.Stored stored, long term) {
     ports
         .store()
         .items(id)
@@ -140,7 +164,7 @@
             (items, results) -> {
               taking.remove(id);
               if (items.isRight() && results.isRight()) {
-                start(id, stored, items.get(), results.get());
+                start(id, stored, items.get(), results.get(), term);
               } else {
                 LOG.write(Event.JOB_UNREADABLE, id);
                 ports.timer().schedule(() -> take(id), 1, java.util.concurrent.TimeUnit.SECONDS);
@@ -149,6 +173,16 @@
             });
   }
 
+  private boolean isOwn(JobRecord record) {
+    return record.getRunner().equals(ports.self().host().value())
+        && record.getRunnerBoot() == ports.self().boot();
+  }
+
+  /** This host's entry had lapsed: each job is confirmed from its record, or left. */
+  void confirmAll() {
+    running.values().forEach(RunningJob::confirm);
+  }
+
   /** The job was ended in the store. */
   void closed(JobId id) {
     get(id).forEach(job -> job.stop("the job was ended"));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -121,6 +121,7 @@
         new JobRunner(
             new JobRunner.Ports(
                 self,
+                ports.registration(),
                 store,
                 ports.clock(),
                 ports.wall(),
@@ -134,6 +135,11 @@
     this.intake = new JobIntake(store, runner, self, ports.timer());
   }
 
+  /** This host's entry had lapsed and stands again. */
+  public void onNewTerm() {
+    runner.confirmAll();
+  }
+
   /** Accepts a job, or says why not. */
   public CompletableFuture<JobAnswer> submit(JobSubmission job) {
     return intake.submit(job, ports.wall().instant());
@@ -143,7 +149,7 @@
   public CompletableFuture<JobAnswer> read(
       JobId job, OrganisationId organisation, int after, Duration patience) {
     Option<RunningJob> own = runner.get(job);
-    if (own.isDefined() && speaksForJobs()) {
+    if (own.isDefined() && own.get().isHeld()) {
       return own.get().organisation().equals(organisation)
           ? readOwn(own.get(), after, patience)
           : done(new JobAnswer.NotFound());
@@ -231,11 +237,6 @@
         FleetMessage.newBuilder().setJobAssigned(JobAssigned.newBuilder().setJob(job.value())));
   }
 
-  /** Tells whether this host's claim on its jobs is in force: its entry stands in the store. */
-  private boolean speaksForJobs() {
-    return ports.registration().isInForce();
-  }
-
   private CompletableFuture<JobAnswer> readOwn(RunningJob job, int after, Duration patience) {
     JobAnswer.Page page = job.page(after);
     if (!page.results().isEmpty() || patience.isZero()) {
@@ -291,7 +292,7 @@
 
   private void answerRead(HostId from, JobRead ask) {
     Option<RunningJob> own = runner.get(JobId.of(ask.getJob()));
-    if (own.isEmpty() || !speaksForJobs()) {
+    if (own.isEmpty() || !own.get().isHeld()) {
       sendPage(from, JobPage.newBuilder().setNumber(ask.getNumber()).build());
       return;
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -56,6 +56,7 @@
   private final Deadline due;
   private final Deadline giveUpAt;
   private JobStore.Stored stored;
+  private long term;
   private boolean committing;
   private boolean scheduled;
   private boolean over;
@@ -65,10 +66,12 @@
       JobStore.Stored stored,
       List<JobItem> items,
       List<JobResult> results,
+      long term,
       JobRunner.Ports ports,
       Runnable onOver) {
     this.id = id;
     this.stored = stored;
+    this.term = term;
     this.items = items;
     this.ports = ports;
     this.onOver = onOver;
@@ -101,6 +104,29 @@
     return id;
   }
 
+  /** Tells whether no other host can have taken the job: it is held under the present term. */
+  synchronized boolean isHeld() {
+    return ports.registration().isInForce() && term == ports.registration().term();
+  }
+
+  /** Finds out from the record whether the job is still this host's, under a new term. */
+  void confirm() {
+    long current = ports.registration().term();
+    ports.store().record(id).thenAccept(answer -> onConfirmed(current, answer));
+  }
+
+  private void onConfirmed(long current, Either<StoreFailure, Option<JobStore.Stored>> answer) {
+    if (answer.isLeft()) {
+      ports.timer().schedule(this::confirm, COMMIT_RETRY.toNanos(), TimeUnit.NANOSECONDS);
+    } else if (answer.get().exists(s -> isOwn(s.record()) && !s.record().getClosed())) {
+      synchronized (this) {
+        term = current;
+      }
+    } else {
+      stop("the job was taken or ended while this host's entry had lapsed");
+    }
+  }
+
   Deadline due() {
     return due;
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/KeyNames.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/KeyNames.java
@@ -21,7 +21,12 @@
 
   /** Returns the key of one process of a host. */
   public static String host(HostId host, long boot) {
-    return HOSTS + host + "@" + boot;
+    return hostPrefix(host) + boot;
+  }
+
+  /** Returns what begins the keys of all processes of a host. */
+  public static String hostPrefix(HostId host) {
+    return HOSTS + host + "@";
   }
 
   /** Returns the key of a job's record. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/Registration.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/Registration.java
@@ -6,6 +6,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,9 @@
 
   private static final int SECRET_BYTES = 24;
 
+  /** Earlier processes whose entries are removed in one write. */
+  private static final int MAX_EARLIER = 8;
+
   private final Store store;
   private final Views views;
   private final Clocks clocks;
@@ -49,7 +53,8 @@
   private volatile FleetHost host;
   private volatile Option<Lease> lease = Option.none();
   private volatile boolean stopped;
-  private boolean registered;
+  private volatile long term;
+  private Runnable onNewTerm = () -> {};
 
   /** Creates the registration of a host. */
   public Registration(
@@ -83,6 +88,19 @@
     return lease.exists(l -> !l.deadline().isPast(clocks.instant()));
   }
 
+  /**
+   * Returns the number of the present unbroken time in which the entry has stood in the store. What
+   * this host held under an earlier term may have been taken over by others.
+   */
+  public long term() {
+    return term;
+  }
+
+  /** Names what runs when the entry stands again after a break. */
+  public void onNewTerm(Runnable listener) {
+    onNewTerm = listener;
+  }
+
   /** Tells the fleet that this host has been told to stop. */
   public void leave() {
     host = host.withLeaving();
@@ -158,12 +176,24 @@
       return;
     }
     lease = Option.none();
+    term++;
     write(answer.get().id()).thenAccept(outcome -> onWritten(answer.get(), outcome));
   }
 
   private CompletableFuture<WriteOutcome> write(LeaseId id) {
     String key = KeyNames.host(host.id(), host.boot());
-    return store.write(Transaction.builder().put(key, host.encode(), id).build());
+    Transaction.Builder builder = Transaction.builder().put(key, host.encode(), id);
+    earlierBoots(key).forEach(builder::delete);
+    return store.write(builder.build());
+  }
+
+  /** Returns the entries that processes of this host have left behind, which are gone with them. */
+  private List<String> earlierBoots(String ownKey) {
+    return views.hosts().entries().stream()
+        .map(Entry::key)
+        .filter(k -> k.startsWith(KeyNames.hostPrefix(host.id())) && !k.equals(ownKey))
+        .limit(MAX_EARLIER)
+        .toList();
   }
 
   private void onWritten(Lease granted, WriteOutcome outcome) {
@@ -172,10 +202,8 @@
       return;
     }
     lease = Option.some(granted);
-    if (!registered) {
-      registered = true;
-      LOG.write(Event.HOST_REGISTERED, host.id(), host.boot(), granted.id().value());
-    }
+    LOG.write(Event.HOST_REGISTERED, host.id(), host.boot(), granted.id().value());
+    onNewTerm.run();
     timer.schedule(this::renew, RENEWAL.toMillis(), TimeUnit.MILLISECONDS);
   }
 
