--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -0,0 +1,191 @@
+package org.waxwingcourse.fleet.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.FleetHost;
+import org.waxwingcourse.fleet.view.KeyNames;
+import org.waxwingcourse.fleet.view.Registration;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.peer.Channel;
+import org.waxwingcourse.peer.PeerHandler;
+import org.waxwingcourse.peer.Peers;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.wire.fleet.JobItem;
+import org.waxwingcourse.wire.fleet.JobItems;
+import org.waxwingcourse.wire.fleet.JobRecord;
+
+/** Who may run a job whose runner seems gone. */
+class JobTakeOverTest {
+  private static final JobId JOB = JobId.of("job-1");
+  private static final RunnerName OLD = new RunnerName(HostId.of("old"), 1);
+  private static final RunnerName NEW = new RunnerName(HostId.of("new"), 7);
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  private final MemoryStore store = MemoryStore.of(InstantSource.system());
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Clocks clocks = new Clocks(InstantSource.system(), InstantSource.system());
+  private final Views views = Views.of(document -> Either.left("none"), clocks);
+  private final Registration registration =
+      new Registration(host(NEW), store, views, clocks, timer, new SecureRandom());
+  private final JobRunner runner = new JobRunner(ports());
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  private static FleetHost host(RunnerName name) {
+    return new FleetHost(
+        name.host(),
+        name.boot(),
+        DataCentreId.of("a"),
+        "r",
+        new InetSocketAddress("127.0.0.1", 1),
+        Option.none(),
+        false,
+        Revision.NONE);
+  }
+
+  private JobRunner.Ports ports() {
+    Peers silent =
+        new Peers() {
+          @Override
+          public void send(HostId to, Channel channel, byte[] payload) {}
+
+          @Override
+          public void handle(Channel channel, PeerHandler handler) {}
+        };
+    return new JobRunner.Ports(
+        NEW,
+        registration,
+        new JobStore(store),
+        clocks.steady(),
+        clocks.wall(),
+        timer,
+        new Random(1),
+        views,
+        new EngineDirectory(views.engines(), e -> Option.none()),
+        (request, listener) -> () -> {},
+        new SlotClient(silent, clocks.steady(), DataCentreId.of("a"), NEW.host()),
+        headers -> List.of());
+  }
+
+  private void acceptedBy(RunnerName name) {
+    JobRecord record =
+        JobRecord.newBuilder()
+            .setOrganisation("parish")
+            .setRoute("jobs")
+            .addItemTokens(10)
+            .setItemParts(1)
+            .setDueMillis(Instant.now().plusSeconds(18).toEpochMilli())
+            .setGiveUpMillis(Instant.now().plusSeconds(60).toEpochMilli())
+            .setRunner(name.host().value())
+            .setRunnerBoot(name.boot())
+            .build();
+    JobItem item = JobItem.newBuilder().setId("item-1").setTokens(10).build();
+    store
+        .write(
+            Transaction.builder()
+                .put(KeyNames.job(JOB), record.toByteArray())
+                .put(KeyNames.runner(JOB), name.encode())
+                .put(
+                    KeyNames.items(JOB, 0),
+                    JobItems.newBuilder().addItems(item).build().toByteArray())
+                .build())
+        .join();
+  }
+
+  private JobRecord record() throws Exception {
+    return JobRecord.parseFrom(
+        store.peek(KeyRange.ofKey(KeyNames.job(JOB))).first().orElseThrow().value());
+  }
+
+  private static void await(java.util.function.BooleanSupplier condition)
+      throws InterruptedException {
+    Instant end = Instant.now().plus(PATIENCE);
+    while (!condition.getAsBoolean()) {
+      assertThat(Instant.now()).as("not within " + PATIENCE).isBefore(end);
+      Thread.sleep(5);
+    }
+  }
+
+  @Test
+  void aRunnerWhoseEntryStandsKeepsItsJob() throws Exception {
+    acceptedBy(OLD);
+    String entry = KeyNames.host(OLD.host(), OLD.boot());
+    store.write(Transaction.builder().put(entry, host(OLD).encode()).build()).join();
+    runner.take(JOB);
+    assertThat(record().getRunner()).isEqualTo("old");
+    assertThat(runner.size()).isZero();
+  }
+
+  @Test
+  void aJobWhoseRunnerIsGoneIsTaken() throws Exception {
+    acceptedBy(OLD);
+    runner.take(JOB);
+    await(() -> runner.size() == 1);
+    assertThat(record().getRunner()).isEqualTo("new");
+    assertThat(record().getRunnerBoot()).isEqualTo(7);
+  }
+
+  @Test
+  void anEarlierProcessOfARestartedHostLosesItsEntryAtOnce() throws Exception {
+    RunnerName earlier = new RunnerName(NEW.host(), 3);
+    String entry = KeyNames.host(earlier.host(), earlier.boot());
+    store.write(Transaction.builder().put(entry, host(earlier).encode()).build()).join();
+    registration.start();
+    await(registration::isInForce);
+    assertThat(store.peek(KeyRange.ofKey(entry)).first()).isEmpty();
+  }
+
+  @Test
+  void aHostWhoseEntryLapsedDoesNotSpeakForAJobThatWasTaken() throws Exception {
+    registration.start();
+    await(registration::isInForce);
+    acceptedBy(OLD);
+    runner.take(JOB);
+    await(() -> runner.size() == 1);
+    RunningJob job = runner.get(JOB).get();
+    assertThat(job.isHeld()).isTrue();
+    JobRecord taken = record().toBuilder().setRunner("third").setRunnerBoot(1).build();
+    store
+        .write(Transaction.builder().put(KeyNames.job(JOB), taken.toByteArray()).build())
+        .join();
+    runner.confirmAll();
+    await(() -> runner.size() == 0);
+  }
+
+  @Test
+  void anEndedJobIsNotTaken() throws Exception {
+    acceptedBy(OLD);
+    JobRecord closed = record().toBuilder().setClosed(true).build();
+    store
+        .write(Transaction.builder().put(KeyNames.job(JOB), closed.toByteArray()).build())
+        .join();
+    runner.take(JOB);
+    assertThat(runner.size()).isZero();
+    assertThat(store.peek(KeyRange.ofKey(KeyNames.runner(JOB))).first()).isEmpty();
+  }
+}
