A request inside its rate waits for its token; a job's readers ask its runner

Change: a token may be taken ahead of its time by what the request may wait (PacedRequests); buckets begin with 8 tokens over all hosts, below what is allowed beyond the rate when all restart; a job is announced to all hosts and its results are asked of its runner, also after it has finished.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -17,6 +17,7 @@
 import org.waxwingcourse.fleet.plan.ServicePlan;
 import org.waxwingcourse.fleet.slot.Decision;
 import org.waxwingcourse.fleet.slot.OrganisationRates;
+import org.waxwingcourse.fleet.slot.PacedRequests;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.fleet.slot.RunId;
 import org.waxwingcourse.fleet.slot.ServiceSlots;
@@ -54,6 +55,7 @@
   private final InstantSource clock;
   private final OrganisationRates rates = new OrganisationRates(OrganisationTable.of(List.of()));
   private final Map<ServiceName, ServiceSlots> services = new ConcurrentHashMap<>();
+  private final PacedRequests paced = new PacedRequests();
   private volatile Option<Plan> plan = Option.none();
   private volatile double part;
   private volatile Map<ServiceName, List<EngineEntry>> engines = Map.of();
@@ -114,24 +116,31 @@
 
   /** A host takes its slots elsewhere or is gone. */
   public void hostGone(HostId host) {
+    paced.removeIf(id -> id.host().equals(host));
     services.values().forEach(s -> carryOut(s.hostGone(host, clock.instant())));
   }
 
   /** Looks after what waits; called every few milliseconds. */
   public void tick() {
+    Instant now = clock.instant();
+    paced.due(now).forEach(r -> carryOut(slots(r.service()).offer(r, now)));
     services.values().forEach(s -> carryOut(s.tick(clock.instant())));
   }
 
   void onAsk(HostId from, SlotAsk ask) {
     Instant now = clock.instant();
     SlotRequest request = request(from, ask, now);
-    Duration wait = request.chargedTo().map(o -> rates.take(o, now)).getOrElse(Duration.ZERO);
-    if (!wait.isZero()) {
+    Duration patience = request.startBy().remaining(now);
+    Duration wait =
+        request.chargedTo().map(o -> rates.take(o, patience, now)).getOrElse(Duration.ZERO);
+    if (wait.compareTo(patience) > 0) {
       String reason = "organisation \"" + ask.getOrganisation() + "\" is over its rate";
       refuse(new Decision.Refuse(request, true, now.plus(wait), reason));
-      return;
+    } else if (wait.isZero()) {
+      carryOut(slots(request.service()).offer(request, now));
+    } else {
+      paced.add(request, now.plus(wait));
     }
-    carryOut(slots(request.service()).offer(request, now));
   }
 
   void onEnd(HostId from, SlotEnd end) {
@@ -145,6 +154,7 @@
   }
 
   void onWithdraw(HostId from, long number) {
+    paced.removeIf(id -> id.equals(new RunId(from, number)));
     services.values().forEach(s -> s.withdraw(new RunId(from, number)));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
@@ -51,6 +52,8 @@
    * @param engines the engines
    * @param calls sends to engines
    * @param slots asks for slots
+   * @param onStarted hears of each job that begins to run here
+   * @param onFinished hears of each job whose results all stand, with them
    * @param promptParts reads the ids of shared prompt parts from an item's headers
    */
   record Ports(
@@ -65,6 +68,8 @@
       EngineDirectory engines,
       EngineCalls calls,
       SlotClient slots,
+      Consumer<RunningJob> onStarted,
+      Consumer<RunningJob> onFinished,
       Function<List<ItemHeader>, List<Long>> promptParts) {}
 
   JobRunner(Ports ports) {
@@ -97,6 +102,7 @@
     RunningJob job =
         new RunningJob(id, stored, items, results, term, ports, () -> running.remove(id));
     if (running.putIfAbsent(id, job) == null) {
+      ports.onStarted().accept(job);
       job.begin();
     }
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -20,6 +20,7 @@
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineCalls;
 import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.KeyNames;
 import org.waxwingcourse.fleet.view.Registration;
 import org.waxwingcourse.fleet.view.Views;
@@ -36,6 +37,7 @@
 import org.waxwingcourse.store.WriteOutcome;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.ItemHeader;
+import org.waxwingcourse.wire.fleet.JobAnnounced;
 import org.waxwingcourse.wire.fleet.JobAssigned;
 import org.waxwingcourse.wire.fleet.JobClosed;
 import org.waxwingcourse.wire.fleet.JobItem;
@@ -131,6 +133,8 @@
                 ports.engines(),
                 ports.calls(),
                 ports.slots(),
+                this::announce,
+                this::keep,
                 ports.promptParts()));
     this.intake = new JobIntake(store, runner, self, ports.timer());
   }
@@ -155,18 +159,22 @@
           : done(new JobAnswer.NotFound());
     }
     KnownJob cached = known.get(job);
-    if (cached != null && cached.isOf(organisation) && cached.hasAfter(after)) {
-      return done(cached.page(after));
-    }
-    if (cached == null) {
-      return load(job)
-          .thenCompose(
-              answer ->
-                  answer.isRight() && answer.get().isDefined() && !answer.get().get().isOver()
-                      ? readKnown(job, answer.get().get(), organisation, after, patience)
-                      : done(pageOf(answer, organisation, after)));
+    if (cached != null) {
+      return readKnown(job, cached, organisation, after, patience);
     }
-    return readKnown(job, cached, organisation, after, patience);
+    return store
+        .record(job)
+        .thenCompose(
+            answer -> {
+              if (answer.isLeft()) {
+                return done(unavailable(answer.getLeft()));
+              }
+              if (answer.get().isEmpty()) {
+                return done(new JobAnswer.NotFound());
+              }
+              KnownJob fresh = remember(job, answer.get().get().record(), List.of());
+              return readKnown(job, fresh, organisation, after, patience);
+            });
   }
 
   /** Returns the body of an item that has no result yet. */
@@ -224,6 +232,7 @@
         }
       }
       case JOB_CLOSED -> onClosed(from, message.getJobClosed());
+      case JOB_ANNOUNCED -> onAnnounced(message.getJobAnnounced());
       case JOB_ASSIGNED -> runner.take(JobId.of(message.getJobAssigned().getJob()));
       default -> LOG.write(Event.FLEET_MESSAGE_UNREADABLE, from, message.getBodyCase());
     }
@@ -252,7 +261,7 @@
     if (!cached.isOf(organisation)) {
       return done(new JobAnswer.NotFound());
     }
-    if (cached.hasAfter(after) || cached.isOver()) {
+    if (cached.hasAfter(after) || cached.isComplete()) {
       return done(cached.page(after));
     }
     return askRunner(job, cached, after, patience)
@@ -291,24 +300,58 @@
   }
 
   private void answerRead(HostId from, JobRead ask) {
-    Option<RunningJob> own = runner.get(JobId.of(ask.getJob()));
+    JobId job = JobId.of(ask.getJob());
+    Option<RunningJob> own = runner.get(job);
+    KnownJob finished = known.get(job);
+    if (own.isEmpty() && finished != null && finished.isComplete()) {
+      sendPage(from, page(ask, finished.page(ask.getAfter())));
+      return;
+    }
     if (own.isEmpty() || !own.get().isHeld()) {
       sendPage(from, JobPage.newBuilder().setNumber(ask.getNumber()).build());
       return;
     }
     readOwn(own.get(), ask.getAfter(), Duration.ofNanos(ask.getWaitNanos()))
-        .thenAccept(
-            answer -> {
-              JobAnswer.Page page = (JobAnswer.Page) answer;
-              sendPage(
-                  from,
-                  JobPage.newBuilder()
-                      .setNumber(ask.getNumber())
-                      .setKnown(true)
-                      .setAfter(page.after())
-                      .addAllResults(page.results())
-                      .build());
-            });
+        .thenAccept(answer -> sendPage(from, page(ask, (JobAnswer.Page) answer)));
+  }
+
+  private static JobPage page(JobRead ask, JobAnswer.Page page) {
+    return JobPage.newBuilder()
+        .setNumber(ask.getNumber())
+        .setKnown(true)
+        .setAfter(page.after())
+        .addAllResults(page.results())
+        .build();
+  }
+
+  /** Tells all hosts where a job runs, so that they ask there for its results. */
+  private void announce(RunningJob job) {
+    JobAnnounced.Builder message =
+        JobAnnounced.newBuilder()
+            .setJob(job.id().value())
+            .setOrganisation(job.organisation().value())
+            .setTotal(job.total())
+            .setRunner(self.host().value());
+    ports.views().fleet().ordered().stream()
+        .map(FleetHost::id)
+        .filter(h -> !h.equals(self.host()))
+        .forEach(h -> send(h, FleetMessage.newBuilder().setJobAnnounced(message)));
+  }
+
+  private void onAnnounced(JobAnnounced message) {
+    HostId host = HostId.of(message.getRunner());
+    OrganisationId organisation = OrganisationId.of(message.getOrganisation());
+    known
+        .computeIfAbsent(
+            JobId.of(message.getJob()), j -> new KnownJob(organisation, message.getTotal(), host))
+        .runsAt(host);
+  }
+
+  /** Keeps the results of a job that has run here for later readers. */
+  private void keep(RunningJob job) {
+    KnownJob kept = new KnownJob(job.organisation(), job.total(), self.host());
+    kept.add(0, job.page(0).results());
+    known.put(job.id(), kept);
   }
 
   private void sendPage(HostId to, JobPage page) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/KnownJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/KnownJob.java
@@ -18,17 +18,27 @@
   private final int total;
   private final List<JobResult> results = new ArrayList<>();
   private HostId runner;
-  private boolean closed;
 
   KnownJob(JobRecord record) {
-    organisation = OrganisationId.of(record.getOrganisation());
-    total = record.getItemTokensCount();
-    runner = HostId.of(record.getRunner());
+    this(
+        OrganisationId.of(record.getOrganisation()),
+        record.getItemTokensCount(),
+        HostId.of(record.getRunner()));
+  }
+
+  KnownJob(OrganisationId organisation, int total, HostId runner) {
+    this.organisation = organisation;
+    this.total = total;
+    this.runner = runner;
+  }
+
+  /** Another host runs the job now. */
+  synchronized void runsAt(HostId host) {
+    runner = host;
   }
 
   synchronized void update(JobRecord record) {
     runner = HostId.of(record.getRunner());
-    closed = record.getClosed();
   }
 
   boolean isOf(OrganisationId candidate) {
@@ -47,9 +57,9 @@
     return results.size() > after;
   }
 
-  /** Tells whether no more results will come. */
-  synchronized boolean isOver() {
-    return closed || results.size() >= total;
+  /** Tells whether all results are known, so that no more will come. */
+  synchronized boolean isComplete() {
+    return results.size() >= total;
   }
 
   /** Takes in results from a position on, as far as they follow on what is known. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -203,8 +203,16 @@
     waiting.forEach(r -> r.complete(null));
   }
 
+  /** Returns the number of items. */
+  int total() {
+    return items.size();
+  }
+
   private void finish(String why) {
     over = true;
+    if (listed.size() == items.size()) {
+      ports.onFinished().accept(this);
+    }
     LOG.write(Event.JOB_LEFT, id, why, listed.size(), stored.record().getItemTokensCount());
     ports.timer().execute(onOver);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/OrganisationRates.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/OrganisationRates.java
@@ -14,11 +14,19 @@
  * Holds organisations to their rates for the hosts that take their slots from this one. A
  * coordinator with a part of the fleet admits that part of each rate; since a host takes its slots
  * from one coordinator at a time, the parts of coordinators that do not know of each other add up
- * to no more than the rate. A bucket begins empty, or with what the coordinator before last told.
+ * to no more than the rate. A bucket begins with what the coordinator before last told, or nearly
+ * empty.
  *
  * <p>Safe for use by several threads.
  */
 public final class OrganisationRates {
+  /**
+   * What all buckets of an organisation hold together after a start without any knowledge,
+   * billionths of a token. All hosts may restart within the time in which a rate is judged, so it
+   * stays well below what is allowed beyond rate and burst.
+   */
+  private static final long COLD_TOKENS = 8 * TokenBucket.TOKEN;
+
   private final Map<OrganisationId, TokenBucket> buckets = new HashMap<>();
   private final Map<OrganisationId, Long> inherited = new HashMap<>();
   private OrganisationTable organisations;
@@ -38,17 +46,14 @@
     buckets.forEach((id, bucket) -> bucket.resize(shareOf(id), now));
   }
 
-  /** Takes one token; zero if there was one, else the time until there will be. */
-  public synchronized Duration take(OrganisationId id, Instant now) {
-    if (!organisations.byId(id).exists(OrganisationPlan::isLimited)) {
-      return Duration.ZERO;
-    }
-    TokenBucket bucket = bucket(id, now);
-    if (bucket.amount(now) < TokenBucket.TOKEN) {
-      return bucket.timeUntil(TokenBucket.TOKEN, now);
-    }
-    bucket.take(TokenBucket.TOKEN, now);
-    return Duration.ZERO;
+  /**
+   * Takes one token, if need be ahead of its time by up to {@code patience}; returns how long the
+   * request must wait for it. A longer time means that none was taken.
+   */
+  public synchronized Duration take(OrganisationId id, Duration patience, Instant now) {
+    return organisations.byId(id).exists(OrganisationPlan::isLimited)
+        ? bucket(id, now).takeAhead(TokenBucket.TOKEN, patience, now)
+        : Duration.ZERO;
   }
 
   /** Puts back the token of a request that was not run. */
@@ -79,7 +84,7 @@
         i -> {
           TokenBucket bucket = new TokenBucket(now);
           bucket.resize(shareOf(i), now);
-          bucket.giveBack(inherited.getOrDefault(i, 0L), now);
+          bucket.giveBack(inherited.getOrDefault(i, (long) (part * COLD_TOKENS)), now);
           return bucket;
         });
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -89,6 +89,8 @@
         new EngineDirectory(views.engines(), e -> Option.none()),
         (request, listener) -> () -> {},
         new SlotClient(silent, clocks.steady(), DataCentreId.of("a"), NEW.host()),
+        job -> {},
+        job -> {},
         headers -> List.of());
   }
 
@@ -170,9 +172,7 @@
     RunningJob job = runner.get(JOB).get();
     assertThat(job.isHeld()).isTrue();
     JobRecord taken = record().toBuilder().setRunner("third").setRunnerBoot(1).build();
-    store
-        .write(Transaction.builder().put(KeyNames.job(JOB), taken.toByteArray()).build())
-        .join();
+    store.write(Transaction.builder().put(KeyNames.job(JOB), taken.toByteArray()).build()).join();
     runner.confirmAll();
     await(() -> runner.size() == 0);
   }
@@ -181,9 +181,7 @@
   void anEndedJobIsNotTaken() throws Exception {
     acceptedBy(OLD);
     JobRecord closed = record().toBuilder().setClosed(true).build();
-    store
-        .write(Transaction.builder().put(KeyNames.job(JOB), closed.toByteArray()).build())
-        .join();
+    store.write(Transaction.builder().put(KeyNames.job(JOB), closed.toByteArray()).build()).join();
     runner.take(JOB);
     assertThat(runner.size()).isZero();
     assertThat(store.peek(KeyRange.ofKey(KeyNames.runner(JOB))).first()).isEmpty();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrganisationRatesTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrganisationRatesTest.java
@@ -32,17 +32,37 @@
   private static int admitted(OrganisationRates rates, Instant from, Duration span) {
     int admitted = 0;
     for (long ms = 0; ms < span.toMillis(); ms++) {
-      admitted += rates.take(ID, from.plusMillis(ms)).isZero() ? 1 : 0;
+      admitted += rates.take(ID, Duration.ZERO, from.plusMillis(ms)).isZero() ? 1 : 0;
     }
     return admitted;
   }
 
   @Test
-  void aBucketBeginsEmptyAndFillsBeforeTheFirstRequest() {
+  void aBucketBeginsNearlyEmptyAndFillsBeforeTheFirstRequest() {
     OrganisationRates rates = rates(20, 40, 1);
-    assertThat(rates.take(ID, START)).isPositive();
-    assertThat(admitted(rates, START.plusSeconds(10), Duration.ofMillis(1))).isEqualTo(1);
-    assertThat(rates.levels(START.plusSeconds(10))).containsKey(ID);
+    assertThat(admitted(rates, START, Duration.ofMillis(20))).isEqualTo(8);
+    assertThat(admitted(rates, START.plusSeconds(10), Duration.ofMillis(100))).isEqualTo(41);
+  }
+
+  @Test
+  void aRestartOfAllStaysWithinWhatIsAllowedBeyondTheRate() {
+    int before = admitted(rates(20, 40, 1), START.plusSeconds(15), Duration.ofSeconds(3));
+    int after = admitted(rates(20, 40, 1), START, Duration.ofSeconds(2));
+    assertThat(before + after).isLessThanOrEqualTo((int) ((20 * 5 + 40) * 1.1 + 20));
+  }
+
+  @Test
+  void aRequestMayWaitForItsTokenInTheOrderOfComing() {
+    OrganisationRates rates = rates(10, 10, 1);
+    Instant now = START.plusSeconds(15);
+    admitted(rates, now, Duration.ofMillis(10));
+    Duration patience = Duration.ofMillis(250);
+    Duration first = rates.take(ID, patience, now.plusMillis(10));
+    Duration second = rates.take(ID, patience, now.plusMillis(10));
+    assertThat(first).isBetween(Duration.ofMillis(80), Duration.ofMillis(100));
+    assertThat(second.minus(first)).isEqualTo(Duration.ofMillis(100));
+    assertThat(rates.take(ID, patience, now.plusMillis(10))).isGreaterThan(patience);
+    assertThat(rates.take(ID, patience, now.plusMillis(10))).isEqualTo(Duration.ofMillis(290));
   }
 
   @Test
@@ -73,14 +93,14 @@
   void whatWasNotRunIsGivenBack() {
     OrganisationRates rates = rates(1, 1, 1);
     Instant later = START.plusSeconds(5);
-    assertThat(rates.take(ID, later)).isZero();
+    assertThat(rates.take(ID, Duration.ZERO, later)).isZero();
     rates.giveBack(ID, later);
-    assertThat(rates.take(ID, later)).isZero();
+    assertThat(rates.take(ID, Duration.ZERO, later)).isZero();
   }
 
   @Test
   void aSmallPartOfASmallBurstStillAdmits() {
     OrganisationRates rates = rates(9, 3, 1 / 9.0);
-    assertThat(rates.take(ID, START.plusSeconds(5))).isZero();
+    assertThat(rates.take(ID, Duration.ZERO, START.plusSeconds(5))).isZero();
   }
 }
--- a/policy/src/main/java/org/waxwingcourse/policy/rate/TokenBucket.java
+++ b/policy/src/main/java/org/waxwingcourse/policy/rate/TokenBucket.java
@@ -79,6 +79,18 @@
     amount = Math.min(amount + unspent, room());
   }
 
+  /**
+   * Takes {@code wanted} now if the bucket holds it within {@code patience}, and returns when the
+   * taker may act on it; takes nothing and returns the time until it will, if that is longer.
+   */
+  public Duration takeAhead(long wanted, Duration patience, Instant now) {
+    Duration wait = timeUntil(wanted, now);
+    if (wait.compareTo(patience) <= 0) {
+      amount -= wanted;
+    }
+    return wait;
+  }
+
   /** Returns how long until the bucket holds {@code wanted}, bounded. */
   public Duration timeUntil(long wanted, Instant now) {
     long missing = wanted - amount(now);
@@ -102,6 +114,6 @@
     }
     double created = Duration.between(filledAt, now).toNanos() * share.perSecond();
     filledAt = now;
-    amount = Math.max(0, Math.min(room(), amount + (long) Math.min(created, share.capacity())));
+    amount = Math.min(room(), amount + (long) Math.min(created, share.capacity()));
   }
 }
