Batch runs of a lost coordinator give way; items start while they can still be in time

Change: adopted batch runs give way first; an item's latest start lies before its due time by what it has yet to run (RunTimes), and items past it go behind; pings every 130 ms, lost after 450 ms.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -50,7 +50,7 @@
   private static final EventLog LOG = EventLog.of(FleetNode.class);
 
   /** Pause between two pings; a host is taken for lost after three without an answer. */
-  private static final Duration LINK_INTERVAL = Duration.ofMillis(200);
+  private static final Duration LINK_INTERVAL = Duration.ofMillis(130);
 
   /** Pause between two looks at the queues; small beside the time that may be waited. */
   private static final Duration QUEUE_INTERVAL = Duration.ofMillis(20);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -38,7 +38,7 @@
   private static final int CANDIDATES = 3;
 
   /** A host that has not answered for this long is taken for lost; three pings and a margin. */
-  private static final Duration ANSWER_LIMIT = Duration.ofMillis(700);
+  private static final Duration ANSWER_LIMIT = Duration.ofMillis(450);
 
   /** A host that has not pinged for this long has detached. */
   private static final Duration ATTACH_LIMIT = Duration.ofMillis(1100);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -101,7 +101,7 @@
             WorkClass.BATCH,
             route.get().rank(),
             Option.none(),
-            job.due(),
+            Deadline.at(job.due().at().minus(ports.times().left(data.size()))),
             job.giveUpAt(),
             ports.promptParts().apply(item.getHeadersList()),
             failedOn);
@@ -250,9 +250,11 @@
       }
       closed = true;
       Duration first = firstAt == null ? Duration.ZERO : Duration.between(sentAt, firstAt);
-      Duration gap =
-          count < 2 ? Duration.ZERO : Duration.between(firstAt, lastAt).dividedBy(count - 1);
-      ports.slots().end(number, new RunEnd(how, first, gap));
+      ports.slots().end(number, new RunEnd(how, first, gap()));
+    }
+
+    private Duration gap() {
+      return count < 2 ? Duration.ZERO : Duration.between(firstAt, lastAt).dividedBy(count - 1);
     }
 
     void watch(Duration limit) {
@@ -343,6 +345,7 @@
         boolean success = head.isSuccess();
         close(success ? RunEnd.How.WHOLE : RunEnd.How.ENGINE_FAILED);
         if (success) {
+          ports.times().completed(data.size(), gap());
           result(true, String.join("\n", data));
         } else if (head.status() == UNPROCESSABLE) {
           LOG.write(Event.ITEM_REFUSED, item.getId(), job.id(), engine);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -52,6 +52,7 @@
    * @param engines the engines
    * @param calls sends to engines
    * @param slots asks for slots
+   * @param times how long items run
    * @param onStarted hears of each job that begins to run here
    * @param onFinished hears of each job whose results all stand, with them
    * @param promptParts reads the ids of shared prompt parts from an item's headers
@@ -68,6 +69,7 @@
       EngineDirectory engines,
       EngineCalls calls,
       SlotClient slots,
+      RunTimes times,
       Consumer<RunningJob> onStarted,
       Consumer<RunningJob> onFinished,
       Function<List<ItemHeader>, List<Long>> promptParts) {}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -133,6 +133,7 @@
                 ports.engines(),
                 ports.calls(),
                 ports.slots(),
+                new RunTimes(),
                 this::announce,
                 this::keep,
                 ports.promptParts()));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.model.time.Deadline;
 
 /**
  * The slots of one engine and what runs in them. Not safe for use by several threads; the scheduler
@@ -42,7 +43,11 @@
    * @param online whether a caller waits for it
    * @param since when it started
    */
-  record Run(SlotRequest request, boolean online, Instant since) {}
+  record Run(SlotRequest request, boolean online, Instant since) {
+    Deadline due() {
+      return request == null ? Deadline.at(Instant.MAX) : request.startBy();
+    }
+  }
 
   EngineEntry entry() {
     return entry;
@@ -73,13 +78,15 @@
     return runs.size() < (condition.isOnProbe() ? 1 : slots);
   }
 
-  /** Returns the batch run that can best give up its slot: the one that is due last. */
+  /**
+   * Returns the batch run that can best give up its slot: the one that is due last. Of a run that
+   * began under another coordinator it is not known when it is due; such runs give way first.
+   */
   Option<RunId> batchToYield() {
-    Comparator<Map.Entry<RunId, Run>> byDue =
-        Comparator.comparing(e -> e.getValue().request().startBy());
+    Comparator<Map.Entry<RunId, Run>> byDue = Comparator.comparing(e -> e.getValue().due());
     return Option.ofOptional(
         runs.entrySet().stream()
-            .filter(e -> !e.getValue().online() && e.getValue().request() != null)
+            .filter(e -> !e.getValue().online())
             .max(byDue.thenComparing(e -> e.getValue().since()))
             .map(Map.Entry::getKey));
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -89,6 +89,7 @@
         new EngineDirectory(views.engines(), e -> Option.none()),
         (request, listener) -> () -> {},
         new SlotClient(silent, clocks.steady(), DataCentreId.of("a"), NEW.host()),
+        new RunTimes(),
         job -> {},
         job -> {},
         headers -> List.of());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/ServiceSlotsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/ServiceSlotsTest.java
@@ -6,6 +6,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.WorkClass;
 
 /** Load patterns against the sharing out of slots. */
@@ -76,4 +78,26 @@
     assertThat(s.waits).hasSize(3);
     assertThat(s.load.values().stream().filter(n -> n > 0)).hasSize(1);
   }
+
+  @Test
+  void batchRunsOfAnotherCoordinatorGiveWayToo() {
+    SlotSimulation s = new SlotSimulation(1, 2, 0);
+    for (long n = 100; n < 102; n++) {
+      RunId adopted = new RunId(HostId.of("other"), n);
+      s.slots.adopt(adopted, UpstreamId.of("engine-0"), false, s.now);
+    }
+    s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    assertThat(s.refusals).isEmpty();
+    assertThat(s.waits).containsExactly(Duration.ZERO);
+  }
+
+  @Test
+  void itemsThatCanBeInTimeGoBeforeThoseThatCannot() {
+    SlotSimulation s = new SlotSimulation(1, 1, 0);
+    s.offer(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    s.offer(WorkClass.BATCH, Duration.ofMillis(100));
+    s.offer(WorkClass.BATCH, Duration.ofSeconds(5));
+    s.run(Duration.ofSeconds(1));
+    assertThat(s.started).containsExactly(1L, 3L);
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -31,6 +31,7 @@
   final List<Duration> waits = new ArrayList<>();
   final List<Decision.Refuse> refusals = new ArrayList<>();
   final Map<UpstreamId, Integer> load = new HashMap<>();
+  final List<Long> started = new ArrayList<>();
   int grantedBatch;
   int yields;
   int fullestEngine;
@@ -142,6 +143,9 @@
         start(grant);
       } else if (decision instanceof Decision.Yield yield) {
         yields++;
+        if (!places.containsKey(yield.run())) {
+          continue;
+        }
         leave(yield.run());
         running.remove(yield.run());
         offer(WorkClass.BATCH, Duration.ofSeconds(18));
@@ -153,6 +157,7 @@
 
   private void start(Decision.Grant grant) {
     SlotRequest request = grant.request();
+    started.add(request.id().number());
     running.put(request.id(), request);
     places.put(request.id(), grant.engine());
     fullestEngine = Math.max(fullestEngine, load.merge(grant.engine(), 1, Integer::sum));
