Orders to empty a machine are answered; each try of a request elsewhere is logged

Cause: an order under op/retire was not read, so no machine with a disk could be taken away; a request served by its second engine left no line on why the first failed.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -41,7 +41,6 @@
 import org.waxwingcourse.peer.NettyPeers;
 import org.waxwingcourse.peer.PeerSettings;
 import org.waxwingcourse.policy.place.RendezvousHash;
-import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.wire.fleet.ItemHeader;
 
@@ -100,8 +99,8 @@
    * The outside as a host needs it.
    *
    * @param store the store that all hosts share
-   * @param configuration the key of the operators' configuration
-   * @param engines the prefix under which engines register
+   * @param sources what is followed there
+   * @param evacuations how orders to empty a host stand there
    * @param planReader reads the configuration
    * @param engineReader reads an engine's entry
    * @param calls sends to engines
@@ -109,8 +108,8 @@
    */
   public record Outside(
       Store store,
-      KeyRange configuration,
-      KeyRange engines,
+      StoreFollower.Sources sources,
+      Evacuations.Form evacuations,
       PlanReader planReader,
       EngineEntryReader engineReader,
       EngineCalls calls,
@@ -126,9 +125,10 @@
     views = Views.of(outside.planReader(), clocks);
     engines = new EngineDirectory(views.engines(), outside.engineReader());
     registration = new Registration(self, outside.store(), views, clocks, timer, random);
+    Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
     follower =
         new StoreFollower(
-            outside.store(), views, clocks, timer, outside.configuration(), outside.engines());
+            outside.store(), views, clocks, timer, outside.sources(), evacuations::onOrders);
     coordinator = new Coordinator(peers, clocks.steady());
     SlotClient slots =
         new SlotClient(peers, clocks.steady(), settings.dataCentre(), settings.host());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -225,6 +225,13 @@
 
   /** Sends the request again if that is allowed, else ends it with what is known. */
   private void tryAgain(String why) {
+    LOG.write(
+        Event.REQUEST_MOVED,
+        request.id(),
+        why,
+        lastEvent.map(Object::toString).getOrElse("none"),
+        runs,
+        route.maxAttempts());
     boolean ranOut = runs >= route.maxAttempts() || sends >= MAX_SENDS;
     if (runs > 0 && (!route.isRepeatable() || ranOut)) {
       fail(new Outcome.Unknown(why));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -2,10 +2,12 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.Revision;
@@ -43,7 +45,9 @@
   private final Views views;
   private final Clocks clocks;
   private final ScheduledExecutorService timer;
-  private final KeyRange configuration;
+  private final KeyRange operators;
+  private final String configurationKey;
+  private final Consumer<List<Entry>> onOrders;
   private final Followed engines;
   private final Followed hosts;
   private ScheduledFuture<?> reading;
@@ -52,20 +56,31 @@
   private boolean lostContact;
   private Stamp returnedAt;
 
-  /** Creates a follower of the configuration key, of the engines' prefix and of the hosts. */
+  /**
+   * What is followed.
+   *
+   * @param operators the prefix under which operators write
+   * @param configurationKey the key of the configuration, under that prefix
+   * @param engines the prefix under which engines register
+   */
+  public record Sources(KeyRange operators, String configurationKey, KeyRange engines) {}
+
+  /** Creates a follower; {@code onOrders} hears of all that operators have written beside it. */
   public StoreFollower(
       Store store,
       Views views,
       Clocks clocks,
       ScheduledExecutorService timer,
-      KeyRange configuration,
-      KeyRange engines) {
+      Sources sources,
+      Consumer<List<Entry>> onOrders) {
     this.store = store;
     this.views = views;
     this.clocks = clocks;
     this.timer = timer;
-    this.configuration = configuration;
-    this.engines = new Followed(engines, views.engines());
+    this.operators = sources.operators();
+    this.configurationKey = sources.configurationKey();
+    this.onOrders = onOrders;
+    this.engines = new Followed(sources.engines(), views.engines());
     this.hosts = new Followed(KeyRange.ofPrefix(KeyNames.HOSTS), views.hosts());
   }
 
@@ -103,7 +118,7 @@
       readUnderway = true;
     }
     Stamp asked = clocks.now();
-    store.read(configuration).thenAccept(answer -> onConfiguration(asked, answer));
+    store.read(operators).thenAccept(answer -> onConfiguration(asked, answer));
   }
 
   private void onConfiguration(Stamp asked, Either<StoreFailure, Snapshot> answer) {
@@ -113,8 +128,16 @@
     }
     answer.forEach(
         snapshot -> {
-          snapshot.first().ifPresent(e -> views.offer(new Views.Document(e.modified(), e.value())));
+          List<Entry> orders = new ArrayList<>();
+          for (Entry e : snapshot.entries()) {
+            if (e.key().equals(configurationKey)) {
+              views.offer(new Views.Document(e.modified(), e.value()));
+            } else {
+              orders.add(e);
+            }
+          }
           views.evidence().confirmOwn(asked);
+          onOrders.accept(orders);
         });
   }
 
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -77,6 +77,7 @@
   ITEM_FAILED(620, Level.INFO, "item {} of job \"{}\" failed: {}; {} of {} attempts"),
   ITEM_REFUSED(621, Level.INFO, "item {} of job \"{}\" can never be done, says engine \"{}\""),
   ITEM_MOVED(622, Level.INFO, "item {} of job \"{}\" leaves engine \"{}\": {}; after event {}"),
+  HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
@@ -92,6 +93,8 @@
       Level.INFO,
       "request {} of {} on {}: engines {}, waited {} ms, first {} ms, total {} ms, {} events,"
           + " version {}, coordinator {}: {}"),
+  REQUEST_MOVED(
+      803, Level.INFO, "request {} goes on elsewhere or ends: {}; last event {}, run {} of {}"),
   // 900: stand-ins
   STANDIN_STARTED(900, Level.INFO, "{} stand-in listens on {}"),
   STANDIN_FAILED(901, Level.ERROR, "{} stand-in failed on \"{}\": {}");
