--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -74,7 +74,7 @@
   private static final Duration STOP_POLL = Duration.ofMillis(50);
   private static final int MAX_HOSTS_IN_ANSWER = 64;
 
-  private final FleetSettings settings;
+  private volatile FleetSettings settings;
   private final Clocks clocks;
   private final LatePeers peers = new LatePeers();
   private final ScheduledExecutorService timer;
@@ -133,7 +133,7 @@
     SlotClient slots =
         new SlotClient(peers, clocks.steady(), settings.dataCentre(), settings.host());
     link = new FleetLink(self, peers, views, clocks, follower, coordinator, slots);
-    gate = new Gate(views, clocks, settings.trustLimit());
+    gate = new Gate(views, clocks, () -> this.settings.trustLimit());
     RandomGenerator choice = RandomGenerator.getDefault();
     online =
         new OnlineService(
@@ -179,6 +179,17 @@
     follower.readConfiguration();
   }
 
+  /**
+   * Takes changed settings. Times apply from now on; the addresses of a process are those of its
+   * start.
+   */
+  public void reload(FleetSettings changed) {
+    if (!changed.equals(settings)) {
+      LOG.write(Event.SETTINGS_CHANGED, changed);
+      settings = changed;
+    }
+  }
+
   /** Tells whether callers may be sent here. */
   public boolean isReady() {
     return !leaving && views.plan().isDefined() && link.isAttached() && gate.trustsKeys();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -36,6 +36,7 @@
 import org.waxwingcourse.peer.Channel;
 import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.Running;
 import org.waxwingcourse.wire.fleet.RunningList;
 import org.waxwingcourse.wire.fleet.SlotAsk;
 import org.waxwingcourse.wire.fleet.SlotEnd;
@@ -130,6 +131,9 @@
   void onAsk(HostId from, SlotAsk ask) {
     Instant now = clock.instant();
     SlotRequest request = request(from, ask, now);
+    if (paced.contains(request.id())) {
+      return;
+    }
     Duration patience = request.startBy().remaining(now);
     Duration wait =
         request.chargedTo().map(o -> rates.take(o, patience, now)).getOrElse(Duration.ZERO);
@@ -162,17 +166,19 @@
     services.values().forEach(s -> s.silent(new RunId(from, number), clock.instant()));
   }
 
+  /** A host tells all that it runs; what it no longer runs has ended, though no message came. */
   void onRunning(HostId from, RunningList list) {
-    hostGone(from);
-    list.getRunsList()
-        .forEach(
-            r ->
-                slots(ServiceName.of(r.getService()))
-                    .adopt(
-                        new RunId(from, r.getNumber()),
-                        UpstreamId.of(r.getEngine()),
-                        !r.getBatch(),
-                        clock.instant()));
+    Instant now = clock.instant();
+    Set<RunId> listed =
+        list.getRunsList().stream()
+            .map(r -> new RunId(from, r.getNumber()))
+            .collect(Collectors.toSet());
+    for (Running run : list.getRunsList()) {
+      RunId id = new RunId(from, run.getNumber());
+      UpstreamId engine = UpstreamId.of(run.getEngine());
+      slots(ServiceName.of(run.getService())).adopt(id, engine, !run.getBatch(), now);
+    }
+    services.values().forEach(s -> carryOut(s.retain(from, listed, now)));
   }
 
   private SlotRequest request(HostId from, SlotAsk ask, Instant now) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -44,10 +44,10 @@
   private static final Duration ATTACH_LIMIT = Duration.ofMillis(1100);
 
   /** A host reads the store itself if it has done so within this time; two reads and a margin. */
-  private static final Duration CONTACT_LIMIT = Duration.ofMillis(1600);
+  private static final Duration CONTACT_LIMIT = Duration.ofMillis(1500);
 
   /** How long a coordinator may be out of contact before this host follows the store too. */
-  private static final Duration FOLLOW_AFTER = Duration.ofMillis(600);
+  private static final Duration FOLLOW_AFTER = Duration.ofMillis(350);
 
   /** Hosts that start together find each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
@@ -106,6 +106,7 @@
     if (!next.equals(target)) {
       changeTarget(next, now);
     }
+    slots.tick();
     ping(order, now);
     follow(next, now);
     coordinator.part(part());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -3,8 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -33,12 +31,19 @@
  * <p>Listeners are called on network threads, never from within a method of this class.
  */
 public final class SlotClient {
+  /** A request for a slot that is not decided is sent again this often. */
+  private static final Duration ASK_AGAIN = Duration.ofMillis(300);
+
+  /** The coordinator is told all that runs this often. */
+  private static final Duration TELL_AGAIN = Duration.ofSeconds(1);
+
   private final Peers peers;
   private final InstantSource clock;
   private final DataCentreId dataCentre;
   private final AtomicLong numbers = new AtomicLong();
   private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
   private volatile HostId coordinator;
+  private volatile Instant toldAt = Instant.MIN;
 
   /** Creates a client of a host in {@code dataCentre}; {@code self} coordinates at first. */
   public SlotClient(Peers peers, InstantSource clock, DataCentreId dataCentre, HostId self) {
@@ -51,19 +56,21 @@
   private static final class Pending {
     private final SlotWish wish;
     private final SlotListener listener;
+    private volatile Instant askedAt;
     private volatile UpstreamId engine;
 
-    Pending(SlotWish wish, SlotListener listener) {
+    Pending(SlotWish wish, SlotListener listener, Instant askedAt) {
       this.wish = wish;
       this.listener = listener;
+      this.askedAt = askedAt;
     }
   }
 
   /** Asks for a slot and returns the number by which the run is named from now on. */
   public long ask(SlotWish wish, SlotListener listener) {
     long number = numbers.incrementAndGet();
-    pending.put(number, new Pending(wish, listener));
-    send(FleetMessage.newBuilder().setAsk(message(number, wish)));
+    pending.put(number, new Pending(wish, listener, clock.instant()));
+    send(FleetMessage.newBuilder().setAsk(message(number, wish, true)));
     return number;
   }
 
@@ -102,23 +109,44 @@
   /** Takes another host as coordinator. */
   public void attach(HostId next) {
     coordinator = next;
-    List<Long> waiting = new ArrayList<>();
+    sendRunning();
+    pending.forEach(this::askAgain);
+  }
+
+  /**
+   * Makes up for messages that were lost: asks again for what has not been decided, and tells now
+   * and then all that runs. Called several times a second.
+   */
+  public void tick() {
+    Instant now = clock.instant();
+    pending.forEach(
+        (number, p) -> {
+          if (now.isAfter(p.askedAt.plus(ASK_AGAIN))) {
+            askAgain(number, p);
+          }
+        });
+    if (now.isAfter(toldAt.plus(TELL_AGAIN))) {
+      sendRunning();
+    }
+  }
+
+  private void askAgain(long number, Pending p) {
+    if (p.engine == null) {
+      p.askedAt = clock.instant();
+      send(FleetMessage.newBuilder().setAsk(message(number, p.wish, false)));
+    }
+  }
+
+  private void sendRunning() {
     RunningList.Builder running = RunningList.newBuilder();
     pending.forEach(
         (number, p) -> {
-          if (p.engine == null) {
-            waiting.add(number);
-          } else {
+          if (p.engine != null) {
             running.addRuns(running(number, p));
           }
         });
+    toldAt = clock.instant();
     send(FleetMessage.newBuilder().setRunning(running));
-    for (Long number : waiting) {
-      Pending p = pending.get(number);
-      if (p != null) {
-        send(FleetMessage.newBuilder().setAsk(message(number, p.wish)));
-      }
-    }
   }
 
   void onGrant(HostId from, SlotGrant grant) {
@@ -133,7 +161,8 @@
 
   /** A slot that was asked for twice, or withdrawn meanwhile, goes back to whoever granted it. */
   private void returnSlot(HostId from, SlotGrant grant) {
-    if (pending.containsKey(grant.getNumber()) && from.equals(coordinator)) {
+    Pending running = pending.get(grant.getNumber());
+    if (running != null && running.engine.value().equals(grant.getEngine())) {
       return;
     }
     SlotEnd.Builder end =
@@ -156,7 +185,7 @@
     }
   }
 
-  private SlotAsk message(long number, SlotWish wish) {
+  private SlotAsk message(long number, SlotWish wish, boolean first) {
     Instant now = clock.instant();
     return SlotAsk.newBuilder()
         .setNumber(number)
@@ -165,7 +194,7 @@
         .setBatch(wish.workClass() == WorkClass.BATCH)
         .setRank(wish.rank())
         .setOrganisation(wish.chargedTo().map(OrganisationId::value).getOrElse(""))
-        .setCharge(wish.chargedTo().isDefined())
+        .setCharge(first && wish.chargedTo().isDefined())
         .setStartWithinNanos(Duration.between(now, wish.startBy().at()).toNanos())
         .setGiveUpWithinNanos(wish.giveUpAt().remaining(now).toNanos())
         .addAllPromptParts(wish.promptParts())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/Gate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/Gate.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
@@ -31,7 +32,7 @@
 
   private final Views views;
   private final Clocks clocks;
-  private final Duration trustLimit;
+  private final Supplier<Duration> trustLimit;
 
   /**
    * A request that may run.
@@ -48,7 +49,7 @@
   }
 
   /** Creates a gate that trusts keys for {@code trustLimit} after the newest evidence. */
-  public Gate(Views views, Clocks clocks, Duration trustLimit) {
+  public Gate(Views views, Clocks clocks, Supplier<Duration> trustLimit) {
     this.views = views;
     this.clocks = clocks;
     this.trustLimit = trustLimit;
@@ -109,7 +110,7 @@
 
   /** Tells whether there is recent enough evidence to act on keys. */
   public boolean trustsKeys() {
-    return views.evidence().isWithin(trustLimit);
+    return views.evidence().isWithin(trustLimit.get());
   }
 
   private Refusal denial(RefusalCode code, String message) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/PacedRequests.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/PacedRequests.java
@@ -33,6 +33,11 @@
     return due;
   }
 
+  /** Tells whether a request is kept. */
+  public synchronized boolean contains(RunId id) {
+    return queue.stream().anyMatch(p -> p.request.id().equals(id));
+  }
+
   /** Forgets requests that are no longer wanted. */
   public synchronized void removeIf(Predicate<RunId> unwanted) {
     queue.removeIf(p -> unwanted.test(p.request.id()));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
@@ -45,6 +45,9 @@
   /** Deadline advantage of one step of rank. */
   private static final Duration RANK_STEP = Duration.ofMillis(100);
 
+  /** A grant reaches its host, and the host's word comes back, within this time. */
+  private static final Duration GRANT_TRAVEL = Duration.ofMillis(1000);
+
   /** When a caller may come back if no engine of the service is known to work. */
   private static final Duration NO_ENGINE_RETRY = Duration.ofMillis(600);
 
@@ -65,9 +68,20 @@
   private double runMillis = FIRST_RUN_TIME.toMillis();
   private double share = 1;
 
-  /** Takes a request in: it starts, waits or is refused. */
+  /**
+   * Takes a request in: it starts, waits or is refused. A request that is known already is decided
+   * no second time; if it runs, its grant is given again, since the first may have been lost.
+   */
   public synchronized List<Decision> offer(SlotRequest request, Instant now) {
     List<Decision> decisions = new ArrayList<>();
+    Option<UpstreamId> place = placeOf(request.id());
+    if (place.isDefined()) {
+      decisions.add(new Decision.Grant(request, place.get()));
+      return decisions;
+    }
+    if (isWaiting(request.id())) {
+      return decisions;
+    }
     if (!request.isOnline()) {
       batch.add(request);
     } else if (!hasUsable(now)) {
@@ -112,10 +126,29 @@
     return fill(now, new ArrayList<>());
   }
 
+  /**
+   * Frees the slots of a host's runs that are not among those it says it has. Runs that have just
+   * been granted are left, since the host may not have known of them.
+   */
+  public synchronized List<Decision> retain(HostId host, Set<RunId> listed, Instant now) {
+    Instant known = now.minus(GRANT_TRAVEL);
+    for (EngineSlots engine : engines.values()) {
+      engine
+          .runs()
+          .entrySet()
+          .removeIf(
+              e ->
+                  e.getKey().host().equals(host)
+                      && !listed.contains(e.getKey())
+                      && e.getValue().since().isBefore(known));
+    }
+    return fill(now, new ArrayList<>());
+  }
+
   /** Takes in a run that began under another coordinator. */
   public synchronized void adopt(RunId id, UpstreamId engine, boolean isOnline, Instant now) {
     EngineSlots slots = engines.get(engine);
-    if (slots != null) {
+    if (slots != null && placeOf(id).isEmpty()) {
       slots.adopt(id, isOnline, now);
     }
   }
@@ -183,6 +216,19 @@
     }
   }
 
+  private Option<UpstreamId> placeOf(RunId id) {
+    return Option.ofOptional(
+        engines.values().stream()
+            .filter(e -> e.runs().containsKey(id))
+            .map(e -> e.entry().id())
+            .findFirst());
+  }
+
+  private boolean isWaiting(RunId id) {
+    return online.stream().anyMatch(r -> r.id().equals(id))
+        || batch.stream().anyMatch(r -> r.id().equals(id));
+  }
+
   private List<Decision> fill(Instant now, List<Decision> decisions) {
     while (!online.isEmpty()) {
       SlotRequest next = nextOnline(now);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/ServiceSlotsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/ServiceSlotsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -100,4 +101,32 @@
     s.run(Duration.ofSeconds(1));
     assertThat(s.started).containsExactly(1L, 3L);
   }
+
+  @Test
+  void aRequestThatIsSentTwiceIsDecidedOnce() {
+    SlotSimulation s = new SlotSimulation(1, 1, 0);
+    SlotRequest first = s.request(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    SlotRequest second = s.request(WorkClass.BATCH, Duration.ofSeconds(18));
+    assertThat(s.slots.offer(first, s.now)).hasSize(1);
+    assertThat(s.slots.offer(second, s.now)).isEmpty();
+    assertThat(s.slots.offer(first, s.now))
+        .as("the grant may have been lost")
+        .containsExactly(new Decision.Grant(first, UpstreamId.of("engine-0")));
+    assertThat(s.slots.offer(second, s.now)).isEmpty();
+    assertThat(s.slots.load(s.now).batchWaiting()).isEqualTo(1);
+  }
+
+  @Test
+  void aRunWhoseEndWasLostFreesItsSlotOnceItsHostNoLongerNamesIt() {
+    SlotSimulation s = new SlotSimulation(1, 1, 0);
+    SlotRequest first = s.request(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    s.slots.offer(first, s.now);
+    HostId host = first.id().host();
+    assertThat(s.slots.retain(host, Set.of(), s.now)).isEmpty();
+    assertThat(s.slots.load(s.now).online()).as("it may not know of the grant").isEqualTo(1);
+    s.slots.retain(host, Set.of(first.id()), s.now.plusSeconds(5));
+    assertThat(s.slots.load(s.now).online()).isEqualTo(1);
+    s.slots.retain(host, Set.of(), s.now.plusSeconds(5));
+    assertThat(s.slots.load(s.now).online()).isZero();
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -104,21 +104,23 @@
   }
 
   void offer(WorkClass workClass, Duration startWithin) {
-    SlotRequest request =
-        new SlotRequest(
-            new RunId(HostId.of("host"), ++numbers),
-            RequestId.of("r" + numbers),
-            SERVICE,
-            workClass,
-            0,
-            Option.none(),
-            now,
-            Deadline.at(now.plus(startWithin)),
-            Deadline.at(now.plus(Duration.ofSeconds(workClass == WorkClass.BATCH ? 60 : 2))),
-            List.of(),
-            DataCentreId.of("a"),
-            Set.of());
-    carryOut(slots.offer(request, now));
+    carryOut(slots.offer(request(workClass, startWithin), now));
+  }
+
+  SlotRequest request(WorkClass workClass, Duration startWithin) {
+    return new SlotRequest(
+        new RunId(HostId.of("host"), ++numbers),
+        RequestId.of("r" + numbers),
+        SERVICE,
+        workClass,
+        0,
+        Option.none(),
+        now,
+        Deadline.at(now.plus(startWithin)),
+        Deadline.at(now.plus(Duration.ofSeconds(workClass == WorkClass.BATCH ? 60 : 2))),
+        List.of(),
+        DataCentreId.of("a"),
+        Set.of());
   }
 
   void run(Duration span) {
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -15,6 +15,7 @@
   BROKEN_INVARIANT(104, Level.FATAL, "broken invariant: {}"),
   SETTINGS_READ(105, Level.INFO, "settings read: {}"),
   STEP_FAILED(106, Level.ERROR, "a repeated step failed: {}"),
+  SETTINGS_CHANGED(107, Level.INFO, "settings have changed: {}"),
   // 200: configuration and keys
   CONFIGURATION_APPLIED(200, Level.INFO, "configuration revision {} is in force"),
   CONFIGURATION_UNREADABLE(201, Level.ERROR, "configuration entry \"{}\" cannot be read: {}"),
