--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -37,6 +37,12 @@
   /** Candidates that are pinged all the time; two may be lost at once without a search. */
   private static final int CANDIDATES = 3;
 
+  /**
+   * Hosts up to which each tick pings. In a larger fleet the pause between pings, and with it every
+   * limit on silence, grows in proportion, so that answering them costs a coordinator the same.
+   */
+  private static final int HOSTS_AT_FULL_PACE = 20;
+
   /** A host that has not answered for this long is taken for lost; three pings and a margin. */
   private static final Duration ANSWER_LIMIT = Duration.ofMillis(450);
 
@@ -63,6 +69,7 @@
   private final Map<HostId, Attached> attached = new HashMap<>();
   private final Map<OrganisationId, Long> levels = new HashMap<>();
   private HostId target;
+  private long ticks;
   private Instant targetSince = Instant.MAX;
   private Instant contactAt;
   private Instant levelsAt = Instant.MIN;
@@ -107,7 +114,10 @@
       changeTarget(next, now);
     }
     slots.tick();
-    ping(order, now);
+    ticks++;
+    if (ticks % pace() == 0) {
+      ping(order, now);
+    }
     follow(next, now);
     coordinator.part(part());
   }
@@ -186,6 +196,10 @@
     }
   }
 
+  private int pace() {
+    return 1 + views.fleet().ordered().size() / HOSTS_AT_FULL_PACE;
+  }
+
   private List<HostId> order() {
     List<HostId> order =
         new ArrayList<>(
@@ -198,7 +212,7 @@
 
   private boolean answers(HostId host, Instant now) {
     Answers last = answers.get(host);
-    return last != null && now.isBefore(last.at.plus(ANSWER_LIMIT));
+    return last != null && now.isBefore(last.at.plus(ANSWER_LIMIT.multipliedBy(pace())));
   }
 
   private boolean inContact(HostId host) {
@@ -264,7 +278,7 @@
   private List<HostId> dropDetached(Instant now) {
     List<HostId> lost =
         attached.entrySet().stream()
-            .filter(e -> now.isAfter(e.getValue().at.plus(ATTACH_LIMIT)))
+            .filter(e -> now.isAfter(e.getValue().at.plus(ATTACH_LIMIT.multipliedBy(pace()))))
             .map(Map.Entry::getKey)
             .toList();
     lost.forEach(attached::remove);
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GateTest.java
@@ -0,0 +1,118 @@
+package org.waxwingcourse.fleet.online;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.waxwingcourse.fleet.plan.CallerLimits;
+import org.waxwingcourse.fleet.plan.OrganisationPlan;
+import org.waxwingcourse.fleet.plan.OrganisationTable;
+import org.waxwingcourse.fleet.plan.Plan;
+import org.waxwingcourse.fleet.plan.RequestKind;
+import org.waxwingcourse.fleet.plan.Route;
+import org.waxwingcourse.fleet.plan.RouteTable;
+import org.waxwingcourse.fleet.plan.WeightedService;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.time.ManualClock;
+
+/** Who is let in, by route, key and age of the evidence. */
+class GateTest {
+  private final ManualClock steady = ManualClock.at(Instant.ofEpochSecond(1));
+  private final ManualClock wall = ManualClock.at(Instant.ofEpochSecond(1_000_000));
+  private final Clocks clocks = new Clocks(steady, wall);
+  private final Views views = Views.of(document -> Either.right(plan(document)), clocks);
+  private final Gate gate = new Gate(views, clocks, () -> Duration.ofMillis(4500));
+
+  /** The one byte of a document tells whether the key still works. */
+  private static Plan plan(byte[] document) {
+    Set<String> keys = document[0] == 1 ? Set.of("k") : Set.of();
+    return new Plan(
+        document[0],
+        RouteTable.of(List.of(route("/a/", false), route("/open/", true))),
+        Map.of(),
+        CallerLimits.DEFAULT,
+        OrganisationTable.of(
+            List.of(new OrganisationPlan(OrganisationId.of("parish"), keys, 0, 0, Option.none()))));
+  }
+
+  private static Route route(String prefix, boolean open) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        RequestKind.STREAM,
+        Duration.ofSeconds(5),
+        Duration.ofMillis(300),
+        Duration.ZERO,
+        0,
+        List.of(new WeightedService(ServiceName.of("s"), 1)),
+        1,
+        open,
+        false,
+        Option.none());
+  }
+
+  private void know(int document) {
+    views.offer(new Views.Document(Revision.of(document), new byte[] {(byte) document}));
+    views.evidence().confirmOwn(clocks.now());
+  }
+
+  private void pass(long millis) {
+    steady.advance(Duration.ofMillis(millis));
+    wall.advance(Duration.ofMillis(millis));
+  }
+
+  @Test
+  void aHostWithoutAConfigurationDeniesNothingForGood() {
+    assertThat(gate.admit("h", "/a/x", Option.none()).getLeft().code())
+        .isEqualTo(RefusalCode.UNAVAILABLE);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "0, k, /a/x, ADMITTED",
+    "4400, k, /a/x, ADMITTED",
+    "4600, k, /a/x, UNAVAILABLE",
+    "0, wrong, /a/x, INVALID_KEY",
+    "1600, wrong, /a/x, UNAVAILABLE",
+    "0, k, /none/x, NOT_FOUND",
+    "1600, k, /none/x, UNAVAILABLE",
+    "9000, wrong, /open/x, ADMITTED"
+  })
+  void theAgeOfTheEvidenceDecides(long age, String key, String target, String expected) {
+    know(1);
+    pass(age);
+    String answer =
+        gate.admit("h", target, Option.some(key)).fold(r -> r.code().name(), a -> "ADMITTED");
+    assertThat(answer).isEqualTo(expected);
+  }
+
+  @Test
+  void aRequestThatWaitedIsStoppedByAKeyWithdrawnMeanwhile() {
+    know(1);
+    Gate.Admitted admitted = gate.admit("h", "/a/x", Option.some("k")).get();
+    assertThat(gate.stillAllows(admitted, Option.some("k"))).isTrue();
+    know(2);
+    assertThat(gate.stillAllows(admitted, Option.some("k"))).isFalse();
+  }
+
+  @Test
+  void anOlderConfigurationNeverComesBack() {
+    know(2);
+    know(1);
+    assertThat(views.plan().get().version()).isEqualTo(2);
+  }
+}
