A host that is about to end turns requests away instead of cutting them

Change: during the last 2.5 s of a planned stop new requests get 503 and go elsewhere at once; the stop ends 0.9 s before the kill (1.3 s before). GateTest holds it.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -69,7 +69,13 @@
   public static final Duration HOSTS_LIFETIME = Duration.ofSeconds(2);
 
   /** Time kept free at the end of a planned stop for closing what is open. */
-  private static final Duration STOP_MARGIN = Duration.ofMillis(1300);
+  private static final Duration STOP_MARGIN = Duration.ofMillis(900);
+
+  /**
+   * Before the end of a planned stop no request is taken any more for this long, so that those
+   * underway end whole; a stream lasts about a second.
+   */
+  private static final Duration LAST_REQUESTS = Duration.ofMillis(2500);
 
   private static final Duration STOP_POLL = Duration.ofMillis(50);
   private static final int MAX_HOSTS_IN_ANSWER = 64;
@@ -93,7 +99,7 @@
   private final SecureRandom random;
   private volatile NettyPeers transport;
   private volatile boolean leaving;
-  private Instant leftAt;
+  private volatile Instant leftAt;
 
   /**
    * The outside as a host needs it.
@@ -133,7 +139,7 @@
     SlotClient slots =
         new SlotClient(peers, clocks.steady(), settings.dataCentre(), settings.host());
     link = new FleetLink(self, peers, views, clocks, follower, coordinator, slots);
-    gate = new Gate(views, clocks, () -> this.settings.trustLimit());
+    gate = new Gate(views, clocks, () -> this.settings.trustLimit(), this::isClosing);
     RandomGenerator choice = RandomGenerator.getDefault();
     online =
         new OnlineService(
@@ -236,14 +242,23 @@
   /** Tells the fleet that this host stops; callers are sent elsewhere from now on. */
   public void leave() {
     LOG.write(Event.NODE_STOPPING, settings.host(), "told to stop");
-    leaving = true;
     leftAt = clocks.instant();
+    leaving = true;
     registration.leave();
   }
 
+  private Instant lastMoment() {
+    return leftAt.plus(settings.stopLimit().minus(STOP_MARGIN));
+  }
+
+  /** Tells whether new requests are turned away, since they might not end before the process. */
+  private boolean isClosing() {
+    return leaving && clocks.instant().isAfter(lastMoment().minus(LAST_REQUESTS));
+  }
+
   /** Returns once callers have had time to go elsewhere and nothing is underway, or time is up. */
   public void awaitIdle() {
-    Instant end = leftAt.plus(settings.stopLimit().minus(STOP_MARGIN));
+    Instant end = lastMoment();
     Instant calm = leftAt.plus(HOSTS_LIFETIME.multipliedBy(3));
     boolean idle = false;
     while (!idle && clocks.instant().isBefore(end)) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/Gate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/Gate.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
@@ -30,9 +31,13 @@
   /** When a caller may come back to a host that lacks evidence. */
   private static final Duration RETRY = Duration.ofMillis(500);
 
+  /** When a caller may try another host than one that stops; at once, but for one round trip. */
+  private static final Duration ELSEWHERE = Duration.ofMillis(5);
+
   private final Views views;
   private final Clocks clocks;
   private final Supplier<Duration> trustLimit;
+  private final BooleanSupplier closing;
 
   /**
    * A request that may run.
@@ -48,15 +53,27 @@
     }
   }
 
-  /** Creates a gate that trusts keys for {@code trustLimit} after the newest evidence. */
-  public Gate(Views views, Clocks clocks, Supplier<Duration> trustLimit) {
+  /**
+   * Creates a gate.
+   *
+   * @param views what the host knows
+   * @param clocks the host's clocks
+   * @param trustLimit for how long keys are trusted after the newest evidence
+   * @param closing whether the host is about to end and takes nothing new
+   */
+  public Gate(Views views, Clocks clocks, Supplier<Duration> trustLimit, BooleanSupplier closing) {
     this.views = views;
     this.clocks = clocks;
     this.trustLimit = trustLimit;
+    this.closing = closing;
   }
 
   /** Returns what may run, or why not. */
   public Either<Refusal, Admitted> admit(String host, String target, Option<String> key) {
+    if (closing.getAsBoolean()) {
+      Instant at = clocks.instant().plus(ELSEWHERE);
+      return Either.left(new Refusal(RefusalCode.STOPPING, "this host stops", at));
+    }
     if (views.plan().isEmpty()) {
       return Either.left(unavailable("this host has no configuration yet"));
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GateTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GateTest.java
@@ -34,7 +34,8 @@
   private final ManualClock wall = ManualClock.at(Instant.ofEpochSecond(1_000_000));
   private final Clocks clocks = new Clocks(steady, wall);
   private final Views views = Views.of(document -> Either.right(plan(document)), clocks);
-  private final Gate gate = new Gate(views, clocks, () -> Duration.ofMillis(4500));
+  private boolean closing;
+  private final Gate gate = new Gate(views, clocks, () -> Duration.ofMillis(4500), () -> closing);
 
   /** The one byte of a document tells whether the key still works. */
   private static Plan plan(byte[] document) {
@@ -115,4 +116,12 @@
     know(1);
     assertThat(views.plan().get().version()).isEqualTo(2);
   }
+
+  @Test
+  void aHostThatIsAboutToEndSendsCallersElsewhereAtOnce() {
+    know(1);
+    closing = true;
+    assertThat(gate.admit("h", "/a/x", Option.some("k")).getLeft().code())
+        .isEqualTo(RefusalCode.STOPPING);
+  }
 }
