--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -286,7 +286,7 @@
   }
 
   private void detached(HostId host) {
-    LOG.write(Event.HOST_DETACHED, host, ATTACH_LIMIT.toMillis());
+    LOG.write(Event.HOST_DETACHED, host, ATTACH_LIMIT.multipliedBy(pace()).toMillis());
     coordinator.hostGone(host);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
@@ -175,7 +176,7 @@
                 start(id, stored, items.get(), results.get(), term);
               } else {
                 LOG.write(Event.JOB_UNREADABLE, id);
-                ports.timer().schedule(() -> take(id), 1, java.util.concurrent.TimeUnit.SECONDS);
+                ports.timer().schedule(() -> take(id), 1, TimeUnit.SECONDS);
               }
               return null;
             });
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSweep.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSweep.java
@@ -23,6 +23,9 @@
   /** Kept beyond the retention, against clocks that differ. */
   private static final Duration MARGIN = Duration.ofSeconds(30);
 
+  /** Parts of items and results that fit into one transaction beside the record and its runner. */
+  private static final int MAX_PARTS = 28;
+
   /** Jobs removed in one run; bounds the calls that a backlog costs. */
   private static final int MAX_REMOVED = 20;
 
@@ -39,7 +42,7 @@
 
   /** Looks once through all jobs. */
   public void run() {
-    store.read(KeyRange.ofPrefix("jobs/")).thenAccept(this::onJobs);
+    store.read(KeyRange.ofPrefix(KeyNames.JOBS)).thenAccept(this::onJobs);
   }
 
   private void onJobs(Either<StoreFailure, Snapshot> answer) {
@@ -67,7 +70,7 @@
   }
 
   private void remove(Entry entry) {
-    JobId job = JobId.of(entry.key().substring("jobs/".length()));
+    JobId job = JobId.of(entry.key().substring(KeyNames.JOBS.length()));
     JobRecord record = JobStore.parse(entry).get().record();
     Transaction.Builder builder =
         Transaction.builder()
@@ -77,10 +80,23 @@
     for (int i = 0; i < record.getItemParts(); i++) {
       builder.delete(KeyNames.items(job, i));
     }
-    // Results beyond the limit of one transaction stay until the next run finds no record.
-    for (int i = 0; i < Math.min(record.getResultPartsCount(), 28 - record.getItemParts()); i++) {
+    int results = Math.min(record.getResultPartsCount(), MAX_PARTS - record.getItemParts());
+    for (int i = 0; i < results; i++) {
       builder.delete(KeyNames.results(job, i));
     }
+    if (results < record.getResultPartsCount()) {
+      removeResults(job, results, record.getResultPartsCount());
+    }
     store.write(builder.build()).thenAccept(o -> LOG.write(Event.JOB_REMOVED, job, o));
   }
+
+  private void removeResults(JobId job, int from, int until) {
+    for (int start = from; start < until; start += MAX_PARTS) {
+      Transaction.Builder builder = Transaction.builder();
+      for (int i = start; i < Math.min(until, start + MAX_PARTS); i++) {
+        builder.delete(KeyNames.results(job, i));
+      }
+      store.write(builder.build());
+    }
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -279,8 +280,7 @@
     return engine.batchToYield().isDefined();
   }
 
-  private Option<EngineSlots> best(
-      SlotRequest request, Instant now, java.util.function.Predicate<EngineSlots> fits) {
+  private Option<EngineSlots> best(SlotRequest request, Instant now, Predicate<EngineSlots> fits) {
     List<EngineSlots> usable =
         engines.values().stream().filter(e -> e.isUsable(now) && fits.test(e)).toList();
     List<EngineSlots> untried =
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/KeyNames.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/KeyNames.java
@@ -14,6 +14,9 @@
   /** The secret by which hosts prove to each other that they belong to the fleet. */
   public static final String SECRET = "fleet/secret";
 
+  /** Begins the records of jobs. */
+  public static final String JOBS = "jobs/";
+
   /** Begins the entries that name each unfinished job's runner. */
   public static final String RUNNERS = "runners/";
 
@@ -31,7 +34,7 @@
 
   /** Returns the key of a job's record. */
   public static String job(JobId job) {
-    return "jobs/" + job;
+    return JOBS + job;
   }
 
   /** Returns the key of a part of a job's items. */
