Twins inside the change serve both their callers

Change: header lists come from HttpCaller, both queues of ServiceSlots pick by one method, RunnerName tells whether a record names it, results of an expired job are deleted by one loop. Behaviour stays.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -135,7 +135,7 @@
       return;
     }
     long term = term();
-    if (isOwn(record)) {
+    if (ports.self().runs(record)) {
       resume(id, found, term);
       return;
     }
@@ -182,11 +182,6 @@
             });
   }
 
-  private boolean isOwn(JobRecord record) {
-    return record.getRunner().equals(ports.self().host().value())
-        && record.getRunnerBoot() == ports.self().boot();
-  }
-
   /** This host's entry had lapsed: each job is confirmed from its record, or left. */
   void confirmAll() {
     running.values().forEach(RunningJob::confirm);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSweep.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSweep.java
@@ -80,23 +80,20 @@
     for (int i = 0; i < record.getItemParts(); i++) {
       builder.delete(KeyNames.items(job, i));
     }
-    int results = Math.min(record.getResultPartsCount(), MAX_PARTS - record.getItemParts());
-    for (int i = 0; i < results; i++) {
-      builder.delete(KeyNames.results(job, i));
-    }
-    if (results < record.getResultPartsCount()) {
-      removeResults(job, results, record.getResultPartsCount());
+    int withRecord = Math.min(record.getResultPartsCount(), MAX_PARTS - record.getItemParts());
+    deleteResults(builder, job, 0, withRecord);
+    for (int i = withRecord; i < record.getResultPartsCount(); i += MAX_PARTS) {
+      int end = Math.min(record.getResultPartsCount(), i + MAX_PARTS);
+      Transaction.Builder rest = Transaction.builder();
+      deleteResults(rest, job, i, end);
+      store.write(rest.build());
     }
     store.write(builder.build()).thenAccept(o -> LOG.write(Event.JOB_REMOVED, job, o));
   }
 
-  private void removeResults(JobId job, int from, int until) {
-    for (int start = from; start < until; start += MAX_PARTS) {
-      Transaction.Builder builder = Transaction.builder();
-      for (int i = start; i < Math.min(until, start + MAX_PARTS); i++) {
-        builder.delete(KeyNames.results(job, i));
-      }
-      store.write(builder.build());
+  private static void deleteResults(Transaction.Builder builder, JobId job, int from, int until) {
+    for (int i = from; i < until; i++) {
+      builder.delete(KeyNames.results(job, i));
     }
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunnerName.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunnerName.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.wire.fleet.JobRecord;
 
 /**
  * The process that runs a job.
@@ -13,6 +14,11 @@
 public record RunnerName(HostId host, long boot) {
   private static final char SEPARATOR = '@';
 
+  /** Tells whether this process is the runner that a record names. */
+  boolean runs(JobRecord record) {
+    return record.getRunner().equals(host.value()) && record.getRunnerBoot() == boot;
+  }
+
   byte[] encode() {
     return (host.value() + SEPARATOR + boot).getBytes(StandardCharsets.UTF_8);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -118,7 +118,7 @@
   private void onConfirmed(long current, Either<StoreFailure, Option<JobStore.Stored>> answer) {
     if (answer.isLeft()) {
       ports.timer().schedule(this::confirm, COMMIT_RETRY.toNanos(), TimeUnit.NANOSECONDS);
-    } else if (answer.get().exists(s -> isOwn(s.record()) && !s.record().getClosed())) {
+    } else if (answer.get().exists(s -> ports.self().runs(s.record()) && !s.record().getClosed())) {
       synchronized (this) {
         term = current;
       }
@@ -312,7 +312,7 @@
       committed(found, part);
     } else if (found.record().getClosed()) {
       stop("the job was ended");
-    } else if (!isOwn(found.record())) {
+    } else if (!ports.self().runs(found.record())) {
       stop("host " + found.record().getRunner() + " runs the job now");
     } else {
       synchronized (this) {
@@ -322,11 +322,6 @@
     }
   }
 
-  private boolean isOwn(JobRecord record) {
-    return record.getRunner().equals(ports.self().host().value())
-        && record.getRunnerBoot() == ports.self().boot();
-  }
-
   private void committed(JobStore.Stored found, List<JobResult> part) {
     List<CompletableFuture<Void>> waiting;
     synchronized (this) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
@@ -232,7 +232,7 @@
 
   private List<Decision> fill(Instant now, List<Decision> decisions) {
     while (!online.isEmpty()) {
-      SlotRequest next = nextOnline(now);
+      SlotRequest next = next(online, now);
       Option<EngineSlots> place = place(next, now);
       if (place.isEmpty()) {
         return decisions;
@@ -246,7 +246,7 @@
       start(next, place.get(), now, decisions);
     }
     while (!batch.isEmpty() && isWithinShare(now)) {
-      SlotRequest next = nextBatch(now);
+      SlotRequest next = next(batch, now);
       Option<EngineSlots> place = best(next, now, EngineSlots::hasFree);
       if (place.isEmpty()) {
         return decisions;
@@ -258,15 +258,8 @@
   }
 
   /** Returns the most urgent request that can be in time, else the most urgent one. */
-  private SlotRequest nextOnline(Instant now) {
-    return online.stream()
-        .filter(r -> !r.startBy().isPast(now))
-        .findFirst()
-        .orElseGet(online::first);
-  }
-
-  private SlotRequest nextBatch(Instant now) {
-    return batch.stream().filter(r -> !r.startBy().isPast(now)).findFirst().orElseGet(batch::first);
+  private static SlotRequest next(TreeSet<SlotRequest> queue, Instant now) {
+    return queue.stream().filter(r -> !r.startBy().isPast(now)).findFirst().orElseGet(queue::first);
   }
 
   /** Returns the engine for an online request: one with a free slot, else one that runs batch. */
--- a/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
+++ b/http/src/main/java/org/waxwingcourse/http/HttpCaller.java
@@ -150,7 +150,8 @@
         : CallFailure.Kind.LOST;
   }
 
-  static List<Header> headersOf(Headers headers) {
+  /** Returns all headers, those of one name in their order. */
+  public static List<Header> headersOf(Headers headers) {
     List<Header> list = new ArrayList<>();
     for (String name : headers.getNames()) {
       headers.getAll(name).forEach(value -> list.add(Header.of(name, value)));
