--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetSettings.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetSettings.java
@@ -26,4 +26,25 @@
     Option<InetSocketAddress> callers,
     Duration trustLimit,
     Duration stopLimit,
-    Duration jobRetention) {}
+    Duration jobRetention) {
+  /** Written out, since the generated form takes a starting host 40 ms. */
+  @Override
+  public String toString() {
+    return "host "
+        + host
+        + " in "
+        + dataCentre
+        + " of "
+        + region
+        + ", peers at "
+        + peers
+        + ", callers at "
+        + callers.map(InetSocketAddress::toString).getOrElse("no address")
+        + ", keys trusted for "
+        + trustLimit
+        + ", stop within "
+        + stopLimit
+        + ", jobs kept for "
+        + jobRetention;
+  }
+}
