--- a/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/WaxwingMain.java
@@ -4,6 +4,7 @@
 import org.waxwingcourse.cli.command.ApplyCommand;
 import org.waxwingcourse.cli.command.CheckCommand;
 import org.waxwingcourse.cli.command.DiffCommand;
+import org.waxwingcourse.cli.command.ExplainCommand;
 import org.waxwingcourse.cli.command.JobCommand;
 import org.waxwingcourse.cli.command.KeyCommand;
 import org.waxwingcourse.cli.command.LoadCommand;
@@ -30,6 +31,7 @@
         new StatusCommand(),
         new KeyCommand(),
         new JobCommand(),
+        new ExplainCommand(),
         new VerifyCommand(),
         new ReportCommand(),
         new LoadCommand());
--- /dev/null
+++ b/cli/src/main/java/org/waxwingcourse/cli/command/ExplainCommand.java
@@ -0,0 +1,93 @@
+package org.waxwingcourse.cli.command;
+
+import io.vavr.collection.List;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.waxwingcourse.cli.Command;
+import org.waxwingcourse.cli.ExitCode;
+import org.waxwingcourse.cli.Flags;
+import org.waxwingcourse.cli.Terminal;
+import org.waxwingcourse.cli.explain.Explanation;
+import org.waxwingcourse.cli.explain.LogLine;
+
+/** {@code waxwing explain}: what the logs of all hosts say of one request or job. */
+public final class ExplainCommand implements Command {
+  private static final String LOGS = "logs";
+
+  @Override
+  public String name() {
+    return "explain";
+  }
+
+  @Override
+  public String arguments() {
+    return "ID";
+  }
+
+  @Override
+  public String summary() {
+    return "put the log lines of a request or job in order and name the deciding one";
+  }
+
+  @Override
+  public Options options() {
+    Options options = new Options();
+    org.apache.commons.cli.Option logs = Flags.valued(LOGS, "FILE", "log files, one a process");
+    logs.setArgs(org.apache.commons.cli.Option.UNLIMITED_VALUES);
+    return options.addOption(logs);
+  }
+
+  @Override
+  public ExitCode run(CommandLine line, List<String> arguments, Terminal terminal) {
+    if (!line.hasOption(LOGS) || arguments.size() != 1) {
+      return terminal.fail(ExitCode.USAGE, "give one id and --logs with the files of all hosts");
+    }
+    String id = arguments.head();
+    return read(List.of(line.getOptionValues(LOGS)))
+        .fold(
+            wrong -> terminal.fail(ExitCode.FAILED, "%s", wrong),
+            lines -> print(id, Explanation.of(id, lines), terminal));
+  }
+
+  private static Either<String, List<LogLine>> read(List<String> files) {
+    return Either.sequenceRight(files.map(ExplainCommand::read))
+        .map(parts -> parts.flatMap(p -> p).toList());
+  }
+
+  private static Either<String, List<LogLine>> read(String file) {
+    Path path = Path.of(file);
+    try {
+      String process = path.getFileName().toString();
+      return Either.right(
+          List.ofAll(Files.readAllLines(path)).flatMap(l -> LogLine.parse(process, l)));
+    } catch (IOException e) {
+      return Either.left("log \"" + file + "\" cannot be read: " + e.getMessage());
+    }
+  }
+
+  private static ExitCode print(String id, Explanation explanation, Terminal terminal) {
+    if (explanation.own().isEmpty()) {
+      return terminal.fail(ExitCode.FAILED, "no line of these logs names \"%s\"", id);
+    }
+    explanation.own().forEach(l -> print(l, terminal));
+    if (!explanation.around().isEmpty()) {
+      terminal.print("");
+      terminal.print("around it:");
+      explanation.around().forEach(l -> print(l, terminal));
+    }
+    terminal.print("");
+    explanation
+        .deciding()
+        .peek(l -> terminal.print("decided by W%d in %s: %s", l.event(), l.process(), l.text()))
+        .onEmpty(() -> terminal.print("no line of these logs says how it ended"));
+    return ExitCode.OK;
+  }
+
+  private static void print(LogLine line, Terminal terminal) {
+    terminal.print("%s  %-24s W%d %s", line.at(), line.process(), line.event(), line.text());
+  }
+}
--- a/cli/src/test/java/org/waxwingcourse/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/CommandLineTest.java
@@ -50,6 +50,8 @@
     "apply --store http://127.0.0.1:1 --who a --reason b one.toml, FAILED, did not answer",
     "job show,                      USAGE,  give \"list\"",
     "key new,                       OK,     sha256:",
+    "explain r1,                    USAGE,  give one id and --logs",
+    "explain r1 --logs none.log,    FAILED, log \"none.log\" cannot be read",
   })
   void codeAndMessageSayHowACommandEnded(String words, ExitCode code, String message) {
     assertThat(run(words)).isEqualTo(code);
