A host that has just started hears the others before it coordinates

Besides, the tokens a coordinator begins with were those of its part at its first moment, a ninth, also when the rest of the fleet attached a tick later.

Ruled out: rates themselves (organisations were below them before and after); the store (the configuration was in force before the refusals).

Change: until a host answers, or the limit on answers has passed, requests wait at the host and are charged where they are sent first. A coordinator gives the first tokens of each part of the fleet as it attaches, once. A new coordinator is pinged before it is asked.

FleetLinkTest, SlotClientTest, OrganisationRatesTest; the first and the last failed without the change.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -136,8 +136,7 @@
         new StoreFollower(
             outside.store(), views, clocks, timer, outside.sources(), evacuations::onOrders);
     coordinator = new Coordinator(peers, clocks.steady());
-    SlotClient slots =
-        new SlotClient(peers, clocks.steady(), settings.dataCentre(), settings.host());
+    SlotClient slots = new SlotClient(peers, clocks.steady(), settings.dataCentre());
     link = new FleetLink(self, peers, views, clocks, follower, coordinator, slots);
     gate = new Gate(views, clocks, () -> this.settings.trustLimit(), this::isClosing);
     RandomGenerator choice = RandomGenerator.getDefault();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -69,6 +69,7 @@
   private final Map<HostId, Attached> attached = new HashMap<>();
   private final Map<OrganisationId, Long> levels = new HashMap<>();
   private HostId target;
+  private Instant firstTickAt;
   private long ticks;
   private Instant targetSince = Instant.MAX;
   private Instant contactAt;
@@ -110,7 +111,7 @@
       lost = dropDetached(now);
     }
     lost.forEach(this::detached);
-    if (!next.equals(target)) {
+    if (!next.equals(target) && knowsFleet(order, now)) {
       changeTarget(next, now);
     }
     slots.tick();
@@ -136,8 +137,13 @@
 
   void onPing(HostId from, Ping ping) {
     if (ping.getAttached()) {
+      Attached now = new Attached(clocks.instant(), ping.getTakesCallers());
+      boolean isNew;
       synchronized (this) {
-        attached.put(from, new Attached(clocks.instant(), ping.getTakesCallers()));
+        isNew = attached.put(from, now) == null;
+      }
+      if (isNew) {
+        coordinator.part(part());
       }
     }
     Pong.Builder pong =
@@ -196,6 +202,21 @@
     }
   }
 
+  /**
+   * Tells whether this host may choose. One that has just started first hears the others: alone it
+   * would coordinate for a moment with empty buckets and refuse what the fleet has room for.
+   */
+  private synchronized boolean knowsFleet(List<HostId> order, Instant now) {
+    if (firstTickAt == null) {
+      firstTickAt = now;
+    }
+    Duration patience = ANSWER_LIMIT.multipliedBy(pace());
+    return target != null
+        || order.size() == 1
+        || !answers.isEmpty()
+        || now.isAfter(firstTickAt.plus(patience));
+  }
+
   private int pace() {
     return 1 + views.fleet().ordered().size() / HOSTS_AT_FULL_PACE;
   }
@@ -235,31 +256,38 @@
       }
     }
     LOG.write(Event.COORDINATOR_CHOSEN, next, before, views.hosts().revision().value());
+    if (!next.equals(self.id())) {
+      ping(next);
+    }
     slots.attach(next);
   }
 
   private void ping(List<HostId> order, Instant now) {
     Set<HostId> whom = new HashSet<>(order.subList(0, Math.min(CANDIDATES, order.size())));
-    whom.add(target);
+    if (target != null) {
+      whom.add(target);
+    }
     boolean none = whom.stream().noneMatch(h -> answers(h, now));
     if (none) {
       whom.addAll(order);
     }
     whom.remove(self.id());
+    whom.forEach(this::ping);
+  }
+
+  private void ping(HostId host) {
     Stamp sent = clocks.now();
-    for (HostId host : whom) {
-      Ping.Builder ping =
-          Ping.newBuilder()
-              .setSentNanos(FleetMessages.nanos(sent.steady()))
-              .setSentMillis(sent.wall().toEpochMilli())
-              .setBoot(self.boot())
-              .setAttached(host.equals(target))
-              .setConfiguration(views.planRevision().value())
-              .setEngines(views.engines().revision().value())
-              .setHosts(views.hosts().revision().value())
-              .setTakesCallers(self.takesCallers());
-      send(host, FleetMessage.newBuilder().setPing(ping));
-    }
+    Ping.Builder ping =
+        Ping.newBuilder()
+            .setSentNanos(FleetMessages.nanos(sent.steady()))
+            .setSentMillis(sent.wall().toEpochMilli())
+            .setBoot(self.boot())
+            .setAttached(host.equals(target))
+            .setConfiguration(views.planRevision().value())
+            .setEngines(views.engines().revision().value())
+            .setHosts(views.hosts().revision().value())
+            .setTakesCallers(self.takesCallers());
+    send(host, FleetMessage.newBuilder().setPing(ping));
   }
 
   private void follow(HostId chosen, Instant now) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.coordinate;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -25,8 +26,8 @@
 import org.waxwingcourse.wire.fleet.SlotWithdraw;
 
 /**
- * Asks the coordinator for slots. When another host becomes coordinator it is told what runs here,
- * and whatever still waits is asked for again.
+ * Asks the coordinator for slots. Until one is known, what is asked for waits here. When another
+ * host becomes coordinator it is told what runs here, and whatever still waits is asked for again.
  *
  * <p>Listeners are called on network threads, never from within a method of this class.
  */
@@ -42,21 +43,21 @@
   private final DataCentreId dataCentre;
   private final AtomicLong numbers = new AtomicLong();
   private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
-  private volatile HostId coordinator;
+  private volatile Option<HostId> coordinator = Option.none();
   private volatile Instant toldAt = Instant.MIN;
 
-  /** Creates a client of a host in {@code dataCentre}; {@code self} coordinates at first. */
-  public SlotClient(Peers peers, InstantSource clock, DataCentreId dataCentre, HostId self) {
+  /** Creates a client of a host in {@code dataCentre} that knows of no coordinator. */
+  public SlotClient(Peers peers, InstantSource clock, DataCentreId dataCentre) {
     this.peers = peers;
     this.clock = clock;
     this.dataCentre = dataCentre;
-    this.coordinator = self;
   }
 
   private static final class Pending {
     private final SlotWish wish;
     private final SlotListener listener;
     private volatile Instant askedAt;
+    private volatile boolean asked;
     private volatile UpstreamId engine;
 
     Pending(SlotWish wish, SlotListener listener, Instant askedAt) {
@@ -69,8 +70,9 @@
   /** Asks for a slot and returns the number by which the run is named from now on. */
   public long ask(SlotWish wish, SlotListener listener) {
     long number = numbers.incrementAndGet();
-    pending.put(number, new Pending(wish, listener, clock.instant()));
-    send(FleetMessage.newBuilder().setAsk(message(number, wish, true)));
+    Pending p = new Pending(wish, listener, clock.instant());
+    pending.put(number, p);
+    sendAsk(number, p);
     return number;
   }
 
@@ -101,14 +103,14 @@
     send(FleetMessage.newBuilder().setSilence(SlotSilence.newBuilder().setNumber(number)));
   }
 
-  /** Returns the host that is asked. */
-  public HostId coordinator() {
+  /** Returns the host that is asked, none before one is known. */
+  public Option<HostId> coordinator() {
     return coordinator;
   }
 
   /** Takes another host as coordinator. */
   public void attach(HostId next) {
-    coordinator = next;
+    coordinator = Option.some(next);
     sendRunning();
     pending.forEach(this::askAgain);
   }
@@ -133,7 +135,16 @@
   private void askAgain(long number, Pending p) {
     if (p.engine == null) {
       p.askedAt = clock.instant();
-      send(FleetMessage.newBuilder().setAsk(message(number, p.wish, false)));
+      sendAsk(number, p);
+    }
+  }
+
+  /** Asks for a slot. The organisation is charged with the first message that leaves this host. */
+  private synchronized void sendAsk(long number, Pending p) {
+    if (coordinator.isDefined()) {
+      boolean first = !p.asked;
+      p.asked = true;
+      send(FleetMessage.newBuilder().setAsk(message(number, p.wish, first)));
     }
   }
 
@@ -212,6 +223,6 @@
   }
 
   private void send(FleetMessage.Builder message) {
-    peers.send(coordinator, Channel.FLEET, message.build().toByteArray());
+    coordinator.forEach(c -> peers.send(c, Channel.FLEET, message.build().toByteArray()));
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -259,7 +259,7 @@
         total.toMillis(),
         events,
         admitted.plan().version(),
-        ports.slots().coordinator(),
+        ports.slots().coordinator().map(Object::toString).getOrElse("none"),
         outcome);
     ports.metrics().timer("requests.total").update(total);
     ports.metrics().timer("requests.waited").update(waited);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/OrganisationRates.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/OrganisationRates.java
@@ -32,6 +32,9 @@
   private OrganisationTable organisations;
   private double part;
 
+  /** The largest part for which tokens have been given without knowledge. */
+  private double coldPart;
+
   /** Creates rates of no organisation. */
   public OrganisationRates(OrganisationTable organisations) {
     this.organisations = organisations;
@@ -41,6 +44,7 @@
   public synchronized void resize(OrganisationTable table, double newPart, Instant now) {
     organisations = table;
     part = newPart;
+    warm(now);
     buckets.keySet().removeIf(id -> !table.byId(id).exists(OrganisationPlan::isLimited));
     table.all().stream().filter(OrganisationPlan::isLimited).forEach(o -> bucket(o.id(), now));
     buckets.forEach((id, bucket) -> bucket.resize(shareOf(id), now));
@@ -76,6 +80,20 @@
     buckets.clear();
     inherited.clear();
     inherited.putAll(levels);
+    coldPart = 1;
+  }
+
+  /** Gives what a larger part of the fleet adds to the tokens that are given without knowledge. */
+  private void warm(Instant now) {
+    if (part > coldPart) {
+      long more = (long) ((part - coldPart) * COLD_TOKENS);
+      coldPart = part;
+      buckets.forEach(
+          (id, bucket) -> {
+            bucket.resize(shareOf(id), now);
+            bucket.giveBack(more, now);
+          });
+    }
   }
 
   private TokenBucket bucket(OrganisationId id, Instant now) {
@@ -84,7 +102,7 @@
         i -> {
           TokenBucket bucket = new TokenBucket(now);
           bucket.resize(shareOf(i), now);
-          bucket.giveBack(inherited.getOrDefault(i, (long) (part * COLD_TOKENS)), now);
+          bucket.giveBack(inherited.getOrDefault(i, (long) (coldPart * COLD_TOKENS)), now);
           return bucket;
         });
   }
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/FleetLinkTest.java
@@ -0,0 +1,123 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.FleetHost;
+import org.waxwingcourse.fleet.view.KeyNames;
+import org.waxwingcourse.fleet.view.StoreFollower;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.peer.Channel;
+import org.waxwingcourse.peer.PeerHandler;
+import org.waxwingcourse.peer.Peers;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.wire.fleet.Pong;
+
+/** Whom a host that has just started takes for its coordinator, and when. */
+class FleetLinkTest {
+  private static final FleetHost OLDER = host("older");
+  private static final FleetHost SELF = host("self");
+  private static final Duration TICK = Duration.ofMillis(130);
+
+  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  private final Clocks clocks = new Clocks(clock, clock);
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Views views = Views.of(document -> Either.left("none"), clocks);
+  private final SlotClient slots = new SlotClient(SILENT, clock, DataCentreId.of("a"));
+  private final FleetLink link =
+      new FleetLink(
+          SELF,
+          SILENT,
+          views,
+          clocks,
+          new StoreFollower(
+              MemoryStore.of(InstantSource.system()),
+              views,
+              clocks,
+              timer,
+              new StoreFollower.Sources(KeyRange.ofPrefix("o/"), "o/plan", KeyRange.ofPrefix("e/")),
+              orders -> {}),
+          new Coordinator(SILENT, clock),
+          slots);
+
+  private static final Peers SILENT =
+      new Peers() {
+        @Override
+        public void send(HostId to, Channel channel, byte[] payload) {}
+
+        @Override
+        public void handle(Channel channel, PeerHandler handler) {}
+      };
+
+  @BeforeEach
+  void knowBoth() {
+    views.hosts().replace(new Snapshot(Revision.of(9), List.of(entry(OLDER, 1), entry(SELF, 2))));
+  }
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  private static FleetHost host(String name) {
+    return new FleetHost(
+        HostId.of(name),
+        1,
+        DataCentreId.of("a"),
+        "r",
+        new InetSocketAddress("127.0.0.1", 1),
+        Option.none(),
+        false,
+        Revision.NONE);
+  }
+
+  private static Entry entry(FleetHost host, long created) {
+    return new Entry(
+        KeyNames.host(host.id(), host.boot()),
+        host.encode(),
+        Revision.of(created),
+        Revision.of(created),
+        LeaseId.NONE);
+  }
+
+  @Test
+  void aHostThatHasJustStartedHearsTheOthersBeforeItChooses() {
+    link.tick();
+    clock.advance(TICK);
+    link.tick();
+    assertThat(slots.coordinator()).isEmpty();
+    assertThat(link.isAttached()).isFalse();
+    link.onPong(OLDER.id(), Pong.newBuilder().setInContact(true).build());
+    clock.advance(TICK);
+    link.tick();
+    assertThat(slots.coordinator()).containsExactly(OLDER.id());
+  }
+
+  @Test
+  void aHostThatNobodyAnswersCoordinatesItself() {
+    link.tick();
+    clock.advance(Duration.ofMillis(460));
+    link.tick();
+    assertThat(slots.coordinator()).containsExactly(SELF.id());
+  }
+}
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -34,7 +35,13 @@
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final List<Sent> sent = new ArrayList<>();
   private final List<String> heard = new ArrayList<>();
-  private final SlotClient client = new SlotClient(peers(), clock, DataCentreId.of("dc"), A);
+  private final SlotClient client = new SlotClient(peers(), clock, DataCentreId.of("dc"));
+
+  @BeforeEach
+  void attach() {
+    client.attach(A);
+    sent.clear();
+  }
 
   private record Sent(HostId to, FleetMessage message) {}
 
@@ -55,6 +62,10 @@
   }
 
   private long ask() {
+    return ask(client);
+  }
+
+  private long ask(SlotClient client) {
     SlotWish wish =
         new SlotWish(
             RequestId.of("r"),
@@ -106,6 +117,19 @@
     assertThat(asks().get(1).message.getAsk().getCharge()).isFalse();
   }
 
+  @Test
+  void whatIsAskedBeforeACoordinatorIsKnownWaitsAndIsChargedWhereItIsSentFirst() {
+    SlotClient starting = new SlotClient(peers(), clock, DataCentreId.of("dc"));
+    ask(starting);
+    clock.advance(Duration.ofMillis(310));
+    starting.tick();
+    assertThat(sent).isEmpty();
+    starting.attach(B);
+    assertThat(asks()).hasSize(1);
+    assertThat(asks().get(0).to).isEqualTo(B);
+    assertThat(asks().get(0).message.getAsk().getCharge()).isTrue();
+  }
+
   @Test
   void whatIsDecidedIsNotAskedAgain() {
     client.onGrant(A, grant(ask(), "e1"));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -88,7 +88,7 @@
         views,
         new EngineDirectory(views.engines(), e -> Option.none()),
         (request, listener) -> () -> {},
-        new SlotClient(silent, clocks.steady(), DataCentreId.of("a"), NEW.host()),
+        new SlotClient(silent, clocks.steady(), DataCentreId.of("a")),
         new RunTimes(),
         job -> {},
         job -> {},
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrganisationRatesTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrganisationRatesTest.java
@@ -44,6 +44,17 @@
     assertThat(admitted(rates, START.plusSeconds(10), Duration.ofMillis(100))).isEqualTo(41);
   }
 
+  @Test
+  void hostsThatAttachOneByOneBringTheirPartOfTheFirstTokensOnce() {
+    OrganisationRates rates = rates(20, 40, 1 / 9.0);
+    for (int hosts = 2; hosts <= 9; hosts++) {
+      rates.resize(table(20, 40), hosts / 9.0, START);
+    }
+    rates.resize(table(20, 40), 5 / 9.0, START);
+    rates.resize(table(20, 40), 1, START);
+    assertThat(admitted(rates, START, Duration.ofMillis(20))).isBetween(7, 8);
+  }
+
   @Test
   void aRestartOfAllStaysWithinWhatIsAllowedBeyondTheRate() {
     int before = admitted(rates(20, 40, 1), START.plusSeconds(15), Duration.ofSeconds(3));
