An item whose slot is taken back before its grant has come asks again

Decisions of the coordinator leave on several threads and a host's messages to itself went over all network threads in turn, so that 'slot taken back' could overtake 'slot granted'; the item then did nothing, and the late grant was sent back as unknown.

Ruled out: results lost on the way to the store (no engine had finished the items); a job taken over (other items of both jobs went on at the same host); refusals by the coordinator (each leads to another request).

Change: an item asks again whether or not its grant has come; one thread delivers what a host sends to itself.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -170,11 +170,14 @@
     }
   }
 
+  /** Gives a slot back and asks for another; its grant may have been overtaken on the way here. */
   private synchronized void yielded(Waiting waiting) {
-    if (done || attempt == null || waiting.number != attempt.number) {
+    if (done || waiting.number != slot) {
       return;
     }
-    drop(RunEnd.How.CANCELLED);
+    if (attempt != null) {
+      drop(RunEnd.How.CANCELLED);
+    }
     begin();
   }
 
--- a/peer/src/main/java/org/waxwingcourse/peer/NettyPeers.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/NettyPeers.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -55,6 +56,10 @@
   private final ConcurrentMap<HostId, Link> links = new ConcurrentHashMap<>();
   private final AtomicInteger unproven = new AtomicInteger();
   private NioEventLoopGroup group;
+
+  /** One thread delivers what a host sends to itself, so that it comes in order. */
+  private EventLoop toSelf;
+
   private volatile io.netty.channel.Channel listener;
 
   private NettyPeers(
@@ -80,6 +85,7 @@
   @Override
   public synchronized void start() {
     group = new NioEventLoopGroup(settings.threads(), new DefaultThreadFactory("peer", true));
+    toSelf = group.next();
     listener =
         new ServerBootstrap()
             .group(group)
@@ -116,7 +122,7 @@
       LOG.write(Event.PEER_MESSAGE_REFUSED, channel, to, payload.length);
       counters.dropped.increment();
     } else if (to.equals(settings.self())) {
-      group.execute(() -> handlers.deliver(to, channel.number(), payload));
+      toSelf.execute(() -> handlers.deliver(to, channel.number(), payload));
     } else {
       links.computeIfAbsent(to, this::link).send(Frames.encode(channel.number(), payload));
     }
--- a/peer/src/test/java/org/waxwingcourse/peer/NettyPeersTest.java
+++ b/peer/src/test/java/org/waxwingcourse/peer/NettyPeersTest.java
@@ -31,6 +31,16 @@
     assertThat(atB).isEqualTo(sent);
   }
 
+  @Test
+  void messagesToOneselfArriveInOrder() {
+    NettyPeers a = fleet.start(TestPeers.settings(A));
+    List<Integer> atA = TestPeers.collect(a);
+    List<Integer> sent = IntStream.range(0, 20_000).boxed().toList();
+    sent.forEach(n -> TestPeers.send(a, A, n));
+    TestPeers.await(() -> atA.size() == sent.size());
+    assertThat(atA).isEqualTo(sent);
+  }
+
   @Test
   void silentConnectionIsReplacedAndNothingIsDoubled() throws IOException {
     NettyPeers watched = fleet.start(TestPeers.settings(A));
