--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -223,12 +223,21 @@
         refuse.request().chargedTo().forEach(o -> rates.giveBack(o, clock.instant()));
         refuse(refuse);
       } else if (decision instanceof Decision.Yield yield) {
-        SlotYield.Builder message = SlotYield.newBuilder().setNumber(yield.run().number());
-        send(yield.run().host(), FleetMessage.newBuilder().setYield(message));
+        giveWay(yield);
       }
     }
   }
 
+  private void giveWay(Decision.Yield yield) {
+    RunId run = yield.run();
+    SlotRequest taker = yield.to();
+    SlotLoad load = load(taker.service());
+    LOG.write(
+        Event.SLOT_YIELDED, run.number(), run.host(), yield.engine(), taker.request(), part, load);
+    SlotYield.Builder message = SlotYield.newBuilder().setNumber(run.number());
+    send(run.host(), FleetMessage.newBuilder().setYield(message));
+  }
+
   private void grant(Decision.Grant grant) {
     SlotRequest request = grant.request();
     Duration waited = Duration.between(request.askedAt(), clock.instant());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/Decision.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/Decision.java
@@ -19,6 +19,12 @@
   record Refuse(SlotRequest request, boolean overRate, Instant retryAt, String reason)
       implements Decision {}
 
-  /** The batch run gives its slot to online work and asks again. */
-  record Yield(RunId run) implements Decision {}
+  /**
+   * A batch run gives its slot to online work and asks again.
+   *
+   * @param run the batch run
+   * @param engine where it runs
+   * @param to the online request that takes the slot
+   */
+  record Yield(RunId run, UpstreamId engine, SlotRequest to) implements Decision {}
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ServiceSlots.java
@@ -241,7 +241,7 @@
       if (!place.get().hasFree()) {
         RunId yielding = place.get().batchToYield().get();
         place.get().runs().remove(yielding);
-        decisions.add(new Decision.Yield(yielding));
+        decisions.add(new Decision.Yield(yielding, place.get().entry().id(), next));
       }
       start(next, place.get(), now, decisions);
     }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -59,6 +59,10 @@
       505,
       Level.INFO,
       "request {} of host \"{}\" gets no slot: {}; back in {} ms, part {}, load {}"),
+  SLOT_YIELDED(
+      506,
+      Level.INFO,
+      "batch run {} of host \"{}\" leaves engine \"{}\" to request {}; part {}, load {}"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" is {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "chunk {} of job \"{}\" is no longer held under number {}"),
