A started host chooses as soon as the others have answered

Change: the choice is made 20 ms after the first answer; a host without a coordinator pings on each tick whatever the size of the fleet. FleetLinkTest.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -293,6 +293,7 @@
     peers.open(opened);
     every(LINK_INTERVAL, link::tick);
     every(QUEUE_INTERVAL, coordinator::tick);
+    every(QUEUE_INTERVAL, link::attachEarly);
     every(SUPERVISION_INTERVAL, () -> whenCoordinating(supervisor::check));
     every(SWEEP_INTERVAL, () -> whenCoordinating(sweep::run));
     LOG.write(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetLink.java
@@ -55,9 +55,15 @@
   /** How long a coordinator may be out of contact before this host follows the store too. */
   private static final Duration FOLLOW_AFTER = Duration.ofMillis(350);
 
+  /** Answers to the same round of pings come within this time; a few round trips of a region. */
+  private static final Duration ANSWERS_SPREAD = Duration.ofMillis(20);
+
   /** Hosts that start together find each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
+  /** Later than any moment to which a short time may still be added. */
+  private static final Instant NEVER = Instant.MAX.minus(Duration.ofDays(1));
+
   private final FleetHost self;
   private final Peers peers;
   private final Views views;
@@ -70,6 +76,7 @@
   private final Map<OrganisationId, Long> levels = new HashMap<>();
   private HostId target;
   private Instant firstTickAt;
+  private Instant firstAnswerAt = NEVER;
   private long ticks;
   private Instant targetSince = Instant.MAX;
   private Instant contactAt;
@@ -116,13 +123,27 @@
     }
     slots.tick();
     ticks++;
-    if (ticks % pace() == 0) {
+    if (target == null || ticks % pace() == 0) {
       ping(order, now);
     }
     follow(next, now);
     coordinator.part(part());
   }
 
+  /**
+   * Lets a host that has just started choose as soon as the others have had time to answer, without
+   * waiting for its next tick.
+   */
+  public void attachEarly() {
+    if (hasFirstAnswers()) {
+      tick();
+    }
+  }
+
+  private synchronized boolean hasFirstAnswers() {
+    return target == null && clocks.instant().isAfter(firstAnswerAt.plus(ANSWERS_SPREAD));
+  }
+
   /** Tells whether slots can be had: a coordinator that reads the store has been chosen. */
   public synchronized boolean isAttached() {
     return target != null && inContact(target);
@@ -178,6 +199,7 @@
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
     synchronized (this) {
+      firstAnswerAt = answers.isEmpty() ? now : firstAnswerAt;
       answers.put(from, new Answers(now, pong.getInContact()));
       if (from.equals(target) && pong.getBucketsCount() > 0) {
         levels.clear();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/FleetLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/FleetLinkTest.java
@@ -113,6 +113,19 @@
     assertThat(slots.coordinator()).containsExactly(OLDER.id());
   }
 
+  @Test
+  void theChoiceDoesNotWaitForTheNextTickOnceTheOthersHaveAnswered() {
+    link.tick();
+    link.attachEarly();
+    assertThat(slots.coordinator()).isEmpty();
+    link.onPong(OLDER.id(), Pong.newBuilder().setInContact(true).build());
+    link.attachEarly();
+    assertThat(slots.coordinator()).isEmpty();
+    clock.advance(Duration.ofMillis(21));
+    link.attachEarly();
+    assertThat(slots.coordinator()).containsExactly(OLDER.id());
+  }
+
   @Test
   void aHostThatNobodyAnswersCoordinatesItself() {
     link.tick();
