--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.JobTerms;
 import org.waxwingcourse.fleet.view.KeyNames;
 import org.waxwingcourse.model.event.Event;
@@ -44,9 +45,6 @@
   /** Parts that fit into one transaction beside the other writes. */
   private static final int MAX_PARTS = 26;
 
-  /** When to come back after the store refused a call. */
-  private static final Duration STORE_RETRY = Duration.ofMillis(500);
-
   /** When to come back if the waiting tokens leave no room; a job ends about so often. */
   private static final Duration LIMIT_RETRY = Duration.ofSeconds(1);
 
@@ -59,9 +57,21 @@
   private final JobRunner runner;
   private final RunnerName self;
   private final ScheduledExecutorService timer;
+  private final Supplier<Duration> storeRetry;
   private final Map<String, Counted> counts = new ConcurrentHashMap<>();
 
-  JobIntake(JobStore store, JobRunner runner, RunnerName self, ScheduledExecutorService timer) {
+  /**
+   * Creates the intake of one process.
+   *
+   * @param storeRetry after which time to come back if the store refused a call
+   */
+  JobIntake(
+      JobStore store,
+      JobRunner runner,
+      RunnerName self,
+      ScheduledExecutorService timer,
+      Supplier<Duration> storeRetry) {
+    this.storeRetry = storeRetry;
     this.store = store;
     this.runner = runner;
     this.self = self;
@@ -105,8 +115,7 @@
   private CompletableFuture<JobAnswer> attempt(
       JobSubmission job, JobRecord record, List<JobItems> parts, int races) {
     if (races >= MAX_RACES) {
-      return done(
-          new JobAnswer.Refused(false, STORE_RETRY, "other hosts changed the count each time"));
+      return done(refused(job, "other hosts changed the count each time"));
     }
     String countKey = countKey(job);
     Counted counted = counts.getOrDefault(countKey, Counted.NONE);
@@ -158,7 +167,7 @@
       return attempt(job, record, parts, races + 1);
     }
     if (outcome instanceof WriteOutcome.NotSent notSent) {
-      return done(new JobAnswer.Refused(false, STORE_RETRY, notSent.failure().message()));
+      return done(refused(job, notSent.failure().message()));
     }
     return lookFor(job, ((WriteOutcome.Unknown) outcome).message());
   }
@@ -208,6 +217,11 @@
     return own ? new JobAnswer.Accepted() : new JobAnswer.NotFound();
   }
 
+  private JobAnswer refused(JobSubmission job, String reason) {
+    LOG.write(Event.JOB_REFUSED, job.id(), reason, job.tokens());
+    return new JobAnswer.Refused(false, storeRetry.get(), reason);
+  }
+
   /** A job that does not fit may still have been accepted before. */
   private CompletableFuture<JobAnswer> known(JobSubmission job, Option<Counted> fresh) {
     return store
@@ -218,7 +232,7 @@
                 return new JobAnswer.Accepted();
               }
               if (answer.isLeft() || fresh.isEmpty()) {
-                return new JobAnswer.Refused(false, STORE_RETRY, "the store does not answer");
+                return refused(job, "the store does not answer");
               }
               String reason =
                   "organisation \"" + job.organisation() + "\" has too many waiting tokens";
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -62,9 +62,15 @@
   /** Jobs of other hosts that are remembered; a few megabytes of results. */
   private static final int MAX_KNOWN = 200;
 
-  /** When to come back after the store refused a call. */
+  /** When to come back after the store refused a call; outages last a second or more. */
   private static final Duration STORE_RETRY = Duration.ofMillis(500);
 
+  /** When to come back to another host, which reaches the store: after a round trip. */
+  private static final Duration ELSEWHERE = Duration.ofMillis(20);
+
+  /** Some host has read the store within this time; two reads of the configuration. */
+  private static final Duration OTHERS_REACH_STORE = Duration.ofMillis(1500);
+
   private final Ports ports;
   private final RunnerName self;
   private final JobStore store;
@@ -137,7 +143,7 @@
                 this::announce,
                 this::keep,
                 ports.promptParts()));
-    this.intake = new JobIntake(store, runner, self, ports.timer());
+    this.intake = new JobIntake(store, runner, self, ports.timer(), this::storeRetry);
   }
 
   /** This host's entry had lapsed and stands again. */
@@ -197,8 +203,7 @@
               }
               return store
                   .items(job)
-                  .thenApply(
-                      items -> items.fold(JobService::unavailable, list -> bodyIn(list, item)));
+                  .thenApply(items -> items.fold(this::unavailable, list -> bodyIn(list, item)));
             });
   }
 
@@ -385,7 +390,7 @@
     return fresh;
   }
 
-  private static JobAnswer pageOf(
+  private JobAnswer pageOf(
       Either<StoreFailure, Option<KnownJob>> answer, OrganisationId organisation, int after) {
     if (answer.isLeft()) {
       return unavailable(answer.getLeft());
@@ -496,8 +501,13 @@
     return record.getOrganisation().equals(organisation.value());
   }
 
-  private static JobAnswer unavailable(StoreFailure failure) {
-    return new JobAnswer.Refused(false, STORE_RETRY, failure.message());
+  private JobAnswer unavailable(StoreFailure failure) {
+    return new JobAnswer.Refused(false, storeRetry(), failure.message());
+  }
+
+  /** A store that turns this host away may serve the others; they vouch for what they read. */
+  private Duration storeRetry() {
+    return ports.views().evidence().isWithin(OTHERS_REACH_STORE) ? ELSEWHERE : STORE_RETRY;
   }
 
   private static <T> CompletableFuture<T> done(T value) {
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRefusesTest.java
@@ -0,0 +1,131 @@
+package org.waxwingcourse.fleet.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.plan.JobTerms;
+import org.waxwingcourse.fleet.plan.RequestKind;
+import org.waxwingcourse.fleet.plan.Route;
+import org.waxwingcourse.fleet.plan.WeightedService;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.FleetHost;
+import org.waxwingcourse.fleet.view.Registration;
+import org.waxwingcourse.fleet.view.Views;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.peer.Channel;
+import org.waxwingcourse.peer.PeerHandler;
+import org.waxwingcourse.peer.Peers;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.standin.store.StoreFaults;
+import org.waxwingcourse.wire.fleet.JobItem;
+
+/** When a caller is told to come back whose job the store did not take. */
+class StoreRefusesTest {
+  private static final HostId SELF = HostId.of("self");
+
+  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  private final Clocks clocks = new Clocks(clock, clock);
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Views views = Views.of(document -> Either.left("none"), clocks);
+  private final MemoryStore store = MemoryStore.of(clock);
+  private final JobService jobs = new JobService(SELF, 1, ports());
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  private JobService.Ports ports() {
+    Peers silent =
+        new Peers() {
+          @Override
+          public void send(HostId to, Channel channel, byte[] payload) {}
+
+          @Override
+          public void handle(Channel channel, PeerHandler handler) {}
+        };
+    FleetHost self =
+        new FleetHost(
+            SELF,
+            1,
+            DataCentreId.of("a"),
+            "r",
+            new InetSocketAddress("127.0.0.1", 1),
+            Option.none(),
+            false,
+            Revision.NONE);
+    return new JobService.Ports(
+        store,
+        new Registration(self, store, views, clocks, timer, new SecureRandom()),
+        silent,
+        clock,
+        clock,
+        timer,
+        new Random(1),
+        views,
+        new EngineDirectory(views.engines(), e -> Option.none()),
+        (request, listener) -> () -> {},
+        new SlotClient(silent, clock, DataCentreId.of("a")),
+        headers -> List.of());
+  }
+
+  private Duration comeBack() {
+    Route route =
+        new Route(
+            "jobs",
+            "h",
+            "/j/",
+            RequestKind.JOB,
+            Duration.ofSeconds(15),
+            Duration.ofMillis(400),
+            Duration.ofMillis(200),
+            0,
+            List.of(new WeightedService(ServiceName.of("s"), 1)),
+            3,
+            false,
+            true,
+            Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)));
+    JobSubmission job =
+        new JobSubmission(
+            JobId.of("job-1"),
+            OrganisationId.of("parish"),
+            "h",
+            route,
+            List.of(JobItem.newBuilder().setId("item-1").build()));
+    store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    return ((JobAnswer.Refused) jobs.submit(job).join()).retryAfter();
+  }
+
+  @Test
+  void aHostThatAloneIsTurnedAwaySendsTheCallerToAnotherAtOnce() {
+    views.evidence().confirmVouched(clocks.now());
+    clock.advance(Duration.ofMillis(700));
+    assertThat(comeBack()).isEqualTo(Duration.ofMillis(20));
+  }
+
+  @Test
+  void withoutEvidenceThatAnyHostReachesTheStoreTheCallerWaits() {
+    views.evidence().confirmVouched(clocks.now());
+    clock.advance(Duration.ofMillis(1600));
+    assertThat(comeBack()).isEqualTo(Duration.ofMillis(500));
+  }
+}
--- a/peer/src/test/java/org/waxwingcourse/peer/NettyPeersTest.java
+++ b/peer/src/test/java/org/waxwingcourse/peer/NettyPeersTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.standin.link.FaultProxy;
 
 class NettyPeersTest {
   private static final HostId A = HostId.of("a");
--- a/peer/src/test/java/org/waxwingcourse/peer/StrangerTest.java
+++ b/peer/src/test/java/org/waxwingcourse/peer/StrangerTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.standin.link.FaultProxy;
 import org.waxwingcourse.wire.Hello;
 
 /** Connections that do not belong to the fleet are cut before a frame of theirs is taken. */
