--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrderComparisonTest.java
@@ -0,0 +1,150 @@
+package org.waxwingcourse.fleet.slot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.waxwingcourse.model.request.WorkClass;
+
+/**
+ * The same arrivals under several orders of service: first come first served, earliest deadline,
+ * round robin between organisations (deficit round robin where all requests are of one size), each
+ * without refusals, and {@link ServiceSlots}. Counted is who starts in time.
+ */
+class OrderComparisonTest {
+  private static final int ENGINES = 6;
+  private static final int SLOTS = 8;
+  private static final int ORGANISATIONS = 8;
+  private static final Duration SPAN = Duration.ofSeconds(20);
+
+  /** Half of all requests may wait longer than the others. */
+  private static final Duration RELAXED = Duration.ofMillis(800);
+
+  /** One request: when it comes, when it must start, whose it is; seconds. */
+  private record Arrival(double at, double startBy, int organisation) {}
+
+  /** The requests that wait, in some order. */
+  private interface Queue {
+    void add(Arrival arrival);
+
+    /** Returns the next, null if none waits. */
+    Arrival poll();
+  }
+
+  private static List<Arrival> arrivals(double rate, long seed) {
+    Random random = new Random(seed);
+    List<Arrival> all = new ArrayList<>();
+    double end = SPAN.toMillis() / 1000.0;
+    for (double at = next(random, 0, rate); at < end; at = next(random, at, rate)) {
+      Duration wait = random.nextBoolean() ? RELAXED : SlotSimulation.OBJECTIVE_WAIT;
+      boolean flooding = random.nextDouble() < 0.5;
+      int organisation = flooding ? 0 : random.nextInt(ORGANISATIONS);
+      all.add(new Arrival(at, at + wait.toMillis() / 1000.0, organisation));
+    }
+    return all;
+  }
+
+  private static double next(Random random, double at, double rate) {
+    return at - Math.log(1 - random.nextDouble()) / rate;
+  }
+
+  private static int inTime(List<Arrival> arrivals, Queue queue) {
+    PriorityQueue<Double> free = new PriorityQueue<>();
+    for (int i = 0; i < ENGINES * SLOTS; i++) {
+      free.add(0.0);
+    }
+    double run = SlotSimulation.ONLINE_RUN.toMillis() / 1000.0;
+    int served = 0;
+    int came = 0;
+    Arrival first = null;
+    while (came < arrivals.size()) {
+      double slotAt = free.peek();
+      while (came < arrivals.size() && (first == null || arrivals.get(came).at() <= slotAt)) {
+        queue.add(arrivals.get(came++));
+        first = first == null ? queue.poll() : first;
+      }
+      queue.add(first);
+      first = queue.poll();
+      double start = Math.max(free.poll(), first.at());
+      served += start <= first.startBy() ? 1 : 0;
+      free.add(start + run);
+      first = queue.poll();
+    }
+    return served;
+  }
+
+  private static Queue sorted(Comparator<Arrival> order) {
+    PriorityQueue<Arrival> waiting = new PriorityQueue<>(order);
+    return queue(waiting::add, waiting::poll);
+  }
+
+  private static Queue roundRobin() {
+    List<Deque<Arrival>> flows = new ArrayList<>();
+    for (int i = 0; i < ORGANISATIONS; i++) {
+      flows.add(new ArrayDeque<>());
+    }
+    int[] turn = {0};
+    return queue(
+        a -> flows.get(a.organisation()).add(a),
+        () -> {
+          for (int i = 0; i < ORGANISATIONS; i++) {
+            turn[0] = (turn[0] + 1) % ORGANISATIONS;
+            if (!flows.get(turn[0]).isEmpty()) {
+              return flows.get(turn[0]).poll();
+            }
+          }
+          return null;
+        });
+  }
+
+  private static Queue queue(java.util.function.Consumer<Arrival> add, Supplier<Arrival> poll) {
+    return new Queue() {
+      @Override
+      public void add(Arrival arrival) {
+        if (arrival != null) {
+          add.accept(arrival);
+        }
+      }
+
+      @Override
+      public Arrival poll() {
+        return poll.get();
+      }
+    };
+  }
+
+  private static int chosen(List<Arrival> arrivals) {
+    SlotSimulation s = new SlotSimulation(ENGINES, SLOTS, 0);
+    for (Arrival a : arrivals) {
+      Duration wait = Duration.ofNanos((long) ((a.startBy() - a.at()) * 1e9));
+      s.at(Duration.ofNanos((long) (a.at() * 1e9)), () -> s.offer(WorkClass.ONLINE, wait));
+    }
+    s.run(SPAN.plusSeconds(2));
+    return s.startedInTime;
+  }
+
+  @ParameterizedTest
+  @CsvSource({"60, 0", "75, 0", "75, 1", "90, 0", "134, 0", "134, 1"})
+  void moreStartInTimeThanUnderAnyOtherOrder(double rate, long seed) {
+    List<Arrival> arrivals = arrivals(rate, seed);
+    int firstCome = inTime(arrivals, sorted(Comparator.comparingDouble(Arrival::at)));
+    int earliest = inTime(arrivals, sorted(Comparator.comparingDouble(Arrival::startBy)));
+    int roundRobin = inTime(arrivals, roundRobin());
+    int chosen = chosen(arrivals);
+    System.out.printf(
+        "%.0f a second, %d requests: first come %d, earliest deadline %d, round robin %d, chosen"
+            + " %d in time%n",
+        rate, arrivals.size(), firstCome, earliest, roundRobin, chosen);
+    assertThat(chosen).isGreaterThanOrEqualTo((int) (0.98 * Math.max(firstCome, earliest)));
+    assertThat(chosen).isGreaterThanOrEqualTo((int) (0.98 * roundRobin));
+  }
+}
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -36,6 +36,7 @@
   final Map<UpstreamId, Integer> load = new HashMap<>();
   final List<Long> started = new ArrayList<>();
   int grantedBatch;
+  int startedInTime;
   int yields;
   Duration batchWork = Duration.ZERO;
   int fullestEngine;
@@ -176,6 +177,7 @@
     fullestEngine = Math.max(fullestEngine, load.merge(grant.engine(), 1, Integer::sum));
     if (request.isOnline()) {
       waits.add(Duration.between(request.askedAt(), now));
+      startedInTime += request.startBy().isPast(now) ? 0 : 1;
     } else {
       grantedBatch++;
     }
