--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/FleetLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/FleetLinkTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
-import io.vavr.control.Option;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -14,17 +12,15 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.KeyNames;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.Views;
-import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.ManualClock;
-import org.waxwingcourse.peer.Channel;
-import org.waxwingcourse.peer.PeerHandler;
 import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.store.Entry;
@@ -35,15 +31,16 @@
 
 /** Whom a host that has just started takes for its coordinator, and when. */
 class FleetLinkTest {
-  private static final FleetHost OLDER = host("older");
-  private static final FleetHost SELF = host("self");
+  private static final FleetHost OLDER = FleetFixtures.host(HostId.of("older"), 1);
+  private static final FleetHost SELF = FleetFixtures.host(HostId.of("self"), 1);
+  private static final Peers SILENT = FleetFixtures.silent();
   private static final Duration TICK = Duration.ofMillis(130);
 
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final Clocks clocks = new Clocks(clock, clock);
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final Views views = Views.of(document -> Either.left("none"), clocks);
-  private final SlotClient slots = new SlotClient(SILENT, clock, DataCentreId.of("a"));
+  private final SlotClient slots = new SlotClient(SILENT, clock, FleetFixtures.DATA_CENTRE);
   private final FleetLink link =
       new FleetLink(
           SELF,
@@ -60,15 +57,6 @@
           new Coordinator(SILENT, clock),
           slots);
 
-  private static final Peers SILENT =
-      new Peers() {
-        @Override
-        public void send(HostId to, Channel channel, byte[] payload) {}
-
-        @Override
-        public void handle(Channel channel, PeerHandler handler) {}
-      };
-
   @BeforeEach
   void knowBoth() {
     views.hosts().replace(new Snapshot(Revision.of(9), List.of(entry(OLDER, 1), entry(SELF, 2))));
@@ -79,18 +67,6 @@
     timer.shutdownNow();
   }
 
-  private static FleetHost host(String name) {
-    return new FleetHost(
-        HostId.of(name),
-        1,
-        DataCentreId.of("a"),
-        "r",
-        new InetSocketAddress("127.0.0.1", 1),
-        Option.none(),
-        false,
-        Revision.NONE);
-  }
-
   private static Entry entry(FleetHost host, long created) {
     return new Entry(
         KeyNames.host(host.id(), host.boot()),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
@@ -11,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
@@ -21,8 +21,6 @@
 import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.model.time.ManualClock;
-import org.waxwingcourse.peer.Channel;
-import org.waxwingcourse.peer.PeerHandler;
 import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.SlotGrant;
@@ -46,19 +44,7 @@
   private record Sent(HostId to, FleetMessage message) {}
 
   private Peers peers() {
-    return new Peers() {
-      @Override
-      public void send(HostId to, Channel channel, byte[] payload) {
-        try {
-          sent.add(new Sent(to, FleetMessage.parseFrom(payload)));
-        } catch (InvalidProtocolBufferException e) {
-          throw new AssertionError(e);
-        }
-      }
-
-      @Override
-      public void handle(Channel channel, PeerHandler handler) {}
-    };
+    return FleetFixtures.peers((to, message) -> sent.add(new Sent(to, message)));
   }
 
   private long ask() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
@@ -2,13 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -19,30 +16,21 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.FleetChannel;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.plan.CallerLimits;
-import org.waxwingcourse.fleet.plan.JobTerms;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
-import org.waxwingcourse.fleet.plan.RequestKind;
-import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.plan.RouteTable;
-import org.waxwingcourse.fleet.plan.WeightedService;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
-import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.Registration;
 import org.waxwingcourse.fleet.view.Views;
-import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.time.ManualClock;
-import org.waxwingcourse.peer.Channel;
-import org.waxwingcourse.peer.PeerHandler;
-import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.JobItem;
@@ -59,7 +47,11 @@
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final BlockingQueue<FleetMessage> sent = new LinkedBlockingQueue<>();
   private final Views views = Views.of(document -> Either.right(plan()), clocks);
-  private final SlotClient slots = new SlotClient(capturing(), clock, DataCentreId.of("a"));
+  private final SlotClient slots =
+      new SlotClient(
+          FleetFixtures.peers((to, message) -> sent.add(message)),
+          clock,
+          FleetFixtures.DATA_CENTRE);
   private final FleetChannel channel = new FleetChannel(null, null, slots, (from, m) -> {});
 
   @AfterEach
@@ -67,41 +59,10 @@
     timer.shutdownNow();
   }
 
-  private Peers capturing() {
-    return new Peers() {
-      @Override
-      public void send(HostId to, Channel on, byte[] payload) {
-        try {
-          sent.add(FleetMessage.parseFrom(payload));
-        } catch (InvalidProtocolBufferException e) {
-          throw new AssertionError(e);
-        }
-      }
-
-      @Override
-      public void handle(Channel on, PeerHandler handler) {}
-    };
-  }
-
   private static Plan plan() {
-    Route route =
-        new Route(
-            "jobs",
-            "h",
-            "/j/",
-            RequestKind.JOB,
-            Duration.ofSeconds(15),
-            Duration.ofMillis(400),
-            Duration.ofMillis(200),
-            0,
-            List.of(new WeightedService(ServiceName.of("s"), 1)),
-            3,
-            false,
-            true,
-            Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)));
     return new Plan(
         1,
-        RouteTable.of(List.of(route)),
+        RouteTable.of(List.of(FleetFixtures.jobRoute())),
         Map.of(),
         CallerLimits.DEFAULT,
         OrganisationTable.of(List.of()));
@@ -116,21 +77,17 @@
             .setDueMillis(clock.instant().plusSeconds(18).toEpochMilli())
             .setGiveUpMillis(clock.instant().plusSeconds(60).toEpochMilli())
             .build();
-    FleetHost self =
-        new FleetHost(
-            SELF.host(),
-            SELF.boot(),
-            DataCentreId.of("a"),
-            "r",
-            new InetSocketAddress("127.0.0.1", 1),
-            Option.none(),
-            false,
-            Revision.NONE);
     MemoryStore store = MemoryStore.of(clock);
     JobRunner.Ports ports =
         new JobRunner.Ports(
             SELF,
-            new Registration(self, store, views, clocks, timer, new SecureRandom()),
+            new Registration(
+                FleetFixtures.host(SELF.host(), SELF.boot()),
+                store,
+                views,
+                clocks,
+                timer,
+                new SecureRandom()),
             new JobStore(store),
             clock,
             clock,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -4,7 +4,6 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
@@ -15,6 +14,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -22,13 +22,8 @@
 import org.waxwingcourse.fleet.view.KeyNames;
 import org.waxwingcourse.fleet.view.Registration;
 import org.waxwingcourse.fleet.view.Views;
-import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
-import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.peer.Channel;
-import org.waxwingcourse.peer.PeerHandler;
-import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Transaction;
@@ -57,26 +52,10 @@
   }
 
   private static FleetHost host(RunnerName name) {
-    return new FleetHost(
-        name.host(),
-        name.boot(),
-        DataCentreId.of("a"),
-        "r",
-        new InetSocketAddress("127.0.0.1", 1),
-        Option.none(),
-        false,
-        Revision.NONE);
+    return FleetFixtures.host(name.host(), name.boot());
   }
 
   private JobRunner.Ports ports() {
-    Peers silent =
-        new Peers() {
-          @Override
-          public void send(HostId to, Channel channel, byte[] payload) {}
-
-          @Override
-          public void handle(Channel channel, PeerHandler handler) {}
-        };
     return new JobRunner.Ports(
         NEW,
         registration,
@@ -88,7 +67,7 @@
         views,
         new EngineDirectory(views.engines(), e -> Option.none()),
         (request, listener) -> () -> {},
-        new SlotClient(silent, clocks.steady(), DataCentreId.of("a")),
+        new SlotClient(FleetFixtures.silent(), clocks.steady(), FleetFixtures.DATA_CENTRE),
         new RunTimes(),
         job -> {},
         job -> {},
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRefusesTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRefusesTest.java
@@ -4,7 +4,6 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
@@ -14,26 +13,16 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
-import org.waxwingcourse.fleet.plan.JobTerms;
-import org.waxwingcourse.fleet.plan.RequestKind;
-import org.waxwingcourse.fleet.plan.Route;
-import org.waxwingcourse.fleet.plan.WeightedService;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
-import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.Registration;
 import org.waxwingcourse.fleet.view.Views;
-import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
-import org.waxwingcourse.model.id.Revision;
-import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.time.ManualClock;
-import org.waxwingcourse.peer.Channel;
-import org.waxwingcourse.peer.PeerHandler;
-import org.waxwingcourse.peer.Peers;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.standin.store.StoreFaults;
 import org.waxwingcourse.wire.fleet.JobItem;
@@ -55,28 +44,11 @@
   }
 
   private JobService.Ports ports() {
-    Peers silent =
-        new Peers() {
-          @Override
-          public void send(HostId to, Channel channel, byte[] payload) {}
-
-          @Override
-          public void handle(Channel channel, PeerHandler handler) {}
-        };
-    FleetHost self =
-        new FleetHost(
-            SELF,
-            1,
-            DataCentreId.of("a"),
-            "r",
-            new InetSocketAddress("127.0.0.1", 1),
-            Option.none(),
-            false,
-            Revision.NONE);
     return new JobService.Ports(
         store,
-        new Registration(self, store, views, clocks, timer, new SecureRandom()),
-        silent,
+        new Registration(
+            FleetFixtures.host(SELF, 1), store, views, clocks, timer, new SecureRandom()),
+        FleetFixtures.silent(),
         clock,
         clock,
         timer,
@@ -84,32 +56,17 @@
         views,
         new EngineDirectory(views.engines(), e -> Option.none()),
         (request, listener) -> () -> {},
-        new SlotClient(silent, clock, DataCentreId.of("a")),
+        new SlotClient(FleetFixtures.silent(), clock, FleetFixtures.DATA_CENTRE),
         headers -> List.of());
   }
 
   private Duration comeBack() {
-    Route route =
-        new Route(
-            "jobs",
-            "h",
-            "/j/",
-            RequestKind.JOB,
-            Duration.ofSeconds(15),
-            Duration.ofMillis(400),
-            Duration.ofMillis(200),
-            0,
-            List.of(new WeightedService(ServiceName.of("s"), 1)),
-            3,
-            false,
-            true,
-            Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)));
     JobSubmission job =
         new JobSubmission(
             JobId.of("job-1"),
             OrganisationId.of("parish"),
             "h",
-            route,
+            FleetFixtures.jobRoute(),
             List.of(JobItem.newBuilder().setId("item-1").build()));
     store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
     return ((JobAnswer.Refused) jobs.submit(job).join()).retryAfter();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/protocol/RunnerModel.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/protocol/RunnerModel.java
@@ -51,7 +51,38 @@
       List<Integer> listed,
       Map<Integer, Host> hosts,
       Option<Write> write,
-      int faults) {}
+      int faults) {
+    Host host(int h) {
+      return hosts.get(h).get();
+    }
+
+    /** Tells whether the record names the present process of a host as runner. */
+    boolean isRunner(int h) {
+      return runner == h && runnerBoot == host(h).boot();
+    }
+
+    State withHost(int h, Host host) {
+      return new State(revision, runner, runnerBoot, listed, hosts.put(h, host), write, faults);
+    }
+
+    State withFault() {
+      return new State(revision, runner, runnerBoot, listed, hosts, write, faults + 1);
+    }
+
+    State withWrite(Option<Write> underway) {
+      return new State(revision, runner, runnerBoot, listed, hosts, underway, faults);
+    }
+
+    /** The record is written with other results. */
+    State withListed(List<Integer> results) {
+      return new State(revision + 1, runner, runnerBoot, results, hosts, write, faults);
+    }
+
+    /** The record is written with another runner. */
+    State withRunner(int h) {
+      return new State(revision + 1, h, host(h).boot(), listed, hosts, write, faults);
+    }
+  }
 
   State first() {
     Host idle = new Host(true, 0, true, Option.none());
@@ -72,124 +103,92 @@
   }
 
   private static List<Step<State>> faults(State s, int h) {
-    Host host = s.hosts().get(h).get();
+    Host host = s.host(h);
     List<Step<State>> steps = List.empty();
     if (s.faults() < MAX_FAULTS && host.up()) {
       Host dead = new Host(false, host.boot(), host.entry(), Option.none());
-      steps = steps.append(step("kill " + h, with(s, h, dead, s.faults() + 1)));
+      steps = steps.append(new Step<>("kill " + h, s.withHost(h, dead).withFault()));
     }
     if (s.faults() < MAX_FAULTS && host.entry()) {
       Host lapsed = new Host(host.up(), host.boot(), false, host.runs());
-      steps = steps.append(step("lapse " + h, with(s, h, lapsed, s.faults() + 1)));
+      steps = steps.append(new Step<>("lapse " + h, s.withHost(h, lapsed).withFault()));
     }
     if (!host.up()) {
       Host fresh = new Host(true, host.boot() + 1, true, Option.none());
-      steps = steps.append(step("start " + h, with(s, h, fresh, s.faults())));
+      steps = steps.append(new Step<>("start " + h, s.withHost(h, fresh)));
     }
     return steps;
   }
 
   private List<Step<State>> claims(State s, int h) {
-    Host host = s.hosts().get(h).get();
-    boolean own = s.runner() == h && s.runnerBoot() == host.boot();
-    Host old = s.hosts().get(s.runner()).get();
-    boolean oldStands = old.entry() && old.boot() == s.runnerBoot();
+    Host host = s.host(h);
+    Host old = s.host(s.runner());
+    boolean oldStands = old.entry() && s.isRunner(s.runner());
     boolean mayClaim = host.up() && host.entry() && s.revision() < MAX_CLAIM_REVISION;
-    if (!mayClaim || own || (claimNeedsLapse && oldStands)) {
+    if (!mayClaim || s.isRunner(h) || (claimNeedsLapse && oldStands)) {
       return List.empty();
     }
-    int revision = s.revision() + 1;
-    Host runner = new Host(true, host.boot(), true, Option.some(new Belief(revision, s.listed())));
-    State claimed =
-        new State(
-            revision, h, host.boot(), s.listed(), s.hosts().put(h, runner), s.write(), s.faults());
-    return List.of(step("claim " + h, claimed));
+    State claimed = s.withRunner(h);
+    return List.of(new Step<>("claim " + h, claimed.withHost(h, believing(host, claimed))));
   }
 
   private static List<Step<State>> commits(State s, int h) {
-    Host host = s.hosts().get(h).get();
+    Host host = s.host(h);
     if (!host.up() || host.runs().isEmpty() || s.write().isDefined()) {
       return List.empty();
     }
     Belief belief = host.runs().get();
     return List.range(0, ITEMS)
         .filter(i -> !belief.listed().contains(i))
-        .map(i -> step("commit " + i + " by " + h, withWrite(s, h, host, belief, i)));
+        .map(
+            i -> {
+              Write write = new Write(h, host.boot(), belief, i);
+              return new Step<>("commit " + i + " by " + h, s.withWrite(Option.some(write)));
+            });
   }
 
   private List<Step<State>> arrivals(State s) {
     if (s.write().isEmpty()) {
       return List.empty();
     }
-    State without =
-        new State(
-            s.revision(),
-            s.runner(),
-            s.runnerBoot(),
-            s.listed(),
-            s.hosts(),
-            Option.none(),
-            s.faults());
+    State without = s.withWrite(Option.none());
     Write write = s.write().get();
-    List<Step<State>> steps = List.of(step("write lost", without));
+    List<Step<State>> steps = List.of(new Step<>("write lost", without));
     if (fenced && s.revision() != write.from().revision()) {
-      return steps.append(step("write refused", stopped(without, write)));
+      return steps.append(new Step<>("write refused", stopped(without, write)));
     }
-    List<Integer> listed = write.from().listed().append(write.item());
-    int revision = s.revision() + 1;
-    State landed =
-        new State(
-            revision, s.runner(), s.runnerBoot(), listed, s.hosts(), Option.none(), s.faults());
+    State landed = without.withListed(write.from().listed().append(write.item()));
     return steps
-        .append(step("write lands", informed(landed, write, new Belief(revision, listed))))
-        .append(step("write lands, answer lost", landed));
+        .append(new Step<>("write lands", informed(landed, write)))
+        .append(new Step<>("write lands, answer lost", landed));
   }
 
   /** The runner hears that its write stands. */
-  private static State informed(State s, Write write, Belief belief) {
-    Host host = s.hosts().get(write.host()).get();
-    if (!host.up() || host.boot() != write.boot() || host.runs().isEmpty()) {
-      return s;
-    }
-    Host told = new Host(true, host.boot(), host.entry(), Option.some(belief));
-    return with(s, write.host(), told, s.faults());
+  private static State informed(State s, Write write) {
+    Host host = s.host(write.host());
+    return isSender(host, write) && host.runs().isDefined()
+        ? s.withHost(write.host(), believing(host, s))
+        : s;
   }
 
   /** A runner whose write is refused reads the record and stops if another one runs the job. */
   private static State stopped(State s, Write write) {
-    Host host = s.hosts().get(write.host()).get();
-    if (!host.up() || host.boot() != write.boot()) {
+    Host host = s.host(write.host());
+    if (!isSender(host, write)) {
       return s;
     }
-    boolean own = s.runner() == write.host() && s.runnerBoot() == host.boot();
-    Option<Belief> belief = own ? Option.some(new Belief(s.revision(), s.listed())) : Option.none();
-    return with(s, write.host(), new Host(true, host.boot(), host.entry(), belief), s.faults());
-  }
-
-  private static State with(State s, int h, Host host, int faults) {
-    return new State(
-        s.revision(),
-        s.runner(),
-        s.runnerBoot(),
-        s.listed(),
-        s.hosts().put(h, host),
-        s.write(),
-        faults);
+    Host idle = new Host(true, host.boot(), host.entry(), Option.none());
+    return s.withHost(write.host(), s.isRunner(write.host()) ? believing(host, s) : idle);
   }
 
-  private static State withWrite(State s, int h, Host host, Belief belief, int item) {
-    Write write = new Write(h, host.boot(), belief, item);
-    return new State(
-        s.revision(),
-        s.runner(),
-        s.runnerBoot(),
-        s.listed(),
-        s.hosts(),
-        Option.some(write),
-        s.faults());
+  /** Tells whether the process that sent a write still lives. */
+  private static boolean isSender(Host host, Write write) {
+    return host.up() && host.boot() == write.boot();
   }
 
-  private static Step<State> step(String name, State after) {
-    return new Step<>(name, after);
+  /** Returns a host that runs the job and knows its record as it stands. */
+  private static Host believing(Host host, State s) {
+    Belief belief = new Belief(s.revision(), s.listed());
+    return new Host(true, host.boot(), host.entry(), Option.some(belief));
   }
 }
