--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -143,7 +143,12 @@
         new StoreFollower(
             outside.store(), storeView, clocks, timer, outside.sources(), evacuations::onOrders);
     coordinator = new Coordinator(peers, clocks.steady());
-    SlotClient slots = new SlotClient(peers, clocks.steady(), settings.dataCentre());
+    SlotClient slots =
+        new SlotClient(
+            peers,
+            clocks.steady(),
+            settings.dataCentre(),
+            outside.calls()::enginesWithIdleConnections);
     coordinatorLink =
         new CoordinatorLink(self, peers, storeView, clocks, follower, coordinator, slots);
     gate =
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -15,6 +15,7 @@
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
+import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.OrganisationRateLimiter;
 import org.waxwingcourse.fleet.slot.PacedRequests;
 import org.waxwingcourse.fleet.slot.RunEnd;
@@ -153,7 +154,8 @@
         new RunEnd(
             RunEnd.How.valueOf(end.getHow().name()),
             Duration.ofNanos(end.getFirstEventNanos()),
-            Duration.ofNanos(end.getGapNanos()));
+            Duration.ofNanos(end.getGapNanos()),
+            end.getEvents());
     RunId id = new RunId(from, end.getNumber());
     services.values().forEach(s -> execute(s.endRun(id, runEnd, clock.instant())));
   }
@@ -180,7 +182,9 @@
     for (Running run : list.getRunsList()) {
       RunId id = new RunId(from, run.getNumber());
       UpstreamId engine = UpstreamId.of(run.getEngine());
-      scheduler(ServiceName.of(run.getService())).addExistingRun(id, engine, !run.getBatch(), now);
+      Option<BatchWork> work = batchWork(run.getDueWithinNanos(), run.getReceivedEvents(), now);
+      scheduler(ServiceName.of(run.getService()))
+          .addExistingRun(id, engine, !run.getBatch(), work, now.minusNanos(run.getElapsedNanos()));
     }
     services.values().forEach(s -> execute(s.retainListedRuns(from, listed, now)));
   }
@@ -198,7 +202,18 @@
         Deadline.at(now.plusNanos(ask.getGiveUpWithinNanos())),
         ask.getPromptPartsList(),
         DataCentreId.of(ask.getDataCentre()),
-        ask.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()));
+        ask.getAvoidList().stream().map(UpstreamId::of).collect(Collectors.toSet()),
+        ask.getConnectedList().stream().map(UpstreamId::of).collect(Collectors.toSet()),
+        ask.getBatch()
+            ? batchWork(ask.getDueWithinNanos(), ask.getReceivedEvents(), now)
+            : Option.none());
+  }
+
+  /** Returns the work of a batch request; none from a host of a version that does not send it. */
+  private static Option<BatchWork> batchWork(long dueWithinNanos, int events, Instant now) {
+    return Option.when(
+        dueWithinNanos != 0,
+        () -> new BatchWork(Deadline.at(now.plusNanos(dueWithinNanos)), events));
   }
 
   private SlotScheduler scheduler(ServiceName service) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -4,9 +4,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
@@ -36,22 +39,40 @@
   /** Interval at which a request for a slot that is not decided is sent again. */
   private static final Duration RESEND_INTERVAL = Duration.ofMillis(300);
 
-  /** Interval at which all runs of this host are reported to the coordinator. */
+  /** Maximum number of engines that a request names for their idle connections. */
+  private static final int MAX_CONNECTED_ENGINES = 24;
+
+  /**
+   * Interval at which all runs of this host are reported to the coordinator, unless there was none
+   * since the last report.
+   */
   private static final Duration RUN_REPORT_INTERVAL = Duration.ofSeconds(1);
 
   private final PeerTransport peers;
   private final InstantSource clock;
   private final DataCentreId dataCentre;
+  private final Supplier<List<UpstreamId>> connectedEngines;
   private final AtomicLong lastNumber = new AtomicLong();
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
   private volatile Option<HostId> coordinator = Option.none();
   private volatile Instant runsReportedAt = Instant.MIN;
+  private volatile boolean hadRuns;
 
-  /** Creates a client for a host in {@code dataCentre}; no coordinator is known yet. */
-  public SlotClient(PeerTransport peers, InstantSource clock, DataCentreId dataCentre) {
+  /**
+   * Creates a client for a host in {@code dataCentre}; no coordinator is known yet.
+   *
+   * @param connectedEngines supplies the engines to which this host has an idle connection, most
+   *     recently used first
+   */
+  public SlotClient(
+      PeerTransport peers,
+      InstantSource clock,
+      DataCentreId dataCentre,
+      Supplier<List<UpstreamId>> connectedEngines) {
     this.peers = peers;
     this.clock = clock;
     this.dataCentre = dataCentre;
+    this.connectedEngines = connectedEngines;
   }
 
   private static final class PendingRequest {
@@ -60,6 +81,7 @@
     private volatile Instant lastSentAt;
     private volatile boolean sentBefore;
     private volatile UpstreamId engine;
+    private volatile Instant grantedAt;
 
     PendingRequest(SlotRequirements requirements, SlotListener listener, Instant lastSentAt) {
       this.requirements = requirements;
@@ -89,7 +111,8 @@
                     .setNumber(number)
                     .setHow(SlotEnd.How.valueOf(end.how().name()))
                     .setFirstEventNanos(end.firstEventDelay().toNanos())
-                    .setGapNanos(end.meanGap().toNanos())));
+                    .setGapNanos(end.meanGap().toNanos())
+                    .setEvents(end.events())));
   }
 
   /** Withdraws a request that has not been granted. */
@@ -128,7 +151,7 @@
             resendRequest(number, request);
           }
         });
-    if (now.isAfter(runsReportedAt.plus(RUN_REPORT_INTERVAL))) {
+    if (hadRuns && now.isAfter(runsReportedAt.plus(RUN_REPORT_INTERVAL))) {
       reportRuns();
     }
   }
@@ -153,6 +176,7 @@
   }
 
   private void reportRuns() {
+    hadRuns = false;
     RunningList.Builder running = RunningList.newBuilder();
     pending.forEach(
         (number, request) -> {
@@ -160,6 +184,7 @@
             running.addRuns(buildRunning(number, request));
           }
         });
+    hadRuns |= running.getRunsCount() > 0;
     runsReportedAt = clock.instant();
     send(FleetMessage.newBuilder().setRunning(running));
   }
@@ -170,6 +195,8 @@
       returnSlot(from, grant);
       return;
     }
+    hadRuns = true;
+    request.grantedAt = clock.instant();
     request.engine = UpstreamId.of(grant.getEngine());
     request.listener.onGrant(request.engine, Duration.ofNanos(grant.getWaitedNanos()));
   }
@@ -206,8 +233,17 @@
 
   private SlotAsk buildAsk(long number, SlotRequirements requirements, boolean first) {
     Instant now = clock.instant();
-    return SlotAsk.newBuilder()
-        .setNumber(number)
+    SlotAsk.Builder ask = SlotAsk.newBuilder();
+    requirements
+        .batchWork()
+        .forEach(
+            w ->
+                ask.setDueWithinNanos(nanosUntilDue(w, now)).setReceivedEvents(w.receivedEvents()));
+    connectedEngines.get().stream()
+        .limit(MAX_CONNECTED_ENGINES)
+        .map(UpstreamId::value)
+        .forEach(ask::addConnected);
+    return ask.setNumber(number)
         .setRequest(requirements.requestId().value())
         .setService(requirements.service().value())
         .setBatch(requirements.workClass() == WorkClass.BATCH)
@@ -222,8 +258,23 @@
         .build();
   }
 
-  private static Running.Builder buildRunning(long number, PendingRequest request) {
-    return Running.newBuilder()
+  private static long nanosUntilDue(BatchWork work, Instant now) {
+    return Duration.between(now, work.dueAt().at()).toNanos();
+  }
+
+  private Running.Builder buildRunning(long number, PendingRequest request) {
+    Instant now = clock.instant();
+    Running.Builder running = Running.newBuilder();
+    request
+        .requirements
+        .batchWork()
+        .forEach(
+            w ->
+                running
+                    .setDueWithinNanos(nanosUntilDue(w, now))
+                    .setReceivedEvents(w.receivedEvents()));
+    return running
+        .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
         .setNumber(number)
         .setEngine(request.engine.value())
         .setService(request.requirements.service().value())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.util.List;
 import java.util.Set;
+import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.ServiceName;
@@ -24,6 +25,7 @@
  * @param giveUpAt when it expires
  * @param promptParts ids of the shared parts of its prompt, in order
  * @param avoidedEngines engines on which it has failed
+ * @param batchWork its work; none for an online request
  */
 public record SlotRequirements(
     RequestId requestId,
@@ -34,7 +36,8 @@
     Deadline startBy,
     Deadline giveUpAt,
     List<Long> promptParts,
-    Set<UpstreamId> avoidedEngines) {
+    Set<UpstreamId> avoidedEngines,
+    Option<BatchWork> batchWork) {
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineRequest.java
@@ -19,7 +19,6 @@
  * @param organisation the organisation it runs for, none on a route that needs no key
  * @param resumeAfter id of the last event received so far, none to start at the beginning
  * @param deadline when the engine must stop working on it
- * @param repeatable whether it may be sent on a connection that was already open
  */
 public record EngineRequest(
     RequestId id,
@@ -30,5 +29,4 @@
     byte[] body,
     Option<OrganisationId> organisation,
     Option<Long> resumeAfter,
-    Deadline deadline,
-    boolean repeatable) {}
+    Deadline deadline) {}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineSender.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineSender.java
@@ -1,6 +1,8 @@
 package org.waxwingcourse.fleet.engine;
 
+import java.util.List;
 import org.waxwingcourse.http.StreamCall;
+import org.waxwingcourse.model.id.UpstreamId;
 
 /** Sends requests to engines. */
 @FunctionalInterface
@@ -10,4 +12,9 @@
    * longer wanted.
    */
   StreamCall send(EngineRequest request, EngineListener listener);
+
+  /** Returns the engines to which a connection is open and idle, most recently used first. */
+  default List<UpstreamId> enginesWithIdleConnections() {
+    return List.of();
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.plan.Route;
+import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.Header;
@@ -107,7 +108,8 @@
             Deadline.at(job.due().at().minus(ports.times().estimateRemaining(eventData.size()))),
             job.giveUpAt(),
             ports.promptParts().apply(item.getHeadersList()),
-            failedOn);
+            failedOn,
+            Option.some(new BatchWork(job.due(), eventData.size())));
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
@@ -148,8 +150,7 @@
                     item.getBody().toByteArray(),
                     Option.some(job.organisation()),
                     lastEventId,
-                    until,
-                    true),
+                    until),
                 sent);
     sent.engine = engine;
     sent.scheduleSilenceCheck(SILENCE_LIMIT);
@@ -260,7 +261,9 @@
       slotReleased = true;
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
-      ports.slots().endRun(requestNumber, new RunEnd(outcomeKind, first, meanGap()));
+      ports
+          .slots()
+          .endRun(requestNumber, new RunEnd(outcomeKind, first, meanGap(), eventData.size()));
     }
 
     private Duration meanGap() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -19,6 +19,7 @@
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -149,7 +150,7 @@
                 ports.engines(),
                 ports.calls(),
                 ports.slots(),
-                new ItemRunTimes(),
+                new BatchRunTimes(),
                 this::announceJob,
                 this::cacheFinished,
                 ports.promptParts()));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -129,7 +129,8 @@
             sendCount == 0 ? limits.startBy() : limits.giveUpAt(),
             sendCount == 0 ? limits.giveUpAt() : limits.answerBy(),
             request.promptParts(),
-            triedEngines);
+            triedEngines,
+            Option.none());
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
     pendingSlotNumber = pendingSlot.number;
@@ -176,8 +177,7 @@
             request.body(),
             admitted.organisation().map(OrganisationPlan::id),
             lastEventId,
-            limits.answerBy(),
-            route.isRepeatable());
+            limits.answerBy());
     Attempt sent = attempt;
     sent.call = ports.calls().send(call, sent);
     sent.scheduleSilenceCheck(limits.firstEventLimit());
@@ -338,7 +338,7 @@
               ? Duration.ZERO
               : Duration.between(firstEventReceivedAt, lastActivityAt)
                   .dividedBy(receivedEvents - 1);
-      ports.slots().endRun(slot, new RunEnd(outcomeKind, first, gap));
+      ports.slots().endRun(slot, new RunEnd(outcomeKind, first, gap, 0));
     }
 
     void scheduleSilenceCheck(Duration limit) {
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -0,0 +1,96 @@
+package org.waxwingcourse.fleet.slot;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.waxwingcourse.fleet.slot.BatchOrder.BatchLoad;
+import org.waxwingcourse.fleet.slot.BatchOrder.BatchPlan;
+import org.waxwingcourse.model.time.Deadline;
+
+/**
+ * The waiting batch requests of one service in the order in which they get free slots. The order is
+ * computed anew at intervals, so that its cost does not grow with the number of grants.
+ *
+ * <p>Not safe for use by several threads; guarded by the lock of the scheduler that owns it.
+ */
+final class BatchQueue {
+  /** How long an order is used; short compared with the run time of a batch request. */
+  private static final Duration PLAN_LIFETIME = Duration.ofMillis(100);
+
+  private final BatchOrder order;
+  private final Map<RunId, SlotRequest> waiting = new LinkedHashMap<>();
+  private final Deque<SlotRequest> inTime = new ArrayDeque<>();
+  private final Deque<SlotRequest> late = new ArrayDeque<>();
+  private Deadline planExpiry = Deadline.at(Instant.MIN);
+
+  BatchQueue(BatchOrder order) {
+    this.order = order;
+  }
+
+  void add(SlotRequest request) {
+    waiting.put(request.id(), request);
+  }
+
+  boolean contains(RunId id) {
+    return waiting.containsKey(id);
+  }
+
+  void remove(RunId id) {
+    waiting.remove(id);
+  }
+
+  void removeIf(Predicate<SlotRequest> filter) {
+    waiting.values().removeIf(filter);
+  }
+
+  Collection<SlotRequest> requests() {
+    return waiting.values();
+  }
+
+  int size() {
+    return waiting.size();
+  }
+
+  boolean isEmpty() {
+    return waiting.isEmpty();
+  }
+
+  /** Computes the order anew if the present one has expired or has no waiting request left. */
+  void updatePlan(BatchLoad load, Instant now) {
+    if (planExpiry.isPast(now) || (first().isEmpty() && !waiting.isEmpty())) {
+      BatchPlan plan = order.plan(waiting.values(), load, now);
+      replace(inTime, plan.inTime());
+      replace(late, plan.late());
+      planExpiry = Deadline.at(now.plus(PLAN_LIFETIME));
+    }
+  }
+
+  /** Returns the request that is to start next, none if no planned request waits any more. */
+  Option<SlotRequest> first() {
+    return firstInTime().orElse(() -> firstWaiting(late));
+  }
+
+  /** Returns the next request that is expected to end in time. */
+  Option<SlotRequest> firstInTime() {
+    return firstWaiting(inTime);
+  }
+
+  private Option<SlotRequest> firstWaiting(Deque<SlotRequest> planned) {
+    while (!planned.isEmpty() && !waiting.containsKey(planned.peekFirst().id())) {
+      planned.pollFirst();
+    }
+    return Option.of(planned.peekFirst());
+  }
+
+  private static void replace(Deque<SlotRequest> planned, List<SlotRequest> next) {
+    planned.clear();
+    planned.addAll(next);
+  }
+}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRunTimes.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchRunTimes.java
@@ -1,4 +1,4 @@
-package org.waxwingcourse.fleet.job;
+package org.waxwingcourse.fleet.slot;
 
 import java.time.Duration;
 
@@ -9,15 +9,18 @@
  *
  * <p>Safe for use by several threads.
  */
-final class ItemRunTimes {
+public final class BatchRunTimes {
   /** Weight of the newest item in both moving averages. */
   private static final double SMOOTHING = 0.1;
 
   private double meanEvents;
   private double meanGapMillis;
 
+  /** Creates estimates that know no completed item. */
+  public BatchRunTimes() {}
+
   /** Records a completed item: its number of events and the mean time between them. */
-  synchronized void recordCompleted(int events, Duration gap) {
+  public synchronized void recordCompleted(int events, Duration gap) {
     double millis = gap.toNanos() / 1e6;
     boolean first = meanEvents == 0;
     meanEvents = first ? events : meanEvents + SMOOTHING * (events - meanEvents);
@@ -27,11 +30,16 @@
     }
   }
 
+  /** Returns whether an item has been completed, so that estimates are not zero. */
+  public synchronized boolean isKnown() {
+    return meanEvents > 0 && meanGapMillis > 0;
+  }
+
   /**
    * Returns the estimated remaining run time of an item that has produced {@code events} events;
    * zero before any item has been completed.
    */
-  synchronized Duration estimateRemaining(int events) {
+  public synchronized Duration estimateRemaining(int events) {
     double missingEvents = Math.max(0, meanEvents - events);
     return Duration.ofNanos((long) (missingEvents * meanGapMillis * 1e6));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -1,13 +1,13 @@
 package org.waxwingcourse.fleet.slot;
 
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.waxwingcourse.fleet.engine.EngineEntry;
-import org.waxwingcourse.model.time.Deadline;
 
 /**
  * The slots of one engine and the runs that occupy them. Not safe for use by several threads;
@@ -39,13 +39,29 @@
   /**
    * A run that occupies a slot.
    *
-   * @param request the request that runs; null for a run that started under another coordinator
+   * @param request the request that runs; none for a run that started under another coordinator
    * @param online whether a caller waits for the run
+   * @param work the work of a batch run, none if it is not known
    * @param startedAt when it started
    */
-  record Run(SlotRequest request, boolean online, Instant startedAt) {
-    Deadline dueAt() {
-      return request == null ? Deadline.at(Instant.MAX) : request.startBy();
+  record Run(
+      Option<SlotRequest> request, boolean online, Option<BatchWork> work, Instant startedAt) {
+    /**
+     * Returns when a batch run is expected to end; the start of the run if too little is known of
+     * it.
+     */
+    Instant expectedEnd(BatchRunTimes times) {
+      return startedAt.plus(
+          work.map(w -> times.estimateRemaining(w.receivedEvents())).getOrElse(Duration.ZERO));
+    }
+
+    /**
+     * Returns how long a batch run could pause and still end in time; negative if it ends late. A
+     * run of which too little is known has none.
+     */
+    Duration slack(BatchRunTimes times) {
+      return work.map(w -> Duration.between(expectedEnd(times), w.dueAt().at()))
+          .getOrElse(Duration.ofSeconds(-1));
     }
   }
 
@@ -79,25 +95,34 @@
   }
 
   /**
-   * Returns the batch run to preempt: the one that is due last. When a run that started under
-   * another coordinator is due is not known; such runs are preempted first.
+   * Returns the batch run to preempt. A run that ends late anyway loses least, of several the one
+   * that needs longest; else the one that can best wait, since events received so far are kept.
    */
-  Option<RunId> batchRunToPreempt() {
-    Comparator<Map.Entry<RunId, Run>> byDue = Comparator.comparing(e -> e.getValue().dueAt());
+  Option<RunId> batchRunToPreempt(BatchRunTimes times) {
+    Comparator<Map.Entry<RunId, Run>> byLoss =
+        Comparator.comparing((Map.Entry<RunId, Run> e) -> e.getValue().slack(times).isNegative())
+            .thenComparing(e -> lossRank(e.getValue(), times))
+            .thenComparing(e -> e.getValue().startedAt());
     return Option.ofOptional(
         runs.entrySet().stream()
             .filter(e -> !e.getValue().online())
-            .max(byDue.thenComparing(e -> e.getValue().startedAt()))
+            .max(byLoss)
             .map(Map.Entry::getKey));
   }
 
+  private static long lossRank(Run run, BatchRunTimes times) {
+    Duration slack = run.slack(times);
+    return slack.isNegative() ? run.expectedEnd(times).toEpochMilli() : slack.toMillis();
+  }
+
   void startRun(SlotRequest request, Instant now) {
-    runs.put(request.id(), new Run(request, request.isOnline(), now));
+    runs.put(
+        request.id(), new Run(Option.some(request), request.isOnline(), request.batchWork(), now));
     request.promptParts().forEach(p -> recentParts.put(p, true));
   }
 
-  void addExistingRun(RunId id, boolean online, Instant now) {
-    runs.putIfAbsent(id, new Run(null, online, now));
+  void addExistingRun(RunId id, boolean online, Option<BatchWork> work, Instant startedAt) {
+    runs.putIfAbsent(id, new Run(Option.none(), online, work, startedAt));
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
@@ -8,8 +8,9 @@
  * @param how the outcome
  * @param firstEventDelay time from sending the request to the first event, zero without one
  * @param meanGap mean time between events, zero with fewer than two events
+ * @param events of a completed batch request: the events of its result, earlier runs included
  */
-public record RunEnd(How how, Duration firstEventDelay, Duration meanGap) {
+public record RunEnd(How how, Duration firstEventDelay, Duration meanGap, int events) {
   /**
    * Outcomes of a run, as far as they say something about its engine. The names equal those of
    * {@code SlotEnd.How} in fleet.proto.
@@ -31,6 +32,6 @@
 
   /** Returns an outcome without times. */
   public static RunEnd of(How how) {
-    return new RunEnd(how, Duration.ZERO, Duration.ZERO);
+    return new RunEnd(how, Duration.ZERO, Duration.ZERO, 0);
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -28,6 +28,8 @@
  * @param promptParts ids of the shared parts of its prompt, in order
  * @param dataCentre data centre of the requesting host
  * @param avoidedEngines engines on which it has failed
+ * @param connectedEngines engines to which its host has an idle connection
+ * @param batchWork its work; none for an online request
  */
 public record SlotRequest(
     RunId id,
@@ -41,11 +43,14 @@
     Deadline giveUpAt,
     List<Long> promptParts,
     DataCentreId dataCentre,
-    Set<UpstreamId> avoidedEngines) {
+    Set<UpstreamId> avoidedEngines,
+    Set<UpstreamId> connectedEngines,
+    Option<BatchWork> batchWork) {
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
     avoidedEngines = Set.copyOf(avoidedEngines);
+    connectedEngines = Set.copyOf(connectedEngines);
   }
 
   /** Returns whether a caller waits for it. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -28,12 +28,16 @@
  *       slot preempts a batch run at once. Batch requests fill all free slots but a few, see {@link
  *       FreeSlotReserve}. This serves load that swings between a third and twice its mean within
  *       seconds.
+ *   <li>Of the waiting batch requests those that can end in time start first, see {@link
+ *       MooreHodgsonOrder}. This serves load that exceeds the slots for longer than the batch
+ *       requests can wait.
  *   <li>Online requests that can still start in time are served earliest deadline first; requests
  *       whose deadline has passed are served after them. In a burst that exceeds the slots, a late
  *       answer is worth little, so no request that can be in time waits for one that cannot.
  *   <li>A request that would start late because of the queue ahead of it is refused on arrival,
  *       with the time at which the queue will have drained, so that the caller's next attempt can
- *       still be in time. This bounds the queue when engines are lost under full load.
+ *       still be in time. This bounds the queue when engines are lost under full load. A request
+ *       that finds a free slot starts, also if it comes late, as after a restart.
  * </ul>
  *
  * <p>Safe for use by several threads: one lock for each service.
@@ -51,6 +55,9 @@
   /** Within this time a grant reaches its host and the host's next list of runs comes back. */
   private static final Duration GRANT_ROUND_TRIP = Duration.ofMillis(1000);
 
+  /** Earliest retry after a refusal; runs that are overdue may end at any moment. */
+  private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(30);
+
   /** Time after which a caller may retry if no engine of the service is usable. */
   private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(600);
 
@@ -60,6 +67,13 @@
    */
   private static final double CACHED_PART_BONUS = 1.0;
 
+  /**
+   * Bonus for an engine to which the requesting host has an idle connection, in units of one busy
+   * slot. In a large fleet a host has few requests for each engine, and without the bonus nearly
+   * every request would open a connection.
+   */
+  private static final double IDLE_CONNECTION_BONUS = 2.0;
+
   /** Bonus for an engine in the data centre of the requesting host, in units of one busy slot. */
   private static final double SAME_DATA_CENTRE_BONUS = 0.5;
 
@@ -70,18 +84,21 @@
 
   private final Map<UpstreamId, EngineSlots> engines = new HashMap<>();
   private final TreeSet<SlotRequest> onlineQueue = new TreeSet<>(EARLIEST_DEADLINE_FIRST);
-  private final TreeSet<SlotRequest> batchQueue = new TreeSet<>(EARLIEST_DEADLINE_FIRST);
+  private final BatchQueue batchQueue;
+  private final BatchRunTimes batchRunTimes = new BatchRunTimes();
+  private final BatchSlotAverage batchSlots = new BatchSlotAverage();
   private final FreeSlotReserve freeSlotReserve;
   private double meanRunMillis = INITIAL_RUN_TIME.toMillis();
   private double fleetShare = 1;
 
   /** Creates a scheduler that knows no engines yet. */
   public SlotScheduler() {
-    this(FreeSlotReserve.createDefault());
+    this(FreeSlotReserve.createDefault(), new MooreHodgsonOrder());
   }
 
-  SlotScheduler(FreeSlotReserve freeSlotReserve) {
+  SlotScheduler(FreeSlotReserve freeSlotReserve, BatchOrder batchOrder) {
     this.freeSlotReserve = freeSlotReserve;
+    this.batchQueue = new BatchQueue(batchOrder);
   }
 
   /**
@@ -123,7 +140,7 @@
     for (EngineSlots engine : engines.values()) {
       EngineSlots.Run run = engine.runs().remove(id);
       if (run != null) {
-        updateMeanRunTime(run, end, now);
+        updateRunTimes(run, end, now);
         engine.health().recordEnd(end, now);
       }
     }
@@ -140,7 +157,7 @@
   /** Removes a waiting request that is no longer wanted. */
   public synchronized void withdrawRequest(RunId id) {
     onlineQueue.removeIf(r -> r.id().equals(id));
-    batchQueue.removeIf(r -> r.id().equals(id));
+    batchQueue.remove(id);
   }
 
   /** Removes the requests and runs of a host that is gone or has detached. */
@@ -172,12 +189,12 @@
     return startWaitingRequests(now, new ArrayList<>());
   }
 
-  /** Adds a run that started under another coordinator. */
+  /** Adds a run that started at {@code startedAt} under another coordinator. */
   public synchronized void addExistingRun(
-      RunId id, UpstreamId engine, boolean isOnline, Instant now) {
+      RunId id, UpstreamId engine, boolean isOnline, Option<BatchWork> work, Instant startedAt) {
     EngineSlots slots = engines.get(engine);
     if (slots != null && findEngineOfRun(id).isEmpty()) {
-      slots.addExistingRun(id, isOnline, now);
+      slots.addExistingRun(id, isOnline, work, startedAt);
     }
   }
 
@@ -210,17 +227,9 @@
   /** Starts waiting requests that a slot is free for and refuses those that have expired. */
   public synchronized List<SlotDecision> processQueues(Instant now) {
     List<SlotDecision> decisions = new ArrayList<>();
-    for (TreeSet<SlotRequest> queue : List.of(onlineQueue, batchQueue)) {
-      List<SlotRequest> expired = queue.stream().filter(r -> r.giveUpAt().isPast(now)).toList();
-      for (SlotRequest request : expired) {
-        queue.remove(request);
-        decisions.add(
-            refusal(
-                request,
-                estimateFreeAt(onlineQueue.size() + 1, now),
-                "no slot became free in time"));
-      }
-    }
+    refuseExpired(onlineQueue, now, decisions);
+    refuseExpired(batchQueue.requests(), now, decisions);
+    batchSlots.update(slotsLeftByOnline(now), now);
     return startWaitingRequests(now, decisions);
   }
 
@@ -239,11 +248,21 @@
     return new SlotLoad(slots, onlineRuns, batchRuns, onlineQueue.size(), batchQueue.size());
   }
 
+  private void refuseExpired(
+      Collection<SlotRequest> waiting, Instant now, List<SlotDecision> decisions) {
+    List<SlotRequest> expired = waiting.stream().filter(r -> r.giveUpAt().isPast(now)).toList();
+    for (SlotRequest request : expired) {
+      waiting.remove(request);
+      Instant freeAt = estimateFreeAt(onlineQueue.size() + 1, now);
+      decisions.add(refusal(request, freeAt, "no slot became free in time"));
+    }
+  }
+
   private void submitOnline(SlotRequest request, Instant now, List<SlotDecision> decisions) {
     int requestsAhead = onlineQueue.headSet(request).size();
     boolean free = requestsAhead == 0 && selectEngine(request, now).isDefined();
     Instant start = free ? now : estimateFreeAt(requestsAhead + 1, now);
-    if (request.startBy().isPast(start)) {
+    if (!free && request.startBy().isPast(start)) {
       String reason = requestsAhead + " requests wait before it for " + usableSlots(now) + " slots";
       decisions.add(refusal(request, start, reason));
     } else {
@@ -260,8 +279,7 @@
   }
 
   private boolean isWaiting(RunId id) {
-    return onlineQueue.stream().anyMatch(r -> r.id().equals(id))
-        || batchQueue.stream().anyMatch(r -> r.id().equals(id));
+    return onlineQueue.stream().anyMatch(r -> r.id().equals(id)) || batchQueue.contains(id);
   }
 
   private List<SlotDecision> startWaitingRequests(Instant now, List<SlotDecision> decisions) {
@@ -273,29 +291,63 @@
       }
       onlineQueue.remove(next);
       if (!selected.get().hasFreeSlot()) {
-        RunId preempted = selected.get().batchRunToPreempt().get();
+        RunId preempted = selected.get().batchRunToPreempt(batchRunTimes).get();
         selected.get().runs().remove(preempted);
         decisions.add(new SlotDecision.Yield(preempted, selected.get().entry().id(), next));
       }
       grantSlot(next, selected.get(), now, decisions);
     }
+    startBatchRequests(now, decisions);
+    return decisions;
+  }
+
+  private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
     while (!batchQueue.isEmpty()
         && isWithinShare(now)
         && freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
-      SlotRequest next = nextRequest(batchQueue, now);
+      batchQueue.updatePlan(batchLoad(now), now);
+      SlotRequest next = batchQueue.first().get();
       Option<EngineSlots> selected = selectCheapest(next, now, EngineSlots::hasFreeSlot);
       if (selected.isEmpty()) {
-        return decisions;
+        return;
       }
-      batchQueue.remove(next);
+      batchQueue.remove(next.id());
       grantSlot(next, selected.get(), now, decisions);
     }
-    return decisions;
+  }
+
+  private BatchOrder.BatchLoad batchLoad(Instant now) {
+    Duration backlog =
+        engines.values().stream()
+            .flatMap(e -> e.runs().values().stream())
+            .filter(r -> !r.online())
+            .map(r -> Duration.between(now, r.expectedEnd(batchRunTimes)))
+            .filter(d -> !d.isNegative())
+            .reduce(Duration.ZERO, Duration::plus);
+    return new BatchOrder.BatchLoad(batchSlots.slots(), backlog, this::remainingRunTime);
+  }
+
+  /** Estimates from the runs of all hosts, or before the first has ended as the host does. */
+  private Duration remainingRunTime(SlotRequest request) {
+    return request
+        .batchWork()
+        .map(
+            w ->
+                batchRunTimes.isKnown()
+                    ? batchRunTimes.estimateRemaining(w.receivedEvents())
+                    : Duration.between(request.startBy().at(), w.dueAt().at()))
+        .getOrElse(Duration.ZERO);
+  }
+
+  private int slotsLeftByOnline(Instant now) {
+    SlotLoad load = load(now);
+    int taken = load.online() + load.onlineWaiting() + freeSlotReserve.reservedSlots(now);
+    return Math.max(0, load.slots() - taken);
   }
 
   /**
-   * Returns the most urgent request that can still start in time, or the most urgent one if none
-   * can.
+   * Returns the most urgent online request that can still start in time, or the most urgent one if
+   * none can.
    */
   private static SlotRequest nextRequest(TreeSet<SlotRequest> queue, Instant now) {
     return queue.stream().filter(r -> !r.startBy().isPast(now)).findFirst().orElseGet(queue::first);
@@ -313,7 +365,7 @@
   }
 
   private static boolean hasBatchRun(EngineSlots engine) {
-    return engine.batchRunToPreempt().isDefined();
+    return engine.runs().values().stream().anyMatch(r -> !r.online());
   }
 
   private Option<EngineSlots> selectCheapest(
@@ -344,6 +396,7 @@
     boolean sameDataCentre = engine.entry().dataCentre().equals(request.dataCentre());
     return slowness * (occupied + engine.slots())
         - cacheBonus
+        - (request.connectedEngines().contains(engine.entry().id()) ? IDLE_CONNECTION_BONUS : 0)
         - (sameDataCentre ? SAME_DATA_CENTRE_BONUS : 0);
   }
 
@@ -397,11 +450,18 @@
       return now.plus(run);
     }
     int rounds = (count - 1) / ends.size();
-    return ends.get((count - 1) % ends.size()).plus(run.multipliedBy(rounds));
+    Instant freeAt = ends.get((count - 1) % ends.size()).plus(run.multipliedBy(rounds));
+    Instant earliest = now.plus(MIN_RETRY_DELAY);
+    return freeAt.isBefore(earliest) ? earliest : freeAt;
   }
 
-  private void updateMeanRunTime(EngineSlots.Run run, RunEnd end, Instant now) {
-    if (run.online() && end.how() == RunEnd.How.WHOLE && run.request() != null) {
+  private void updateRunTimes(EngineSlots.Run run, RunEnd end, Instant now) {
+    if (end.how() != RunEnd.How.WHOLE) {
+      return;
+    }
+    if (!run.online()) {
+      batchRunTimes.recordCompleted(end.events(), end.meanGap());
+    } else if (run.request().isDefined()) {
       double millis = Duration.between(run.startedAt(), now).toNanos() / 1e6;
       meanRunMillis += RUN_TIME_SMOOTHING * (millis - meanRunMillis);
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
@@ -40,7 +40,8 @@
   private final Clocks clocks = new Clocks(clock, clock);
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final StoreView storeView = StoreView.of(document -> Either.left("none"), clocks);
-  private final SlotClient slots = new SlotClient(SILENT, clock, FleetFixtures.DATA_CENTRE);
+  private final SlotClient slots =
+      new SlotClient(SILENT, clock, FleetFixtures.DATA_CENTRE, List::of);
   private final CoordinatorLink link =
       new CoordinatorLink(
           SELF,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -33,7 +33,7 @@
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final List<Sent> sent = new ArrayList<>();
   private final List<String> calls = new ArrayList<>();
-  private final SlotClient client = new SlotClient(peers(), clock, DataCentreId.of("dc"));
+  private final SlotClient client = new SlotClient(peers(), clock, DataCentreId.of("dc"), List::of);
 
   @BeforeEach
   void attach() {
@@ -62,7 +62,8 @@
             Deadline.after(clock, Duration.ofMillis(200)),
             Deadline.after(clock, Duration.ofSeconds(2)),
             List.of(),
-            Set.of());
+            Set.of(),
+            Option.none());
     return client.requestSlot(
         requirements,
         new SlotListener() {
@@ -105,7 +106,7 @@
 
   @Test
   void requestBeforeACoordinatorIsKnownWaitsAndIsChargedWithItsFirstMessage() {
-    SlotClient starting = new SlotClient(peers(), clock, DataCentreId.of("dc"));
+    SlotClient starting = new SlotClient(peers(), clock, DataCentreId.of("dc"), List::of);
     requestSlot(starting);
     clock.advance(Duration.ofMillis(310));
     starting.resendLostMessages();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -47,7 +48,8 @@
       new SlotClient(
           FleetFixtures.recordingPeers((to, message) -> sent.add(message)),
           clock,
-          FleetFixtures.DATA_CENTRE);
+          FleetFixtures.DATA_CENTRE,
+          List::of);
   private final FleetMessageRouter channel =
       new FleetMessageRouter(null, null, slots, (from, m) -> {});
 
@@ -87,7 +89,7 @@
             new EngineDirectory(storeView.engineTable(), e -> Option.none()),
             (request, listener) -> () -> {},
             slots,
-            new ItemRunTimes(),
+            new BatchRunTimes(),
             started -> {},
             finished -> {},
             headers -> List.of());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -79,8 +80,9 @@
         storeView,
         new EngineDirectory(storeView.engineTable(), e -> Option.none()),
         (request, listener) -> () -> {},
-        new SlotClient(FleetFixtures.droppingPeers(), clocks.steady(), FleetFixtures.DATA_CENTRE),
-        new ItemRunTimes(),
+        new SlotClient(
+            FleetFixtures.droppingPeers(), clocks.steady(), FleetFixtures.DATA_CENTRE, List::of),
+        new BatchRunTimes(),
         job -> {},
         job -> {},
         headers -> List.of());
@@ -176,6 +178,16 @@
     assertThat(record()).isEqualTo(taken);
   }
 
+  /** Without a check the record would name this host as runner while no host runs the job. */
+  @Test
+  void jobIsRunThoughTheAnswerToItsClaimWasLost() throws Exception {
+    storeJobAcceptedBy(OLD);
+    store.dropResponses(1);
+    runner.takeOver(JOB);
+    awaitUntil(() -> runner.countRunning() == 1);
+    assertThat(record().getRunner()).isEqualTo("new");
+  }
+
   @Test
   void closedJobIsNotTakenOver() throws Exception {
     storeJobAcceptedBy(OLD);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -56,7 +56,7 @@
         storeView,
         new EngineDirectory(storeView.engineTable(), e -> Option.none()),
         (request, listener) -> () -> {},
-        new SlotClient(FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE),
+        new SlotClient(FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE, List::of),
         headers -> List.of());
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSchedulerTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSchedulerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -100,6 +101,26 @@
     assertThat(s.onlineWaitTimes).hasSize(ENGINES * SLOTS).allMatch(Duration::isZero);
   }
 
+  /** After a restart requests wait for a coordinator until their objective cannot be met. */
+  @Test
+  void requestPastItsLatestStartStartsOnAFreeSlot() {
+    SlotSimulation s = new SlotSimulation(ENGINES, SLOTS, 0);
+    s.submit(WorkClass.ONLINE, Duration.ofMillis(-92));
+    assertThat(s.refusals).isEmpty();
+    assertThat(s.onlineWaitTimes).containsExactly(Duration.ZERO);
+  }
+
+  @Test
+  void retryTimeOfARefusalIsNeverInThePast() {
+    SlotSimulation s = new SlotSimulation(1, 2, 0);
+    s.submit(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    s.submit(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
+    s.now = s.now.plus(SlotSimulation.ONLINE_RUN.multipliedBy(2));
+    s.submit(WorkClass.ONLINE, Duration.ofMillis(-92));
+    assertThat(s.refusals).allMatch(r -> r.retryAt().isAfter(s.now));
+    assertThat(s.refusals).hasSize(1);
+  }
+
   @Test
   void failedEngineGetsNoRequestsUntilAProbeSucceeds() {
     SlotSimulation s = new SlotSimulation(2, SLOTS, 0);
@@ -117,7 +138,8 @@
     SlotSimulation s = new SlotSimulation(1, 2, 0);
     for (long n = 100; n < 102; n++) {
       RunId existingRun = new RunId(HostId.of("other"), n);
-      s.scheduler.addExistingRun(existingRun, UpstreamId.of("engine-0"), false, s.now);
+      s.scheduler.addExistingRun(
+          existingRun, UpstreamId.of("engine-0"), false, Option.none(), s.now);
     }
     s.submit(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
     assertThat(s.refusals).isEmpty();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -60,7 +60,7 @@
   }
 
   SlotSimulation(int engineCount, int slotsEach, long seed, FreeSlotReserve reserve) {
-    scheduler = new SlotScheduler(reserve);
+    scheduler = new SlotScheduler(reserve, new MooreHodgsonOrder());
     random = new Random(seed);
     for (int i = 0; i < engineCount; i++) {
       engines.add(engine("engine-" + i, slotsEach, false));
@@ -136,7 +136,11 @@
         Deadline.at(now.plus(Duration.ofSeconds(workClass == WorkClass.BATCH ? 60 : 2))),
         List.of(),
         DataCentreId.of("a"),
-        Set.of());
+        Set.of(),
+        Set.of(),
+        Option.when(
+            workClass == WorkClass.BATCH,
+            () -> new BatchWork(Deadline.at(now.plus(startWithin).plus(BATCH_RUN)), 0)));
   }
 
   void run(Duration span) {
@@ -196,7 +200,7 @@
       removeRun(id);
       running.remove(id);
       Duration first = how == RunEnd.How.WHOLE ? Duration.ofMillis(50) : Duration.ZERO;
-      execute(scheduler.endRun(id, new RunEnd(how, first, Duration.ofMillis(20)), now));
+      execute(scheduler.endRun(id, new RunEnd(how, first, Duration.ofMillis(20), 245), now));
     }
   }
 
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -15,8 +15,9 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Option;
-import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -42,30 +43,43 @@
 
   private static final int FIRST_FINAL_STATUS = 200;
 
+  /** Responses to other requests that are dropped before the connection is given up. */
+  private static final int MAX_FOREIGN_RESPONSES = 2;
+
+  /**
+   * A request that is cancelled after this time without a byte of its response shows that the
+   * connection, or the upstream behind it, may have failed silently.
+   */
+  private static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(400);
+
   /** Skips validation, because the headers come from a decoder that has validated them. */
   private static final HttpHeadersFactory UNVALIDATED_HEADERS =
       DefaultHttpHeadersFactory.headersFactory().withValidation(false);
 
-  /** Returns a connection to the pool for another request. */
-  @FunctionalInterface
-  interface ConnectionReleaser {
-    void release(InetSocketAddress upstream, Channel connection, Duration keepAlive);
-  }
-
   private final ExchangeRequest request;
   private final StreamListener listener;
-  private final ConnectionReleaser releaser;
+  private final IdleConnectionPool idleConnections;
+  private final InstantSource clock;
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile boolean cancelled;
   private volatile Channel connection;
+  private volatile Instant sentAt;
+  private volatile boolean hasReceivedHead;
   private Duration keepAlive = Duration.ZERO;
   private boolean framed;
   private boolean interim;
-
-  Exchange(ExchangeRequest request, StreamListener listener, ConnectionReleaser releaser) {
+  private boolean foreign;
+  private int foreignResponses;
+
+  Exchange(
+      ExchangeRequest request,
+      StreamListener listener,
+      IdleConnectionPool idleConnections,
+      InstantSource clock) {
     this.request = request;
     this.listener = listener;
-    this.releaser = releaser;
+    this.idleConnections = idleConnections;
+    this.clock = clock;
   }
 
   /** Writes the request; called on the connection's event loop. */
@@ -80,6 +94,7 @@
       fail(CallFailure.Kind.LOST, "connection closed before the request was written");
       return;
     }
+    sentAt = clock.instant();
     channel.pipeline().get(ExchangeHandler.class).bind(this);
     channel.writeAndFlush(requestMessage());
   }
@@ -104,11 +119,25 @@
   @Override
   public void cancel() {
     cancelled = true;
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
     Channel channel = connection;
-    if (channel != null && !ended.get()) {
+    if (channel != null) {
       channel.close();
+      if (isSuspiciouslySilent()) {
+        idleConnections.closeAll(request.address());
+      }
     }
-    fail(CallFailure.Kind.CANCELLED, "cancelled");
+    listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.CANCELLED, "cancelled")));
+  }
+
+  /** Connections to one upstream tend to fail together, also when none of them is reset. */
+  private boolean isSuspiciouslySilent() {
+    Instant sent = sentAt;
+    return sent != null
+        && !hasReceivedHead
+        && clock.instant().isAfter(sent.plus(SUSPICIOUS_SILENCE));
   }
 
   void onHead(HttpResponse head) {
@@ -124,17 +153,28 @@
     keepAlive = HttpUtil.isKeepAlive(head) && framed ? idleTimeout(head) : Duration.ZERO;
     List<Header> headers = new ArrayList<>();
     head.headers().forEach(e -> headers.add(Header.of(e.getKey(), e.getValue())));
-    listener.onHead(new BufferedHttpResponse(head.status().code(), headers, new byte[0]));
+    BufferedHttpResponse response =
+        new BufferedHttpResponse(head.status().code(), headers, new byte[0]);
+    foreign =
+        !keepAlive.isZero()
+            && foreignResponses < MAX_FOREIGN_RESPONSES
+            && request.isForeignResponse().test(response);
+    if (foreign) {
+      foreignResponses++;
+      return;
+    }
+    hasReceivedHead = true;
+    listener.onHead(response);
   }
 
   void onContent(ByteBuf bytes) {
-    if (!interim && !ended.get() && bytes.isReadable()) {
+    if (!interim && !foreign && !ended.get() && bytes.isReadable()) {
       listener.onChunk(ByteBufUtil.getBytes(bytes));
     }
   }
 
   void onComplete() {
-    if (interim) {
+    if (interim || foreign) {
       connection.pipeline().get(ExchangeHandler.class).bind(this);
       return;
     }
@@ -150,7 +190,7 @@
     if (keepAlive.isZero()) {
       connection.close();
     } else {
-      releaser.release(request.address(), connection, keepAlive);
+      idleConnections.release(request.address(), connection, keepAlive);
     }
     listener.onEnd(Option.none());
   }
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeRequest.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeRequest.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.Predicate;
+import org.waxwingcourse.http.BufferedHttpResponse;
 import org.waxwingcourse.http.Header;
 
 /**
@@ -12,8 +14,8 @@
  * @param target the path and query, sent unchanged
  * @param headers the headers, sent in this order; the framing headers are added
  * @param body the whole body, empty for none
- * @param reuseConnection whether the request may be sent on an idle connection; only a failure to
- *     open a new connection proves that no byte was sent
+ * @param isForeignResponse recognises from its head a response to another request. Such a response
+ *     is read to its end and dropped, and the response to this request is expected after it.
  */
 public record ExchangeRequest(
     InetSocketAddress address,
@@ -21,7 +23,7 @@
     String target,
     List<Header> headers,
     byte[] body,
-    boolean reuseConnection) {
+    Predicate<BufferedHttpResponse> isForeignResponse) {
   /** Copies the headers. */
   public ExchangeRequest {
     headers = List.copyOf(headers);
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/IdleConnectionPool.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/IdleConnectionPool.java
@@ -5,7 +5,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.waxwingcourse.model.time.Deadline;
@@ -21,6 +24,9 @@
    */
   private static final int MAX_PER_UPSTREAM = 8;
 
+  /** Time that passes between choosing an upstream for its idle connection and using it. */
+  private static final Duration SLOT_DECISION_TIME = Duration.ofMillis(50);
+
   private final InstantSource clock;
   private final Map<InetSocketAddress, Deque<IdleConnection>> byUpstream =
       new ConcurrentHashMap<>();
@@ -60,6 +66,27 @@
     }
   }
 
+  /** Returns the upstreams with a usable connection, the most recently used first. */
+  List<InetSocketAddress> upstreams() {
+    record Recent(InetSocketAddress upstream, Deadline expiry) {}
+    List<Recent> usable = new ArrayList<>();
+    byUpstream.forEach(
+        (upstream, idle) -> {
+          synchronized (idle) {
+            IdleConnection last = idle.peekLast();
+            if (last != null
+                && last.connection.isActive()
+                && !last.expiry.isPast(clock.instant().plus(SLOT_DECISION_TIME))) {
+              usable.add(new Recent(upstream, last.expiry));
+            }
+          }
+        });
+    return usable.stream()
+        .sorted(Comparator.comparing(Recent::expiry).reversed())
+        .map(Recent::upstream)
+        .toList();
+  }
+
   void closeAll(InetSocketAddress upstream) {
     Deque<IdleConnection> idle = byUpstream.remove(upstream);
     if (idle != null) {
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.http.StreamListener;
@@ -37,10 +38,12 @@
   private static final int MAX_CHUNK_BYTES = 64 * 1024;
 
   private final EventLoopGroup group;
+  private final InstantSource clock;
   private final IdleConnectionPool idleConnections;
 
   private UpstreamHttpClient(EventLoopGroup group, InstantSource clock) {
     this.group = group;
+    this.clock = clock;
     this.idleConnections = new IdleConnectionPool(clock);
   }
 
@@ -51,10 +54,10 @@
 
   /** Sends a request; the listener receives the response and exactly one end. */
   public StreamCall send(ExchangeRequest request, StreamListener listener) {
-    Exchange exchange = new Exchange(request, listener, idleConnections::release);
-    Channel idle = request.reuseConnection() ? idleConnections.acquire(request.address()) : null;
+    Exchange exchange = new Exchange(request, listener, idleConnections, clock);
+    Channel idle = idleConnections.acquire(request.address());
     if (idle != null) {
-      idle.eventLoop().execute(() -> exchange.sendOn(idle));
+      idle.eventLoop().execute(() -> sendOnIdle(idle, request.address(), exchange));
     } else {
       connect(request.address(), exchange);
     }
@@ -66,6 +69,20 @@
     idleConnections.closeAll(upstream);
   }
 
+  /** Returns the upstreams to which a connection is open and idle, most recently used first. */
+  public List<InetSocketAddress> upstreamsWithIdleConnections() {
+    return idleConnections.upstreams();
+  }
+
+  /** Uses a new connection if the idle one was closed meanwhile. */
+  private void sendOnIdle(Channel idle, InetSocketAddress address, Exchange exchange) {
+    if (idle.isActive()) {
+      exchange.sendOn(idle);
+    } else {
+      connect(address, exchange);
+    }
+  }
+
   private void connect(InetSocketAddress address, Exchange exchange) {
     new Bootstrap()
         .group(group)
