A lost coordinator is replaced within a second in a fleet of any size; lost claims are found

Cause: pings, and with them all limits on silence, are stretched by one for each 20 hosts: 2.25 s at 95 hosts, 8 s at 351. Now the first candidates ping on every tick; the one that succeeds reports the lost coordinator to all hosts, which probe it and leave it if it stays silent. The present coordinator is left 800 ms after it lost contact.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.peer.PeerChannel;
 import org.waxwingcourse.peer.PeerTransport;
 import org.waxwingcourse.wire.fleet.BucketLevel;
+import org.waxwingcourse.wire.fleet.CoordinatorLost;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.Ping;
 import org.waxwingcourse.wire.fleet.Pong;
@@ -42,13 +43,21 @@
   /**
    * Fleet size up to which a host pings on every tick. In a larger fleet the interval between
    * pings, and with it every limit on silence, grows in proportion, so that the cost of answering
-   * pings stays the same for a coordinator.
+   * pings stays the same for a coordinator. The first candidates ping on every tick in a fleet of
+   * any size: they notice a lost coordinator first and report it to the others, which then probe
+   * it.
    */
   private static final int MAX_HOSTS_AT_FULL_PING_RATE = 20;
 
   /** A host that has not answered for this long counts as lost; three pings and a margin. */
   private static final Duration PONG_TIMEOUT = Duration.ofMillis(450);
 
+  /** A coordinator that was reported lost and does not answer a probe within this time is left. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(150);
+
+  /** A coordinator is left this long after it has lost contact to the store; one read interval. */
+  private static final Duration CONTACT_LOSS_DELAY = Duration.ofMillis(800);
+
   /** A host that has not pinged for this long counts as detached. */
   private static final Duration ATTACHMENT_TIMEOUT = Duration.ofMillis(1100);
 
@@ -86,12 +95,15 @@
   private final Map<HostId, LastPong> lastPongs = new HashMap<>();
   private final Map<HostId, AttachedHost> attachedHosts = new HashMap<>();
   private final Map<OrganisationId, Long> reportedLevels = new HashMap<>();
+  private final Map<HostId, Instant> probedAt = new HashMap<>();
   private HostId coordinatorId;
   private Instant firstTickAt;
   private Instant firstPongAt = FAR_FUTURE;
   private long tickCount;
+  private volatile int ownPingTicks = 1;
   private Instant coordinatorSince = Instant.MAX;
   private Instant lastContactAt;
+  private Instant contactLostAt = FAR_FUTURE;
   private Instant levelsReportedAt = Instant.MIN;
 
   /** Creates the link of {@code self}, which is not attached to a coordinator yet. */
@@ -126,12 +138,13 @@
   public void updateAttachment() {
     Instant now = clocks.instant();
     List<HostId> candidates = candidateOrder();
+    ownPingTicks = pingIntervalTicks(candidates);
     HostId newCoordinator;
     List<HostId> detachedHosts;
     synchronized (this) {
       newCoordinator =
           CoordinatorChoice.choose(
-              candidates, self.id(), h -> isAnswering(h, now), h -> isInContact(h));
+              candidates, self.id(), h -> isAnswering(h, now), h -> countsAsInContact(h, now));
       detachedHosts = removeDetached(now);
     }
     detachedHosts.forEach(this::onDetached);
@@ -140,7 +153,7 @@
     }
     slots.resendLostMessages();
     tickCount++;
-    if (coordinatorId == null || tickCount % pingIntervalTicks() == 0) {
+    if (coordinatorId == null || tickCount % ownPingTicks == 0) {
       ping(candidates, now);
     }
     updateFollowing(newCoordinator, now);
@@ -221,6 +234,7 @@
     synchronized (this) {
       firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
       lastPongs.put(from, new LastPong(now, pong.getInContact()));
+      probedAt.remove(from);
       if (from.equals(coordinatorId) && pong.getBucketsCount() > 0) {
         reportedLevels.clear();
         pong.getBucketsList()
@@ -265,6 +279,14 @@
         || now.isAfter(firstTickAt.plus(patience));
   }
 
+  private int pingIntervalTicks(List<HostId> candidates) {
+    return firstOf(candidates).contains(self.id()) ? 1 : pingIntervalTicks();
+  }
+
+  private static List<HostId> firstOf(List<HostId> candidates) {
+    return candidates.subList(0, Math.min(PINGED_CANDIDATES, candidates.size()));
+  }
+
   private int pingIntervalTicks() {
     return 1 + storeView.fleetHosts().inRegistrationOrder().size() / MAX_HOSTS_AT_FULL_PING_RATE;
   }
@@ -284,8 +306,29 @@
 
   private boolean isAnswering(HostId host, Instant now) {
     LastPong last = lastPongs.get(host);
+    Instant probed = probedAt.get(host);
+    boolean missedProbe = probed != null && now.isAfter(probed.plus(PROBE_TIMEOUT));
     return last != null
-        && now.isBefore(last.receivedAt.plus(PONG_TIMEOUT.multipliedBy(pingIntervalTicks())));
+        && !missedProbe
+        && now.isBefore(last.receivedAt.plus(PONG_TIMEOUT.multipliedBy(ownPingTicks)));
+  }
+
+  /**
+   * Returns whether a host may coordinate. The present coordinator still may for a while after it
+   * has lost contact: as the store goes down for all hosts, their last reads differ by up to one
+   * interval, and without this delay each would leave the coordinator for itself.
+   */
+  private boolean countsAsInContact(HostId host, Instant now) {
+    boolean inContact = isInContact(host);
+    if (host.equals(coordinatorId)) {
+      if (inContact) {
+        contactLostAt = FAR_FUTURE;
+      } else if (contactLostAt.equals(FAR_FUTURE)) {
+        contactLostAt = now;
+      }
+      return now.isBefore(contactLostAt.plus(CONTACT_LOSS_DELAY));
+    }
+    return inContact;
   }
 
   private boolean isInContact(HostId host) {
@@ -302,6 +345,7 @@
       previous = coordinatorId;
       coordinatorId = newCoordinator;
       coordinatorSince = now;
+      contactLostAt = FAR_FUTURE;
       lastContactAt = now;
       if (newCoordinator.equals(self.id())
           && now.isBefore(levelsReportedAt.plus(ATTACHMENT_TIMEOUT))) {
@@ -315,13 +359,38 @@
         storeView.hostTable().revision().value());
     if (!newCoordinator.equals(self.id())) {
       ping(newCoordinator);
+    } else if (previous != null && !isAnswering(previous, now)) {
+      reportLost(previous);
     }
     slots.attachTo(newCoordinator);
   }
 
+  private void reportLost(HostId lost) {
+    CoordinatorLost.Builder message = CoordinatorLost.newBuilder().setHost(lost.value());
+    storeView.fleetHosts().inRegistrationOrder().stream()
+        .map(FleetHost::id)
+        .filter(h -> !h.equals(self.id()) && !h.equals(lost))
+        .forEach(h -> send(h, FleetMessage.newBuilder().setCoordinatorLost(message)));
+  }
+
+  /**
+   * Probes a coordinator that its successor has reported lost; it may be cut off from that only.
+   */
+  void onCoordinatorLost(HostId from, CoordinatorLost message) {
+    HostId reported = HostId.of(message.getHost());
+    synchronized (this) {
+      if (!reported.equals(coordinatorId) || probedAt.containsKey(reported)) {
+        return;
+      }
+      probedAt.put(reported, clocks.instant());
+    }
+    LOG.write(Event.COORDINATOR_SUSPECTED, reported, from);
+    ping(reported);
+    ping(from);
+  }
+
   private void ping(List<HostId> candidates, Instant now) {
-    Set<HostId> receivers =
-        new HashSet<>(candidates.subList(0, Math.min(PINGED_CANDIDATES, candidates.size())));
+    Set<HostId> receivers = new HashSet<>(firstOf(candidates));
     if (coordinatorId != null) {
       receivers.add(coordinatorId);
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageRouter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageRouter.java
@@ -36,6 +36,7 @@
   private void route(HostId from, FleetMessage message) {
     switch (message.getBodyCase()) {
       case PING -> link.onPing(from, message.getPing());
+      case COORDINATOR_LOST -> link.onCoordinatorLost(from, message.getCoordinatorLost());
       case PONG -> link.onPong(from, message.getPong());
       case ASK -> coordinator.onAsk(from, message.getAsk());
       case END -> coordinator.onEnd(from, message.getEnd());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreKeys;
@@ -34,6 +36,12 @@
 final class JobRunner {
   private static final EventLog LOG = EventLog.of(JobRunner.class);
 
+  /** Interval between checks whether a claim whose answer was lost took effect. */
+  private static final Duration CLAIM_CHECK_INTERVAL = Duration.ofSeconds(1);
+
+  /** Number of checks; a write without an answer may take effect seconds later. */
+  private static final int MAX_CLAIM_CHECKS = 8;
+
   private final Ports ports;
   private final Map<JobId, RunningJob> running = new ConcurrentHashMap<>();
   private final Set<JobId> takeOversInProgress = ConcurrentHashMap.newKeySet();
@@ -70,7 +78,7 @@
       EngineDirectory engines,
       EngineSender calls,
       SlotClient slots,
-      ItemRunTimes times,
+      BatchRunTimes times,
       Consumer<RunningJob> onStarted,
       Consumer<RunningJob> onFinished,
       Function<List<ItemHeader>, List<Long>> promptParts) {}
@@ -161,6 +169,12 @@
   }
 
   private void onClaimed(JobId id, JobRecord claimedRecord, long term, WriteOutcome outcome) {
+    if (outcome instanceof WriteOutcome.Unknown unknown) {
+      LOG.write(Event.JOB_CLAIM_UNKNOWN, id, unknown.message());
+      takeOversInProgress.remove(id);
+      scheduleClaimCheck(id, MAX_CLAIM_CHECKS);
+      return;
+    }
     if (!(outcome instanceof WriteOutcome.Done done)) {
       takeOversInProgress.remove(id);
       return;
@@ -170,6 +184,39 @@
     resumeJob(id, new JobStore.StoredRecord(claimedRecord, done.revision()), term);
   }
 
+  /**
+   * Looks for a claim whose answer was lost. The store may apply it seconds later, and the record
+   * then names this host, so that no other host takes the job over.
+   */
+  private void scheduleClaimCheck(JobId id, int remainingChecks) {
+    if (remainingChecks > 0 && !stopped) {
+      ports
+          .timer()
+          .schedule(
+              () -> checkClaim(id, remainingChecks),
+              CLAIM_CHECK_INTERVAL.toMillis(),
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void checkClaim(JobId id, int remainingChecks) {
+    if (running.containsKey(id)) {
+      return;
+    }
+    ports
+        .store()
+        .readRecord(id)
+        .thenAccept(
+            answer -> {
+              if (answer.isRight()
+                  && answer.get().exists(s -> ports.self().isRunnerOf(s.record()))) {
+                takeOver(id);
+              } else {
+                scheduleClaimCheck(id, remainingChecks - 1);
+              }
+            });
+  }
+
   private void resumeJob(JobId id, JobStore.StoredRecord stored, long term) {
     ports
         .store()
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -0,0 +1,200 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.view.ClockReading;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.FleetHost;
+import org.waxwingcourse.fleet.view.StoreFollower;
+import org.waxwingcourse.fleet.view.StoreKeys;
+import org.waxwingcourse.fleet.view.StoreView;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.peer.PeerTransport;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.standin.store.StoreFaults;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.wire.fleet.FleetMessage;
+
+/**
+ * Simulates fleets of several sizes whose coordinator is lost, with a simulated clock and network.
+ */
+class CoordinatorLossTest {
+  private static final Duration TICK = Duration.ofMillis(130);
+  private static final Duration STEP = Duration.ofMillis(10);
+  private static final Duration MAX_TAKE_OVER = Duration.ofSeconds(1);
+
+  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  private final Clocks clocks = new Clocks(clock, clock);
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Queue<Message> network = new ArrayDeque<>();
+  private final Map<HostId, Member> members = new HashMap<>();
+  private final List<HostId> ids = new ArrayList<>();
+  private final Set<HostId> silent = new HashSet<>();
+  private final Set<HostId> cutFromStore = new HashSet<>();
+  private final Map<HostId, Integer> receivedBy = new HashMap<>();
+
+  private record Message(HostId from, HostId to, FleetMessage content) {}
+
+  /** The parts of one host that choose a coordinator. */
+  private final class Member {
+    private final StoreView storeView = StoreView.of(document -> Either.left("none"), clocks);
+    private final SlotClient slots;
+    private final CoordinatorLink link;
+    private final FleetMessageRouter router;
+
+    Member(FleetHost self) {
+      PeerTransport peers =
+          FleetFixtures.recordingPeers((to, m) -> network.add(new Message(self.id(), to, m)));
+      slots = new SlotClient(peers, clock, FleetFixtures.DATA_CENTRE, List::of);
+      Coordinator coordinator = new Coordinator(peers, clock);
+      StoreFollower.Sources sources =
+          new StoreFollower.Sources(KeyRange.ofPrefix("o/"), "o/plan", KeyRange.ofPrefix("e/"));
+      MemoryStore store = MemoryStore.of(InstantSource.system());
+      store.setFaults(store.faults().withOutage(StoreFaults.Outage.SILENT));
+      StoreFollower follower =
+          new StoreFollower(store, storeView, clocks, timer, sources, orders -> {});
+      link = new CoordinatorLink(self, peers, storeView, clocks, follower, coordinator, slots);
+      router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  private void createFleet(int size) {
+    List<Entry> entries = new ArrayList<>();
+    List<FleetHost> hosts = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      FleetHost host = FleetFixtures.host(HostId.of("host-%03d".formatted(i)), 1);
+      hosts.add(host);
+      ids.add(host.id());
+      Revision created = Revision.of(i + 1);
+      String key = StoreKeys.hostKey(host.id(), host.boot());
+      entries.add(new Entry(key, host.encode(), created, created, LeaseId.NONE));
+    }
+    for (FleetHost host : hosts) {
+      Member member = new Member(host);
+      member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(size + 1), entries));
+      members.put(host.id(), member);
+    }
+  }
+
+  /** Runs the fleet; each host ticks at a phase of its own, and messages take one step. */
+  private void run(Duration span) {
+    Instant end = clock.instant().plus(span);
+    while (clock.instant().isBefore(end)) {
+      clock.advance(STEP);
+      long step = clock.instant().toEpochMilli() / STEP.toMillis();
+      for (int i = 0; i < ids.size(); i++) {
+        if ((step + i) % (TICK.toMillis() / STEP.toMillis()) == 0 && !silent.contains(ids.get(i))) {
+          tick(ids.get(i));
+        }
+      }
+      deliver();
+    }
+  }
+
+  private void tick(HostId id) {
+    Member member = members.get(id);
+    if (!cutFromStore.contains(id)) {
+      ClockReading now = clocks.now();
+      member.storeView.evidence().recordOwnRead(now);
+    }
+    member.link.updateAttachment();
+  }
+
+  private void deliver() {
+    for (int n = network.size(); n > 0; n--) {
+      Message message = network.poll();
+      if (!silent.contains(message.to) && !silent.contains(message.from)) {
+        receivedBy.merge(message.to, 1, Integer::sum);
+        members.get(message.to).router.onMessage(message.from, message.content.toByteArray());
+      }
+    }
+  }
+
+  private long attachedTo(HostId coordinator) {
+    return members.entrySet().stream()
+        .filter(e -> !silent.contains(e.getKey()))
+        .filter(e -> e.getValue().slots.coordinator().contains(coordinator))
+        .count();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {9, 95, 351})
+  void lostCoordinatorIsReplacedWithinASecondInAFleetOfAnySize(int size) {
+    createFleet(size);
+    run(Duration.ofSeconds(8));
+    assertThat(attachedTo(ids.get(0))).isEqualTo(size);
+    silent.add(ids.get(0));
+    run(MAX_TAKE_OVER);
+    assertThat(attachedTo(ids.get(1))).isEqualTo(size - 1);
+  }
+
+  @Test
+  void coordinatorThatOnlyItsSuccessorCannotReachStaysCoordinator() {
+    createFleet(95);
+    run(Duration.ofSeconds(8));
+    members
+        .get(ids.get(50))
+        .link
+        .onCoordinatorLost(
+            ids.get(1),
+            org.waxwingcourse.wire.fleet.CoordinatorLost.newBuilder()
+                .setHost(ids.get(0).value())
+                .build());
+    run(Duration.ofSeconds(2));
+    assertThat(attachedTo(ids.get(0))).isEqualTo(95);
+  }
+
+  /** The load of the busiest host must not grow with the fleet, but for attached hosts' pings. */
+  @Test
+  void pingsToTheCoordinatorStayNearlyFlat() {
+    createFleet(351);
+    run(Duration.ofSeconds(8));
+    receivedBy.clear();
+    run(Duration.ofSeconds(10));
+    int perSecond = receivedBy.getOrDefault(ids.get(0), 0) / 10;
+    assertThat(perSecond).isLessThan(2 * 20 * 1000 / (int) TICK.toMillis());
+  }
+
+  /** As the store goes down the last reads of the hosts differ by up to one interval. */
+  @Test
+  void coordinatorIsNotLeftWhenTheStoreGoesDownForAll() {
+    createFleet(9);
+    run(Duration.ofSeconds(3));
+    cutFromStore.add(ids.get(0));
+    run(Duration.ofMillis(600));
+    cutFromStore.addAll(ids);
+    for (int i = 0; i < 60; i++) {
+      run(Duration.ofMillis(50));
+      assertThat(attachedTo(ids.get(0))).as("after " + 50 * (i + 1) + " ms").isEqualTo(9);
+    }
+  }
+}
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -55,6 +55,8 @@
   HOST_LEASE_LOST(433, Level.WARN, "the lease of this host's registration is lost: {}"),
   REGISTRATION_WAITS(434, Level.WARN, "registration is delayed, the store cannot be read: {}"),
   FLEET_MESSAGE_UNREADABLE(435, Level.ERROR, "fleet message from host \"{}\" cannot be read: {}"),
+  COORDINATOR_SUSPECTED(
+      436, Level.INFO, "coordinator \"{}\" is probed: host \"{}\" gets no answers from it"),
   // 500: dispatch, engines and plain services
   ENGINE_EJECTED(500, Level.WARN, "engine \"{}\" fails and gets no work until {}"),
   DISPATCH_UNREADABLE(501, Level.ERROR, "dispatch message from host \"{}\" cannot be read: {}"),
@@ -89,6 +91,8 @@
   ITEM_REFUSED(621, Level.INFO, "item {} of job \"{}\" was permanently rejected by engine \"{}\""),
   ITEM_MOVED(
       622, Level.INFO, "item {} of job \"{}\" is moved from engine \"{}\": {}; last event {}"),
+  JOB_CLAIM_UNKNOWN(
+      623, Level.WARN, "unknown whether this host took over job \"{}\": {}; the record is checked"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
