Engines are judged by sound witnesses only

A host that sends late or leaves responses unread took that for silence, and each report ejected an engine at once. Ruled out: longer limits, which would find true failures later. Reports of a host about most of the engines it uses do not count, and ejections that rest on them are revoked (SilenceReports). Ejections do not count while fewer than a third of the engines would be left.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -15,6 +15,7 @@
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
+import org.waxwingcourse.fleet.engine.SilenceWatch;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
@@ -153,7 +154,7 @@
                     until),
                 sent);
     sent.engine = engine;
-    sent.scheduleSilenceCheck(SILENCE_LIMIT);
+    sent.silenceWatch.start(SILENCE_LIMIT);
   }
 
   private List<Header> headers() {
@@ -249,6 +250,12 @@
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
     private boolean slotReleased;
+    private final SilenceWatch silenceWatch =
+        new SilenceWatch(
+            ports.clock(),
+            ports.timer(),
+            action -> call.afterPendingInput(action),
+            this::onSilence);
 
     Attempt(long requestNumber) {
       this.requestNumber = requestNumber;
@@ -259,6 +266,7 @@
         return;
       }
       slotReleased = true;
+      silenceWatch.stop();
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
       ports
@@ -272,20 +280,9 @@
           : Duration.between(firstEventAt, lastActivityAt).dividedBy(receivedEvents - 1);
     }
 
-    void scheduleSilenceCheck(Duration limit) {
-      ports.timer().schedule(this::checkSilence, limit.toNanos(), TimeUnit.NANOSECONDS);
-    }
-
-    private void checkSilence() {
+    private void onSilence() {
       synchronized (ItemRun.this) {
-        if (slotReleased || attempt != this) {
-          return;
-        }
-        Duration left =
-            SILENCE_LIMIT.minus(Duration.between(lastActivityAt, ports.clock().instant()));
-        if (!left.isNegative() && !left.isZero()) {
-          scheduleSilenceCheck(left);
-        } else {
+        if (!slotReleased && attempt == this) {
           moveToAnotherEngine("silent");
         }
       }
@@ -307,6 +304,7 @@
         }
         head = answer;
         lastActivityAt = ports.clock().instant();
+        silenceWatch.recordActivity(SILENCE_LIMIT);
         switch (answer.verdict()) {
           case FULL, REFUSED -> {
             cancelAttempt(RunEnd.How.ENGINE_FULL);
@@ -337,6 +335,7 @@
       lastActivityAt = ports.clock().instant();
       firstEventAt = firstEventAt == null ? lastActivityAt : firstEventAt;
       receivedEvents++;
+      silenceWatch.recordActivity(SILENCE_LIMIT);
       boolean alreadyReceived =
           event.id() != ServerSentEventParser.NO_ID && lastEventId.exists(l -> event.id() <= l);
       if (alreadyReceived) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -15,6 +15,7 @@
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
+import org.waxwingcourse.fleet.engine.SilenceWatch;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
@@ -180,7 +181,7 @@
             limits.answerBy());
     Attempt sent = attempt;
     sent.call = ports.calls().send(call, sent);
-    sent.scheduleSilenceCheck(limits.firstEventLimit());
+    sent.watchSilence();
   }
 
   private synchronized void handleRefusal(
@@ -316,7 +317,12 @@
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
     private boolean slotReleased;
-    private boolean silenceReported;
+    private final SilenceWatch silenceWatch =
+        new SilenceWatch(
+            ports.clock(),
+            ports.timer(),
+            action -> call.afterPendingInput(action),
+            this::onSilence);
 
     Attempt(long slot, EngineEntry engine) {
       this.slot = slot;
@@ -329,6 +335,7 @@
         return;
       }
       slotReleased = true;
+      silenceWatch.stop();
       Duration first =
           firstEventReceivedAt == null
               ? Duration.ZERO
@@ -341,27 +348,21 @@
       ports.slots().endRun(slot, new RunEnd(outcomeKind, first, gap, 0));
     }
 
-    void scheduleSilenceCheck(Duration limit) {
-      ports.timer().schedule(this::checkSilence, limit.toNanos(), TimeUnit.NANOSECONDS);
+    void watchSilence() {
+      if (isStream()) {
+        silenceWatch.start(limits.firstEventLimit());
+      }
     }
 
-    private void checkSilence() {
+    private void onSilence() {
       synchronized (OnlineRun.this) {
-        if (slotReleased || done || attempt != this || !isStream()) {
-          return;
-        }
-        Duration limit = receivedEvents == 0 ? limits.firstEventLimit() : limits.gapLimit();
-        Duration left = limit.minus(Duration.between(lastActivityAt, now()));
-        if (!left.isNegative() && !left.isZero()) {
-          scheduleSilenceCheck(left);
-        } else if (!silenceReported) {
+        if (!slotReleased && !done && attempt == this) {
           handleSilence();
         }
       }
     }
 
     private void handleSilence() {
-      silenceReported = true;
       ports.slots().reportSilence(slot);
       boolean anotherAllowed = runCount + 1 < route.maxAttempts() && sendCount < MAX_SENDS;
       if (route.isRepeatable() && anotherAllowed && isStream()) {
@@ -433,6 +434,7 @@
       firstEventReceivedAt = firstEventReceivedAt == null ? receivedAt : firstEventReceivedAt;
       lastActivityAt = receivedAt;
       receivedEvents++;
+      silenceWatch.recordActivity(limits.gapLimit());
       boolean alreadyForwarded =
           event.id() != ServerSentEventParser.NO_ID && lastEventId.exists(l -> event.id() <= l);
       if (alreadyForwarded) {
@@ -442,9 +444,6 @@
       if (event.id() != ServerSentEventParser.NO_ID) {
         lastEventId = Option.some(event.id());
       }
-      if (receivedEvents == 1) {
-        scheduleSilenceCheck(limits.gapLimit());
-      }
       eventCount++;
       sink.onBytes(event.bytes());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
@@ -51,6 +51,14 @@
     recordFailure(now, true);
   }
 
+  /** Forgets failures that were reported by a host whose reports do not count. */
+  void revokeFailuresSince(Instant since) {
+    if (!lastFailureAt.isBefore(since)) {
+      failures = 0;
+      ejectedUntil = Deadline.at(Instant.MIN);
+    }
+  }
+
   private void recordAnswer(RunEnd end) {
     if (!end.firstEventDelay().isZero()) {
       failures = 0;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -58,6 +58,12 @@
   /** Earliest retry after a refusal; runs that are overdue may end at any moment. */
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(30);
 
+  /**
+   * Part of the engines that must be usable for ejections to count. If more are ejected at once,
+   * the fault is hardly theirs, and requests are better off on an ejected engine than refused.
+   */
+  private static final double MIN_USABLE_PART = 1.0 / 3;
+
   /** Time after which a caller may retry if no engine of the service is usable. */
   private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(600);
 
@@ -88,8 +94,11 @@
   private final BatchRunTimes batchRunTimes = new BatchRunTimes();
   private final BatchSlotAverage batchSlots = new BatchSlotAverage();
   private final FreeSlotReserve freeSlotReserve;
+  private final SilenceReports silenceReports = new SilenceReports();
   private double meanRunMillis = INITIAL_RUN_TIME.toMillis();
   private double fleetShare = 1;
+  private boolean mostEjected;
+  private Instant ejectionsCountedAt = Instant.MIN;
 
   /** Creates a scheduler that knows no engines yet. */
   public SlotScheduler() {
@@ -141,7 +150,9 @@
       EngineSlots.Run run = engine.runs().remove(id);
       if (run != null) {
         updateRunTimes(run, end, now);
-        engine.health().recordEnd(end, now);
+        if (end.how() != RunEnd.How.ENGINE_LOST || isCredible(id.host(), engine, now)) {
+          engine.health().recordEnd(end, now);
+        }
       }
     }
     return startWaitingRequests(now, new ArrayList<>());
@@ -151,9 +162,27 @@
   public synchronized void recordSilence(RunId id, Instant now) {
     engines.values().stream()
         .filter(e -> e.runs().containsKey(id))
+        .filter(e -> isCredible(id.host(), e, now))
         .forEach(e -> e.health().recordSilence(now));
   }
 
+  private boolean isCredible(HostId host, EngineSlots reported, Instant now) {
+    int usedEngines = 0;
+    for (EngineSlots engine : engines.values()) {
+      if (engine != reported
+          && engine.runs().keySet().stream().anyMatch(r -> r.host().equals(host))) {
+        usedEngines++;
+      }
+    }
+    Set<UpstreamId> unfounded =
+        silenceReports.recordAndFindUnfounded(host, reported.entry().id(), usedEngines, now);
+    for (UpstreamId id : unfounded) {
+      Option.of(engines.get(id))
+          .forEach(e -> e.health().revokeFailuresSince(SilenceReports.windowStart(now)));
+    }
+    return unfounded.isEmpty();
+  }
+
   /** Removes a waiting request that is no longer wanted. */
   public synchronized void withdrawRequest(RunId id) {
     onlineQueue.removeIf(r -> r.id().equals(id));
@@ -164,6 +193,7 @@
   public synchronized List<SlotDecision> removeHost(HostId host, Instant now) {
     onlineQueue.removeIf(r -> r.id().host().equals(host));
     batchQueue.removeIf(r -> r.id().host().equals(host));
+    silenceReports.removeHost(host);
     engines.values().forEach(e -> e.runs().keySet().removeIf(id -> id.host().equals(host)));
     return startWaitingRequests(now, new ArrayList<>());
   }
@@ -239,7 +269,7 @@
     int onlineRuns = 0;
     int batchRuns = 0;
     for (EngineSlots engine : engines.values()) {
-      slots += engine.isUsable(now) ? engine.slots() : 0;
+      slots += isUsable(engine, now) ? engine.slots() : 0;
       for (EngineSlots.Run run : engine.runs().values()) {
         onlineRuns += run.online() ? 1 : 0;
         batchRuns += run.online() ? 0 : 1;
@@ -371,7 +401,7 @@
   private Option<EngineSlots> selectCheapest(
       SlotRequest request, Instant now, Predicate<EngineSlots> fits) {
     List<EngineSlots> usable =
-        engines.values().stream().filter(e -> e.isUsable(now) && fits.test(e)).toList();
+        engines.values().stream().filter(e -> isUsable(e, now) && fits.test(e)).toList();
     List<EngineSlots> notAvoided =
         usable.stream().filter(e -> !request.avoidedEngines().contains(e.entry().id())).toList();
     List<EngineSlots> candidates = notAvoided.isEmpty() ? usable : notAvoided;
@@ -415,19 +445,37 @@
   }
 
   private boolean hasUsableEngine(Instant now) {
-    return engines.values().stream().anyMatch(e -> e.isUsable(now));
+    return engines.values().stream().anyMatch(e -> isUsable(e, now));
+  }
+
+  private boolean isUsable(EngineSlots engine, Instant now) {
+    return engine.isUsable(now) || (!engine.entry().leaving() && areMostEjected(now));
+  }
+
+  private boolean areMostEjected(Instant now) {
+    if (!now.equals(ejectionsCountedAt)) {
+      mostEjected = isUsablePartTooSmall(now);
+      ejectionsCountedAt = now;
+    }
+    return mostEjected;
+  }
+
+  private boolean isUsablePartTooSmall(Instant now) {
+    long listed = engines.values().stream().filter(e -> !e.entry().leaving()).count();
+    long usable = engines.values().stream().filter(e -> e.isUsable(now)).count();
+    return usable < MIN_USABLE_PART * listed;
   }
 
   private int freeSlots(Instant now) {
     return engines.values().stream()
-        .filter(e -> e.isUsable(now) && e.hasFreeSlot())
+        .filter(e -> isUsable(e, now) && e.hasFreeSlot())
         .mapToInt(e -> e.slots() - e.runs().size())
         .sum();
   }
 
   private int usableSlots(Instant now) {
     return engines.values().stream()
-        .filter(e -> e.isUsable(now))
+        .filter(e -> isUsable(e, now))
         .mapToInt(EngineSlots::slots)
         .sum();
   }
--- a/http/src/main/java/org/waxwingcourse/http/StreamCall.java
+++ b/http/src/main/java/org/waxwingcourse/http/StreamCall.java
@@ -8,4 +8,9 @@
    * request's deadline. If that is too late, the receiver must be notified by a separate call.
    */
   void cancel();
+
+  /** Runs an action once the input of this call that has arrived by now has been read. */
+  default void afterPendingInput(Runnable action) {
+    action.run();
+  }
 }
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -20,6 +20,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.waxwingcourse.http.BufferedHttpResponse;
 import org.waxwingcourse.http.CallFailure;
@@ -52,6 +53,9 @@
    */
   private static final Duration SUSPICIOUS_SILENCE = Duration.ofMillis(400);
 
+  /** An action delayed by this time runs after the event loop has read what was received before. */
+  private static final Duration INPUT_DELAY = Duration.ofMillis(5);
+
   /** Skips validation, because the headers come from a decoder that has validated them. */
   private static final HttpHeadersFactory UNVALIDATED_HEADERS =
       DefaultHttpHeadersFactory.headersFactory().withValidation(false);
@@ -132,6 +136,16 @@
     listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.CANCELLED, "cancelled")));
   }
 
+  @Override
+  public void afterPendingInput(Runnable action) {
+    Channel channel = connection;
+    if (channel == null) {
+      action.run();
+    } else {
+      channel.eventLoop().schedule(action, INPUT_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
   /** Connections to one upstream tend to fail together, also when none of them is reset. */
   private boolean isSuspiciouslySilent() {
     Instant sent = sentAt;
