--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -169,10 +169,7 @@
     head.headers().forEach(e -> headers.add(Header.of(e.getKey(), e.getValue())));
     BufferedHttpResponse response =
         new BufferedHttpResponse(head.status().code(), headers, new byte[0]);
-    foreign =
-        !keepAlive.isZero()
-            && foreignResponses < MAX_FOREIGN_RESPONSES
-            && request.isForeignResponse().test(response);
+    foreign = foreignResponses < MAX_FOREIGN_RESPONSES && belongsToPrevious(response);
     if (foreign) {
       foreignResponses++;
       return;
@@ -181,6 +178,15 @@
     listener.onHead(response);
   }
 
+  /** Returns whether the upstream has responded to the connection's previous request once more. */
+  private boolean belongsToPrevious(BufferedHttpResponse response) {
+    Exchange previous = connection.pipeline().get(ExchangeHandler.class).previous();
+    return previous != null
+        && !keepAlive.isZero()
+        && request.isForeignResponse().test(response)
+        && !previous.request.isForeignResponse().test(response);
+  }
+
   void onContent(ByteBuf bytes) {
     if (!interim && !foreign && !ended.get() && bytes.isReadable()) {
       listener.onChunk(ByteBufUtil.getBytes(bytes));
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
@@ -11,6 +11,12 @@
 /** Passes the messages that arrive on a connection to the exchange that is bound to it, if any. */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
   private Exchange exchange;
+  private Exchange previous;
+
+  /** Returns the exchange that the connection has served last, null before the first has ended. */
+  Exchange previous() {
+    return previous;
+  }
 
   /** Binds the connection to its next exchange; called on the connection's event loop. */
   void bind(Exchange next) {
@@ -37,6 +43,9 @@
     if (message instanceof LastHttpContent) {
       exchange = null;
       current.onComplete();
+      if (exchange == null) {
+        previous = current;
+      }
     }
   }
 
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeRequest.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeRequest.java
@@ -14,8 +14,9 @@
  * @param target the path and query, sent unchanged
  * @param headers the headers, sent in this order; the framing headers are added
  * @param body the whole body, empty for none
- * @param isForeignResponse recognises from its head a response to another request. Such a response
- *     is read to its end and dropped, and the response to this request is expected after it.
+ * @param isForeignResponse recognises from its head a response to another request. If that is the
+ *     previous request on the connection, the response is read to its end and dropped, and the
+ *     response to this request is expected after it.
  */
 public record ExchangeRequest(
     InetSocketAddress address,
