A host whose store is silent sends callers of jobs elsewhere within their objective

A host now answers "unknown" after 0.4 of the objective, or four times the store's usual response time if that is longer, and refuses jobs at once for a second after an acceptance without an answer. A write that takes effect later still starts its job. Ruled out: a shorter time limit of all store calls, since a slow store takes 240 ms. StoreRetryDelayTest.callerIsSentElsewhereWithinItsObjectiveWhenTheStoreIsSilent.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -68,12 +69,17 @@
   private final JobRunner runner;
   private final RunnerName self;
   private final ScheduledExecutorService timer;
+  private final InstantSource clock;
+  private final Supplier<Duration> storeResponseTime;
   private final Supplier<Duration> storeRetryDelay;
+  private final AcceptancePatience patience = new AcceptancePatience();
   private final Map<String, CountedTokens> lastCounts = new ConcurrentHashMap<>();
 
   /**
    * Creates the intake of one process.
    *
+   * @param clock the steady clock
+   * @param storeResponseTime supplies the usual response time of the store
    * @param storeRetryDelay supplies the time after which a caller may retry if the store refused a
    *     call
    */
@@ -82,7 +88,11 @@
       JobRunner runner,
       RunnerName self,
       ScheduledExecutorService timer,
+      InstantSource clock,
+      Supplier<Duration> storeResponseTime,
       Supplier<Duration> storeRetryDelay) {
+    this.clock = clock;
+    this.storeResponseTime = storeResponseTime;
     this.storeRetryDelay = storeRetryDelay;
     this.store = store;
     this.runner = runner;
@@ -122,7 +132,24 @@
     if (parts.size() > MAX_PARTS) {
       return completed(new JobAnswer.Refused(true, LIMIT_RETRY_DELAY, "the job is too large"));
     }
-    return tryAccept(job, newRecord(job, parts.size(), wallNow), parts, 0);
+    if (patience.isStoreSilent(clock.instant())) {
+      return completed(refuse(job, "the store has left the last job unanswered"));
+    }
+    Duration limit = patience.patience(job.route().objective(), storeResponseTime.get());
+    CompletableFuture<JobAnswer> answer =
+        tryAccept(job, newRecord(job, parts.size(), wallNow), parts, 0);
+    return answer
+        .copy()
+        .completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS)
+        .thenApply(a -> a == null ? answerWithoutStore(job, limit) : a);
+  }
+
+  /** The job is still accepted if the store answers later; its caller then finds it accepted. */
+  private JobAnswer answerWithoutStore(JobSubmission job, Duration limit) {
+    patience.recordSilence(clock.instant());
+    String reason = "the store did not respond within " + limit.toMillis() + " ms";
+    LOG.write(Event.JOB_UNKNOWN, job.id(), reason);
+    return new JobAnswer.Unknown(reason);
   }
 
   private CompletableFuture<JobAnswer> tryAccept(
@@ -162,6 +189,9 @@
       CountedTokens newCount,
       long term,
       WriteOutcome outcome) {
+    if (outcome instanceof WriteOutcome.Done || outcome instanceof WriteOutcome.Lost) {
+      patience.recordAnswer();
+    }
     if (outcome instanceof WriteOutcome.Done done) {
       lastCounts.put(countKey(job), new CountedTokens(newCount.tokens(), done.revision()));
       LOG.write(Event.JOB_ACCEPTED, job.id(), job.organisation(), job.items().size(), job.tokens());
@@ -193,6 +223,7 @@
    */
   private CompletableFuture<JobAnswer> findAfterLostAnswer(JobSubmission job, String reason) {
     lastCounts.remove(countKey(job));
+    patience.recordSilence(clock.instant());
     return store
         .readRecord(job.id())
         .thenApply(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -154,7 +154,15 @@
                 this::announceJob,
                 this::cacheFinished,
                 ports.promptParts()));
-    this.intake = new JobIntake(store, runner, self, ports.timer(), this::storeRetryDelay);
+    this.intake =
+        new JobIntake(
+            store,
+            runner,
+            self,
+            ports.timer(),
+            ports.clock(),
+            ports.registration()::storeResponseTime,
+            this::storeRetryDelay);
   }
 
   /** Confirms the running jobs after this host's entry had expired and is in the store again. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -58,6 +59,7 @@
   private volatile Option<Lease> lease = Option.none();
   private volatile boolean stopped;
   private volatile long term;
+  private volatile Duration storeResponseTime = Duration.ZERO;
   private Runnable newTermListener = () -> {};
 
   /** Creates the registration of a host. */
@@ -108,6 +110,11 @@
     newTermListener = listener;
   }
 
+  /** Returns the response time of the store in the last renewal; zero before the first. */
+  public Duration storeResponseTime() {
+    return storeResponseTime;
+  }
+
   /** Marks this host's entry as leaving. */
   public void announceLeaving() {
     host = host.asLeaving();
@@ -227,7 +234,14 @@
     if (stopped || lease.isEmpty()) {
       return;
     }
-    store.renewLease(lease.get().id()).thenAccept(this::onRenewed);
+    Instant sentAt = clocks.instant();
+    store
+        .renewLease(lease.get().id())
+        .thenAccept(
+            answer -> {
+              answer.forEach(l -> storeResponseTime = Duration.between(sentAt, clocks.instant()));
+              onRenewed(answer);
+            });
   }
 
   private void onRenewed(Either<StoreFailure, Lease> answer) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
@@ -60,14 +61,17 @@
         headers -> List.of());
   }
 
+  private static JobSubmission job(String id) {
+    return new JobSubmission(
+        JobId.of(id),
+        OrganisationId.of("parish"),
+        "h",
+        FleetFixtures.jobRoute(),
+        List.of(JobItem.newBuilder().setId("item-1").build()));
+  }
+
   private Duration retryDelayAfterRefusal() {
-    JobSubmission job =
-        new JobSubmission(
-            JobId.of("job-1"),
-            OrganisationId.of("parish"),
-            "h",
-            FleetFixtures.jobRoute(),
-            List.of(JobItem.newBuilder().setId("item-1").build()));
+    JobSubmission job = job("job-1");
     store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
     return ((JobAnswer.Refused) jobs.submitJob(job).join()).retryAfter();
   }
@@ -85,4 +89,24 @@
     clock.advance(Duration.ofMillis(1600));
     assertThat(retryDelayAfterRefusal()).isEqualTo(Duration.ofMillis(500));
   }
+
+  /** The objective is 400 ms; another host that reaches the store can then still accept the job. */
+  @Test
+  void callerIsSentElsewhereWithinItsObjectiveWhenTheStoreIsSilent() {
+    store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.SILENT));
+    JobAnswer answer = jobs.submitJob(job("job-1")).orTimeout(350, TimeUnit.MILLISECONDS).join();
+    assertThat(answer).isInstanceOf(JobAnswer.Unknown.class);
+    assertThat(jobs.submitJob(job("job-2")).getNow(null)).isInstanceOf(JobAnswer.Refused.class);
+    clock.advance(Duration.ofMillis(1100));
+    store.setFaults(StoreFaults.NONE);
+    assertThat(jobs.submitJob(job("job-2")).join()).isInstanceOf(JobAnswer.Accepted.class);
+  }
+
+  @Test
+  void slowStoreIsGivenItsUsualTime() {
+    AcceptancePatience patience = new AcceptancePatience();
+    Duration objective = Duration.ofMillis(400);
+    assertThat(patience.patience(objective, Duration.ofMillis(4)).toMillis()).isEqualTo(160);
+    assertThat(patience.patience(objective, Duration.ofMillis(240)).toMillis()).isEqualTo(960);
+  }
 }
