An item that ends after it was due says what it waited for (W624); explain names it

Cause: nothing in the logs told why an item came late; W506 names runs, not items. ExplanationTest holds both an item that came late and a request refused in a restart.

--- a/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
@@ -25,14 +25,14 @@
    * its inputs is more specific than the closing line that repeats it.
    */
   private static final List<Integer> OUTCOME_EVENTS =
-      List.of(801, 505, 800, 803, 802, 611, 612, 618, 616, 615, 620, 622, 617, 613, 610);
+      List.of(801, 505, 800, 803, 802, 624, 611, 612, 623, 618, 616, 615, 620, 622, 617, 613, 610);
 
   /** The end of the closing line of a request that succeeded. */
   private static final Pattern SUCCESS_STATUS = Pattern.compile(": status 2\\d\\d$");
 
   /** Events that change a process's view of hosts, engines, the configuration or the store. */
   private static final Set<Integer> STATE_CHANGE_EVENTS =
-      HashSet.of(100, 101, 102, 203, 204, 207, 430, 431, 433, 434, 500, 503, 504, 700);
+      HashSet.of(100, 101, 102, 203, 204, 207, 430, 431, 433, 434, 436, 500, 503, 504, 700);
 
   /** State change events that concern a single engine. */
   private static final Set<Integer> ENGINE_EVENTS = HashSet.of(500, 503, 504);
--- a/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
@@ -38,6 +38,38 @@
         .isEqualTo(803);
   }
 
+  /** An item that came late is explained by what it waited for, not by its last engine. */
+  @Test
+  void latenessOfAnItemIsExplainedByItsWaitsAndYields() {
+    String late =
+        "W624 item i1 of job \"j1\" ended 2100 ms after it was due; waited 9300 ms for slots,"
+            + " yielded 4, moved 1, failed 0 times";
+    String moved = "W622 item i1 of job \"j1\" is moved from engine \"e1\": silent; last event 3";
+    String accepted = "W610 job \"j1\" of \"o\" is accepted: 10 items, 5000 tokens";
+    Explanation explanation =
+        explainLines("i1", logLine(1, accepted), logLine(2, moved), logLine(3, late));
+    assertThat(explanation.decidingLine().get().event()).isEqualTo(624);
+    assertThat(explainLines("j1", logLine(1, accepted), logLine(3, late)).decidingLine().get())
+        .matches(l -> l.event() == 624);
+  }
+
+  /** The coordinator says why it refused; a request in a restart meets W436 or W430 before it. */
+  @Test
+  void refusalInARestartNamesTheReasonAndTheChangeOfCoordinator() {
+    String refused =
+        "W505 request a1 of host \"edge-2\" gets no slot: 3 requests wait before it for 8 slots; back"
+            + " in 310 ms, part 0.2, load x";
+    String suspected =
+        "W436 coordinator \"edge-1\" is probed: host \"edge-2\" gets no answers from it";
+    Explanation explanation =
+        Explanation.of(
+            "a1",
+            parseLines("edge-2.log", logLine(2, refused))
+                .appendAll(parseLines("edge-2.log", logLine(1, suspected))));
+    assertThat(explanation.decidingLine().get().event()).isEqualTo(505);
+    assertThat(explanation.relatedLines().map(LogLine::event)).contains(436);
+  }
+
   @Test
   void ordersLinesByTimeAndOmitsOtherRequests() {
     Explanation explanation =
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -71,6 +71,9 @@
   private Attempt attempt;
   private long slotNumber;
   private int failures;
+  private int yields;
+  private int moves;
+  private Duration waited = Duration.ZERO;
   private boolean done;
 
   ItemRun(int index, JobItem item, RunningJob job, JobRunner.Ports ports, ResultListener listener) {
@@ -126,7 +129,9 @@
     }
   }
 
-  private synchronized void handleGrant(PendingSlot pendingSlot, UpstreamId engine) {
+  private synchronized void handleGrant(
+      PendingSlot pendingSlot, UpstreamId engine, Duration slotWait) {
+    waited = waited.plus(slotWait);
     Option<EngineEntry> entry = ports.engines().findEngine(engine).filter(e -> !e.leaving());
     if (done || entry.isEmpty()) {
       ports.slots().endRun(pendingSlot.requestNumber, RunEnd.of(RunEnd.How.CANCELLED));
@@ -186,6 +191,7 @@
     if (attempt != null) {
       cancelAttempt(RunEnd.How.CANCELLED);
     }
+    yields++;
     requestSlot();
   }
 
@@ -205,6 +211,18 @@
   private void finish(boolean completed, String text) {
     done = true;
     slotNumber = 0;
+    Instant now = ports.clock().instant();
+    if (job.due().isPast(now)) {
+      LOG.write(
+          Event.ITEM_LATE,
+          item.getId(),
+          job.id(),
+          Duration.between(job.due().at(), now).toMillis(),
+          waited.toMillis(),
+          yields,
+          moves,
+          failures);
+    }
     ports.timer().execute(() -> listener.onResult(this, completed, text));
   }
 
@@ -223,8 +241,8 @@
     private volatile long requestNumber;
 
     @Override
-    public void onGrant(UpstreamId engine, Duration waited) {
-      handleGrant(this, engine);
+    public void onGrant(UpstreamId engine, Duration slotWait) {
+      handleGrant(this, engine, slotWait);
     }
 
     @Override
@@ -292,6 +310,7 @@
       LOG.write(
           Event.ITEM_MOVED, item.getId(), job.id(), engine, reason, lastEventId.getOrElse(0L));
       failedOn.add(engine);
+      moves++;
       cancelAttempt(RunEnd.How.ENGINE_LOST);
       requestSlot();
     }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -93,6 +93,11 @@
       622, Level.INFO, "item {} of job \"{}\" is moved from engine \"{}\": {}; last event {}"),
   JOB_CLAIM_UNKNOWN(
       623, Level.WARN, "unknown whether this host took over job \"{}\": {}; the record is checked"),
+  ITEM_LATE(
+      624,
+      Level.INFO,
+      "item {} of job \"{}\" ended {} ms after it was due; waited {} ms for slots, yielded {}, moved"
+          + " {}, failed {} times"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
