Engine tables go out when an entry changes its meaning, not at each write

Each write raised the revision of the table, so nearly every pong carried the whole table to every host (29 engines: 4.3 KB, 95 hosts), and every host parsed all entries again. Change: a table compares what entries mean, as the adapter reads them. StoreTableTest.writeThatChangesNoMeaningKeepsTheRevision.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -134,7 +134,7 @@
     this.random = new SecureRandom();
     this.timer = createTimer();
     FleetHost self = createSelf(clocks.wall().instant().toEpochMilli());
-    storeView = StoreView.of(outside.planReader(), clocks);
+    storeView = StoreView.of(outside.planReader(), clocks, outside.engineReader());
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader());
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -3,10 +3,12 @@
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.Snapshot;
@@ -16,13 +18,32 @@
  * and watch and by copies from other hosts. Content that is older than the table is ignored, so the
  * table never goes back to an earlier revision.
  *
+ * <p>A change is a change of what an entry means. Engines write their entries every second with a
+ * new sequence number; if each write counted, the whole table would be sent to every host each
+ * time.
+ *
  * <p>Listeners are called after each change, outside the lock, by the thread that made the change.
  */
 public final class StoreTable {
   private final Map<String, Entry> entries = new TreeMap<>();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+  private final Function<Entry, Object> meaning;
   private Revision revision = Revision.NONE;
 
+  /** Creates an empty table in which each write of an entry is a change. */
+  public StoreTable() {
+    this(entry -> entry);
+  }
+
+  /**
+   * Creates an empty table.
+   *
+   * @param meaning returns what an entry means; entries that mean the same are equal
+   */
+  public StoreTable(Function<Entry, Object> meaning) {
+    this.meaning = meaning;
+  }
+
   /** Returns the entries in key order. */
   public synchronized List<Entry> entries() {
     return new ArrayList<>(entries.values());
@@ -64,7 +85,7 @@
       }
       Map<String, Entry> newEntries = new TreeMap<>();
       content.forEach(e -> newEntries.put(e.key(), e));
-      changed = !newEntries.equals(entries) || revision.equals(Revision.NONE);
+      changed = !meanings(newEntries).equals(meanings(entries)) || revision.equals(Revision.NONE);
       entries.clear();
       entries.putAll(newEntries);
       revision = changed || alwaysAdvance ? asOf : revision;
@@ -74,15 +95,27 @@
 
   /** Applies changes reported by a watch. */
   public void applyChanges(Revision asOf, List<Entry> puts, List<String> deletes) {
+    boolean changed = false;
     synchronized (this) {
       if (!asOf.isAfter(revision)) {
         return;
       }
-      puts.forEach(e -> entries.put(e.key(), e));
-      deletes.forEach(entries::remove);
-      revision = asOf;
+      for (Entry put : puts) {
+        Entry previous = entries.put(put.key(), put);
+        changed |= previous == null || !meaning.apply(previous).equals(meaning.apply(put));
+      }
+      for (String key : deletes) {
+        changed |= entries.remove(key) != null;
+      }
+      revision = changed ? asOf : revision;
     }
-    notifyListeners(true);
+    notifyListeners(changed);
+  }
+
+  private Map<String, Object> meanings(Map<String, Entry> content) {
+    Map<String, Object> meanings = new HashMap<>();
+    content.forEach((key, entry) -> meanings.put(key, meaning.apply(entry)));
+    return meanings;
   }
 
   private void notifyListeners(boolean changed) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreView.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreView.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.PlanReader;
 import org.waxwingcourse.model.event.Event;
@@ -22,7 +23,7 @@
 
   private final PlanReader planReader;
   private final FreshnessEvidence evidence;
-  private final StoreTable engines = new StoreTable();
+  private final StoreTable engines;
   private final StoreTable hosts = new StoreTable();
   private final AtomicReference<FleetHosts> fleetHosts =
       new AtomicReference<>(FleetHosts.of(List.of()));
@@ -38,15 +39,21 @@
    */
   public record ConfigurationDocument(Revision revision, byte[] bytes) {}
 
-  private StoreView(PlanReader planReader, Clocks clocks) {
+  private StoreView(PlanReader planReader, Clocks clocks, StoreTable engines) {
     this.planReader = planReader;
+    this.engines = engines;
     this.evidence = new FreshnessEvidence(clocks);
     hosts.addListener(() -> fleetHosts.set(FleetHosts.fromTable(hosts)));
   }
 
-  /** Returns an empty view. */
+  /** Returns an empty view in which each write of an engine's entry is a change. */
   public static StoreView of(PlanReader planReader, Clocks clocks) {
-    return new StoreView(planReader, clocks);
+    return new StoreView(planReader, clocks, new StoreTable());
+  }
+
+  /** Returns an empty view in which an engine's entry changes if {@code engineReader} says so. */
+  public static StoreView of(PlanReader planReader, Clocks clocks, EngineEntryReader engineReader) {
+    return new StoreView(planReader, clocks, new StoreTable(engineReader::read));
   }
 
   /** Returns the evidence that the configuration is current. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
@@ -50,4 +50,27 @@
         .as("otherwise the peer would send the table repeatedly")
         .isEqualTo(Revision.of(8));
   }
+
+  /** 29 engines that write every second would else send the table to 95 hosts all the time. */
+  @Test
+  void writeThatChangesNoMeaningKeepsTheRevision() {
+    StoreTable engines = new StoreTable(e -> e.value()[0]);
+    AtomicInteger engineChanges = new AtomicInteger();
+    engines.addListener(engineChanges::incrementAndGet);
+    engines.replaceFromRead(new Snapshot(Revision.of(5), List.of(valueEntry("a", 4, 1, 1))));
+    engines.applyChanges(Revision.of(6), List.of(valueEntry("a", 6, 1, 2)), List.of());
+    engines.replaceFromRead(new Snapshot(Revision.of(8), List.of(valueEntry("a", 7, 1, 3))));
+    assertThat(engines.revision()).isEqualTo(Revision.of(5));
+    assertThat(engineChanges).hasValue(1);
+    engines.applyChanges(Revision.of(9), List.of(valueEntry("a", 9, 2, 4)), List.of());
+    assertThat(engines.revision()).isEqualTo(Revision.of(9));
+    engines.applyChanges(Revision.of(10), List.of(), List.of("a"));
+    assertThat(engines.revision()).isEqualTo(Revision.of(10));
+    assertThat(engineChanges).hasValue(3);
+  }
+
+  private static Entry valueEntry(String key, long revision, int meaning, int sequence) {
+    byte[] value = {(byte) meaning, (byte) sequence};
+    return new Entry(key, value, Revision.of(1), Revision.of(revision), LeaseId.NONE);
+  }
 }
