A grant on a recently listed engine carries its entry

Change: for 5 s after it has learned of an engine the coordinator sends its entry with each grant. Ruled out: holding new engines back, which leaves slots unused.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -16,7 +16,9 @@
 import org.waxwingcourse.fleet.coordinate.Coordinator;
 import org.waxwingcourse.fleet.coordinate.CoordinatorLink;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
+import org.waxwingcourse.fleet.coordinate.HostEngines;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.job.ExpiredJobRemover;
@@ -35,6 +37,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.service.Service;
 import org.waxwingcourse.peer.FleetSecret;
 import org.waxwingcourse.peer.NettyPeerTransport;
@@ -144,11 +147,7 @@
             outside.store(), storeView, clocks, timer, outside.sources(), evacuations::onOrders);
     coordinator = new Coordinator(peers, clocks.steady());
     SlotClient slots =
-        new SlotClient(
-            peers,
-            clocks.steady(),
-            settings.dataCentre(),
-            outside.calls()::enginesWithIdleConnections);
+        new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(outside.calls()));
     coordinatorLink =
         new CoordinatorLink(self, peers, storeView, clocks, follower, coordinator, slots);
     gate =
@@ -377,6 +376,20 @@
         Revision.NONE);
   }
 
+  private HostEngines hostEngines(EngineSender calls) {
+    return new HostEngines() {
+      @Override
+      public List<UpstreamId> connected() {
+        return calls.enginesWithIdleConnections();
+      }
+
+      @Override
+      public void learn(EngineEntry entry) {
+        engines.learn(entry);
+      }
+    };
+  }
+
   private void registerMetrics(MetricRegistry metrics) {
     metrics.register("requests.underway", (Gauge<Integer>) online::activeRequests);
     metrics.register("jobs.running", (Gauge<Integer>) jobs::countRunning);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -53,6 +54,9 @@
   private static final EventLog LOG = EventLog.of(Coordinator.class);
   private static final int DEFAULT_SLOTS = 8;
 
+  /** Within this time after an engine was listed, hosts may not have received its entry. */
+  private static final Duration LISTING_SPREAD = Duration.ofSeconds(5);
+
   private final PeerTransport peers;
   private final InstantSource clock;
   private final OrganisationRateLimiter rates =
@@ -62,6 +66,10 @@
   private volatile Option<Plan> plan = Option.none();
   private volatile double fleetShare;
   private volatile Map<ServiceName, List<EngineEntry>> engines = Map.of();
+  private volatile Map<UpstreamId, ListedEngine> listed = Map.of();
+
+  /** An engine and the time at which this coordinator learned of it. */
+  private record ListedEngine(EngineEntry entry, Instant since) {}
 
   /** Creates a coordinator that serves no hosts yet. */
   public Coordinator(PeerTransport peers, InstantSource clock) {
@@ -78,6 +86,7 @@
   /** Replaces the engines by those listed in the store. */
   public void setEngines(Collection<EngineEntry> entries) {
     engines = entries.stream().collect(Collectors.groupingBy(EngineEntry::service));
+    listed = listEngines(entries);
     Set<ServiceName> names = new HashSet<>(engines.keySet());
     names.addAll(services.keySet());
     for (ServiceName name : names) {
@@ -86,6 +95,16 @@
     }
   }
 
+  private Map<UpstreamId, ListedEngine> listEngines(Collection<EngineEntry> entries) {
+    Instant now = clock.instant();
+    Map<UpstreamId, ListedEngine> next = new HashMap<>();
+    for (EngineEntry entry : entries) {
+      ListedEngine known = listed.get(entry.id());
+      next.put(entry.id(), new ListedEngine(entry, known == null ? now : known.since));
+    }
+    return next;
+  }
+
   /** Sets the share of the fleet that is attached here, in [0, 1]. */
   public void setFleetShare(double newFleetShare) {
     if (newFleetShare == fleetShare) {
@@ -272,6 +291,10 @@
             .setNumber(request.id().number())
             .setEngine(grant.engine().value())
             .setWaitedNanos(waited.toNanos());
+    ListedEngine engine = listed.get(grant.engine());
+    if (engine != null && clock.instant().isBefore(engine.since.plus(LISTING_SPREAD))) {
+      message.setEntry(FleetMessageConverter.encodeEngine(engine.entry));
+    }
     send(request.id().host(), FleetMessage.newBuilder().setGrant(message));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
@@ -3,18 +3,25 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Option;
+import java.net.InetSocketAddress;
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.StoreTable;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.GrantedEngine;
+import org.waxwingcourse.wire.fleet.SlotGrant;
 import org.waxwingcourse.wire.fleet.Table;
 import org.waxwingcourse.wire.fleet.TableEntry;
 
@@ -74,4 +81,27 @@
             .toList();
     table.replaceFromPeer(revision, entries);
   }
+
+  static GrantedEngine encodeEngine(EngineEntry engine) {
+    return GrantedEngine.newBuilder()
+        .setService(engine.service().value())
+        .setAddress(engine.address().getAddress().getHostAddress())
+        .setPort(engine.address().getPort())
+        .setDataCentre(engine.dataCentre().value())
+        .setSlots(engine.slots())
+        .setStartedMillis(engine.startedAtMillis())
+        .build();
+  }
+
+  static EngineEntry toEngine(SlotGrant grant) {
+    GrantedEngine entry = grant.getEntry();
+    return new EngineEntry(
+        UpstreamId.of(grant.getEngine()),
+        ServiceName.of(entry.getService()),
+        new InetSocketAddress(entry.getAddress(), entry.getPort()),
+        DataCentreId.of(entry.getDataCentre()),
+        entry.getSlots(),
+        false,
+        entry.getStartedMillis());
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -4,11 +4,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -51,7 +49,7 @@
   private final PeerTransport peers;
   private final InstantSource clock;
   private final DataCentreId dataCentre;
-  private final Supplier<List<UpstreamId>> connectedEngines;
+  private final HostEngines engines;
   private final AtomicLong lastNumber = new AtomicLong();
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
   private volatile Option<HostId> coordinator = Option.none();
@@ -61,18 +59,14 @@
   /**
    * Creates a client for a host in {@code dataCentre}; no coordinator is known yet.
    *
-   * @param connectedEngines supplies the engines to which this host has an idle connection, most
-   *     recently used first
+   * @param engines what this host knows of the engines
    */
   public SlotClient(
-      PeerTransport peers,
-      InstantSource clock,
-      DataCentreId dataCentre,
-      Supplier<List<UpstreamId>> connectedEngines) {
+      PeerTransport peers, InstantSource clock, DataCentreId dataCentre, HostEngines engines) {
     this.peers = peers;
     this.clock = clock;
     this.dataCentre = dataCentre;
-    this.connectedEngines = connectedEngines;
+    this.engines = engines;
   }
 
   private static final class PendingRequest {
@@ -196,6 +190,9 @@
       return;
     }
     hadRuns = true;
+    if (grant.hasEntry()) {
+      engines.learn(FleetMessageConverter.toEngine(grant));
+    }
     request.grantedAt = clock.instant();
     request.engine = UpstreamId.of(grant.getEngine());
     request.listener.onGrant(request.engine, Duration.ofNanos(grant.getWaitedNanos()));
@@ -239,7 +236,7 @@
         .forEach(
             w ->
                 ask.setDueWithinNanos(nanosUntilDue(w, now)).setReceivedEvents(w.receivedEvents()));
-    connectedEngines.get().stream()
+    engines.connected().stream()
         .limit(MAX_CONNECTED_ENGINES)
         .map(UpstreamId::value)
         .forEach(ask::addConnected);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -39,6 +39,18 @@
     return Option.of(engines.get(id));
   }
 
+  /**
+   * Adds an engine that another host has seen listed. It is known until the next change of the
+   * table, which then contains it.
+   */
+  public synchronized void learn(EngineEntry entry) {
+    if (!engines.containsKey(entry.id())) {
+      Map<UpstreamId, EngineEntry> extended = new HashMap<>(engines);
+      extended.put(entry.id(), entry);
+      engines = extended;
+    }
+  }
+
   /** Returns all listed engines, including those that are leaving. */
   public Collection<EngineEntry> all() {
     return engines.values();
