--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -153,36 +153,19 @@
     gate =
         new AdmissionGate(
             storeView, clocks, () -> this.settings.trustLimit(), this::refusesNewRequests);
-    RandomGenerator serviceRandom = RandomGenerator.getDefault();
     online =
         new OnlineService(
             new OnlineService.Ports(
                 clocks.steady(),
                 timer,
-                serviceRandom,
+                RandomGenerator.getDefault(),
                 gate,
                 storeView,
                 engines,
                 outside.calls(),
                 slots,
                 metrics));
-    jobs =
-        new JobService(
-            settings.host(),
-            self.boot(),
-            new JobService.Ports(
-                outside.store(),
-                registration,
-                peers,
-                clocks.steady(),
-                clocks.wall(),
-                timer,
-                serviceRandom,
-                storeView,
-                engines,
-                outside.calls(),
-                slots,
-                outside.promptParts()));
+    jobs = createJobService(self, outside, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
     expiredJobRemover =
@@ -376,6 +359,25 @@
         Revision.NONE);
   }
 
+  private JobService createJobService(FleetHost self, Dependencies outside, SlotClient slots) {
+    return new JobService(
+        settings.host(),
+        self.boot(),
+        new JobService.Ports(
+            outside.store(),
+            registration,
+            peers,
+            clocks.steady(),
+            clocks.wall(),
+            timer,
+            RandomGenerator.getDefault(),
+            storeView,
+            engines,
+            outside.calls(),
+            slots,
+            outside.promptParts()));
+  }
+
   private HostEngines hostEngines(EngineSender calls) {
     return new HostEngines() {
       @Override
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -96,8 +96,8 @@
   ITEM_LATE(
       624,
       Level.INFO,
-      "item {} of job \"{}\" ended {} ms after it was due; waited {} ms for slots, yielded {}, moved"
-          + " {}, failed {} times"),
+      "item {} of job \"{}\" ended {} ms after it was due; waited {} ms for slots,"
+          + " yielded {}, moved {}, failed {} times"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
