--- a/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
@@ -57,9 +57,8 @@
   @Test
   void refusalInARestartNamesTheReasonAndTheChangeOfCoordinator() {
     String refused =
-    String suspected =
-        "W436 coordinator \"edge-1\" is probed: host \"edge-2\" gets no answers from it";
-            + " in 310 ms, part 0.2, load x";
+        "W505 request a1 of host \"edge-2\" gets no slot: 3 requests wait before it for 8 slots;"
+            + " back in 310 ms, part 0.2, load x";
     String suspected =
         "W436 coordinator \"edge-1\" is probed: host \"edge-2\" gets no answers from it";
     Explanation explanation =
