A request is admitted once; a starting host waits briefly for its configuration

The time limit of an acceptance applies only once the store's usual response time is known, since a host that starts is late itself (W612 "did not respond within 160 ms" right after a restart).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -135,9 +135,13 @@
     if (patience.isStoreSilent(clock.instant())) {
       return completed(refuse(job, "the store has left the last job unanswered"));
     }
-    Duration limit = patience.patience(job.route().objective(), storeResponseTime.get());
     CompletableFuture<JobAnswer> answer =
         tryAccept(job, newRecord(job, parts.size(), wallNow), parts, 0);
+    Duration usual = storeResponseTime.get();
+    if (usual.isZero()) {
+      return answer;
+    }
+    Duration limit = patience.patience(job.route().objective(), usual);
     return answer
         .copy()
         .completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS)
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
@@ -4,6 +4,8 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
@@ -34,6 +36,12 @@
   /** Time after which a caller may retry on a host that lacks evidence. */
   private static final Duration NO_EVIDENCE_RETRY_DELAY = Duration.ofMillis(500);
 
+  /**
+   * How long a request waits for the first configuration of a host that has just started; less than
+   * a caller that is refused needs for another attempt.
+   */
+  private static final Duration FIRST_CONFIGURATION_WAIT = Duration.ofMillis(150);
+
   /** Time after which a caller may try another host when this one is stopping; one round trip. */
   private static final Duration OTHER_HOST_RETRY_DELAY = Duration.ofMillis(5);
 
@@ -41,6 +49,7 @@
   private final Clocks clocks;
   private final Supplier<Duration> trustLimit;
   private final BooleanSupplier closing;
+  private final CompletableFuture<Void> configured = new CompletableFuture<>();
 
   /**
    * A request that has been admitted.
@@ -70,6 +79,22 @@
     this.clocks = clocks;
     this.trustLimit = trustLimit;
     this.closing = closing;
+    storeView.addPlanListener(plan -> configured.complete(null));
+  }
+
+  /**
+   * Admits a request or returns the reason for refusing it. On a host that has just started it
+   * waits briefly for the first configuration.
+   */
+  public CompletableFuture<Either<Refusal, Admitted>> admitOnceConfigured(
+      String host, String target, Option<String> key) {
+    if (storeView.plan().isDefined() || closing.getAsBoolean()) {
+      return CompletableFuture.completedFuture(admit(host, target, key));
+    }
+    return configured
+        .copy()
+        .completeOnTimeout(null, FIRST_CONFIGURATION_WAIT.toMillis(), TimeUnit.MILLISECONDS)
+        .thenApply(nothing -> admit(host, target, key));
   }
 
   /** Admits a request or returns the reason for refusing it. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
@@ -53,12 +53,11 @@
   }
 
   /**
-   * Serves a request. Cancelling the returned call tells the service that the caller has
-   * disconnected.
+   * Serves a request as it was admitted, or answers why it was not. Cancelling the returned call
+   * tells the service that the caller has disconnected.
    */
-  public Call serve(OnlineRequest request, AnswerSink sink) {
-    Either<Refusal, AdmissionGate.Admitted> admitted =
-        ports.gate().admit(request.host(), request.target(), request.key());
+  public Call serve(
+      OnlineRequest request, Either<Refusal, AdmissionGate.Admitted> admitted, AnswerSink sink) {
     if (admitted.isLeft()) {
       Refusal refusal = admitted.getLeft();
       LOG.write(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -4,11 +4,13 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.lang.reflect.Proxy;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +28,7 @@
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.standin.store.StoreFaults;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.wire.fleet.JobItem;
 
 /** Tests the retry delay that a caller is given when the store refused its job. */
@@ -102,6 +105,46 @@
     assertThat(jobs.submitJob(job("job-2")).join()).isInstanceOf(JobAnswer.Accepted.class);
   }
 
+  /** A store that holds its answers, as one that is cut off from this host only. */
+  @Test
+  void acceptanceWithoutAnAnswerEndsWithinThePatience() {
+    Store unanswering =
+        (Store)
+            Proxy.newProxyInstance(
+                Store.class.getClassLoader(),
+                new Class<?>[] {Store.class},
+                (proxy, method, arguments) -> new CompletableFuture<>());
+    HostEntryRegistration registration = ports().registration();
+    JobIntake intake =
+        new JobIntake(
+            new JobStore(unanswering),
+            new JobRunner(
+                new JobRunner.Ports(
+                    null,
+                    registration,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null,
+                    null)),
+            new RunnerName(SELF, 1),
+            timer,
+            clock,
+            () -> Duration.ofMillis(4),
+            () -> Duration.ofMillis(20));
+    JobAnswer answer =
+        intake.submit(job("job-1"), clock.instant()).orTimeout(350, TimeUnit.MILLISECONDS).join();
+    assertThat(answer).isInstanceOf(JobAnswer.Unknown.class);
+  }
+
   @Test
   void slowStoreIsGivenItsUsualTime() {
     AcceptancePatience patience = new AcceptancePatience();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -130,4 +132,22 @@
     assertThat(gate.admit("h", "/a/x", Option.some("k")).getLeft().code())
         .isEqualTo(RefusalCode.STOPPING);
   }
+
+  @Test
+  void requestWaitsForTheFirstConfigurationOfAStartingHost() throws Exception {
+    CompletableFuture<?> early = gate.admitOnceConfigured("h", "/open/x", Option.none());
+    assertThat(early).isNotDone();
+    storeView.applyIfNewer(new StoreView.ConfigurationDocument(Revision.of(1), new byte[] {1}));
+    assertThat(early.get(1, TimeUnit.SECONDS)).isInstanceOf(Either.Right.class);
+  }
+
+  @Test
+  void requestIsRefusedWhenNoConfigurationComes() throws Exception {
+    assertThat(
+            gate.admitOnceConfigured("h", "/open/x", Option.none())
+                .get(1, TimeUnit.SECONDS)
+                .getLeft()
+                .code())
+        .isEqualTo(RefusalCode.UNAVAILABLE);
+  }
 }
