A restarted host does not coordinate by the entry of its previous process

A starting host besides chose among the pongs of the first 20 ms. Change: pongs and the host's own entry count only for the process that is listed; a starting host waits up to 120 ms for the first candidate. CoordinatorLinkTest, two tests.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -79,6 +79,12 @@
    */
   private static final Duration PONG_SPREAD = Duration.ofMillis(20);
 
+  /**
+   * The same while many hosts start together, short of processor time; the first candidate is
+   * waited for as long, since a change of coordinator soon after costs more.
+   */
+  private static final Duration STARTING_PONG_SPREAD = Duration.ofMillis(120);
+
   /** Hosts that start together discover each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
@@ -125,8 +131,14 @@
     this.lastContactAt = clocks.instant();
   }
 
-  /** The content of a host's last pong and the time at which it was received. */
-  private record LastPong(Instant receivedAt, boolean readsStore) {}
+  /**
+   * A host's last pong.
+   *
+   * @param receivedAt when it was received
+   * @param readsStore whether the host reads the store itself
+   * @param boot the process that sent it
+   */
+  private record LastPong(Instant receivedAt, boolean readsStore, long boot) {}
 
   /** An attached host and the time of its last ping. */
   private record AttachedHost(Instant pingedAt, boolean takesCallers) {}
@@ -171,7 +183,14 @@
   }
 
   private synchronized boolean hasFirstPongs() {
-    return coordinatorId == null && clocks.instant().isAfter(firstPongAt.plus(PONG_SPREAD));
+    Instant now = clocks.instant();
+    if (coordinatorId != null || !now.isAfter(firstPongAt.plus(PONG_SPREAD))) {
+      return false;
+    }
+    HostId first = candidateOrder().get(0);
+    return first.equals(self.id())
+        || isAnswering(first, now)
+        || now.isAfter(firstPongAt.plus(STARTING_PONG_SPREAD));
   }
 
   /** Returns whether slots can be requested: a coordinator that reads the store has been chosen. */
@@ -233,7 +252,7 @@
     Instant now = clocks.instant();
     synchronized (this) {
       firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
-      lastPongs.put(from, new LastPong(now, pong.getInContact()));
+      lastPongs.put(from, new LastPong(now, pong.getInContact(), pong.getBoot()));
       probedAt.remove(from);
       if (from.equals(coordinatorId) && pong.getBucketsCount() > 0) {
         reportedLevels.clear();
@@ -296,6 +315,7 @@
         new ArrayList<>(
             storeView.fleetHosts().inRegistrationOrder().stream()
                 .filter(h -> !h.leaving())
+                .filter(h -> !h.id().equals(self.id()) || h.boot() == self.boot())
                 .map(FleetHost::id)
                 .toList());
     if (!candidates.contains(self.id())) {
@@ -310,9 +330,19 @@
     boolean missedProbe = probed != null && now.isAfter(probed.plus(PROBE_TIMEOUT));
     return last != null
         && !missedProbe
+        && isListedProcess(host, last.boot)
         && now.isBefore(last.receivedAt.plus(PONG_TIMEOUT.multipliedBy(ownPingTicks)));
   }
 
+  /**
+   * Returns whether a process is the one that a host's entry stands for. After a restart the entry
+   * of the previous process remains until its lease expires; by its rank the host would be chosen
+   * until it registers again, and left then.
+   */
+  private boolean isListedProcess(HostId host, long boot) {
+    return storeView.fleetHosts().findHost(host).exists(h -> h.boot() == boot);
+  }
+
   /**
    * Returns whether a host may coordinate. The present coordinator still may for a while after it
    * has lost contact: as the store goes down for all hosts, their last reads differ by up to one
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
@@ -86,7 +86,7 @@
     link.updateAttachment();
     assertThat(slots.coordinator()).isEmpty();
     assertThat(link.isAttached()).isFalse();
-    link.onPong(OLDER.id(), Pong.newBuilder().setInContact(true).build());
+    link.onPong(OLDER.id(), pong(1));
     clock.advance(TICK);
     link.updateAttachment();
     assertThat(slots.coordinator()).containsExactly(OLDER.id());
@@ -97,7 +97,7 @@
     link.updateAttachment();
     link.attachEarly();
     assertThat(slots.coordinator()).isEmpty();
-    link.onPong(OLDER.id(), Pong.newBuilder().setInContact(true).build());
+    link.onPong(OLDER.id(), pong(1));
     link.attachEarly();
     assertThat(slots.coordinator()).isEmpty();
     clock.advance(Duration.ofMillis(21));
@@ -105,6 +105,34 @@
     assertThat(slots.coordinator()).containsExactly(OLDER.id());
   }
 
+  private static Pong pong(long boot) {
+    return Pong.newBuilder().setInContact(true).setBoot(boot).build();
+  }
+
+  /** Its entry is that of the previous process, whose rank it loses when it registers again. */
+  @Test
+  void hostThatHasRestartedIsNotChosenByItsOldEntry() {
+    link.updateAttachment();
+    link.onPong(OLDER.id(), pong(2));
+    clock.advance(Duration.ofMillis(460));
+    link.updateAttachment();
+    assertThat(slots.coordinator()).containsExactly(SELF.id());
+  }
+
+  @Test
+  void hostThatHasRestartedDoesNotChooseItselfByItsOldEntry() {
+    FleetHost earlierSelf = FleetFixtures.host(SELF.id(), 0);
+    storeView
+        .hostTable()
+        .replaceFromRead(
+            new Snapshot(Revision.of(10), List.of(entry(earlierSelf, 1), entry(OLDER, 2))));
+    link.updateAttachment();
+    link.onPong(OLDER.id(), pong(1));
+    clock.advance(TICK);
+    link.updateAttachment();
+    assertThat(slots.coordinator()).containsExactly(OLDER.id());
+  }
+
   @Test
   void hostWithoutPongsChoosesItself() {
     link.updateAttachment();
