--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.waxwingcourse.fleet.slot.BatchOrder.BatchLoad;
 import org.waxwingcourse.fleet.slot.BatchOrder.BatchPlan;
 import org.waxwingcourse.model.time.Deadline;
@@ -63,9 +64,9 @@
   }
 
   /** Computes the order anew if the present one has expired or has no waiting request left. */
-  void updatePlan(BatchLoad load, Instant now) {
+  void updatePlan(Supplier<BatchLoad> load, Instant now) {
     if (planExpiry.isPast(now) || (first().isEmpty() && !waiting.isEmpty())) {
-      BatchPlan plan = order.plan(waiting.values(), load, now);
+      BatchPlan plan = order.plan(waiting.values(), load.get(), now);
       replace(inTime, plan.inTime());
       replace(late, plan.late());
       planExpiry = Deadline.at(now.plus(PLAN_LIFETIME));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -166,6 +166,10 @@
         .forEach(e -> e.health().recordSilence(now));
   }
 
+  /**
+   * Returns whether a host's report counts against an engine. If it does not, the host's recent
+   * reports about other engines are revoked too.
+   */
   private boolean isCredible(HostId host, EngineSlots reported, Instant now) {
     int usedEngines = 0;
     for (EngineSlots engine : engines.values()) {
@@ -335,7 +339,7 @@
     while (!batchQueue.isEmpty()
         && isWithinShare(now)
         && freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
-      batchQueue.updatePlan(batchLoad(now), now);
+      batchQueue.updatePlan(() -> batchLoad(now), now);
       SlotRequest next = batchQueue.first().get();
       Option<EngineSlots> selected = selectCheapest(next, now, EngineSlots::hasFreeSlot);
       if (selected.isEmpty()) {
@@ -369,10 +373,11 @@
         .getOrElse(Duration.ZERO);
   }
 
+  /** Returns how many of the slots that this coordinator may fill are left to batch runs. */
   private int slotsLeftByOnline(Instant now) {
     SlotLoad load = load(now);
     int taken = load.online() + load.onlineWaiting() + freeSlotReserve.reservedSlots(now);
-    return Math.max(0, load.slots() - taken);
+    return Math.max(0, (int) (fleetShare * load.slots()) - taken);
   }
 
   /**
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -37,6 +37,7 @@
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.wire.fleet.CoordinatorLost;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 
 /**
@@ -165,10 +166,7 @@
         .get(ids.get(50))
         .link
         .onCoordinatorLost(
-            ids.get(1),
-            org.waxwingcourse.wire.fleet.CoordinatorLost.newBuilder()
-                .setHost(ids.get(0).value())
-                .build());
+            ids.get(1), CoordinatorLost.newBuilder().setHost(ids.get(0).value()).build());
     run(Duration.ofSeconds(2));
     assertThat(attachedTo(ids.get(0))).isEqualTo(95);
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -82,7 +83,7 @@
     scheduler = new SlotScheduler(FreeSlotReserve.createDefault(), order);
     random = new Random(seed);
     slots = engines * slotsEach;
-    List<org.waxwingcourse.fleet.engine.EngineEntry> entries = new ArrayList<>();
+    List<EngineEntry> entries = new ArrayList<>();
     for (int i = 0; i < engines; i++) {
       entries.add(SlotSimulation.engine("engine-" + i, slotsEach, false));
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineVerdictTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineVerdictTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Option;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,12 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.engine.EngineEntry;
-import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
-import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.UpstreamId;
-import org.waxwingcourse.model.request.WorkClass;
-import org.waxwingcourse.model.time.Deadline;
 
 /** Replays reports of silent engines, from a host that is itself late and from sound hosts. */
 class EngineVerdictTest {
@@ -41,22 +36,7 @@
 
   private void start(HostId host) {
     RunId id = new RunId(host, ++lastNumber);
-    SlotRequest request =
-        new SlotRequest(
-            id,
-            RequestId.of("r" + lastNumber),
-            SlotSimulation.SERVICE,
-            WorkClass.ONLINE,
-            0,
-            Option.none(),
-            now,
-            Deadline.at(now.plusMillis(200)),
-            Deadline.at(now.plusSeconds(2)),
-            List.of(),
-            DataCentreId.of("a"),
-            Set.of(),
-            Set.of(),
-            Option.none());
+    SlotRequest request = SlotSimulation.onlineRequest(id, Set.of(), now);
     for (SlotDecision decision : scheduler.submit(request, now)) {
       runs.put(id, ((SlotDecision.Grant) decision).engine());
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/IdleConnectionPlacementTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/IdleConnectionPlacementTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -15,12 +14,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.waxwingcourse.fleet.engine.EngineEntry;
-import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
-import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.UpstreamId;
-import org.waxwingcourse.model.request.WorkClass;
-import org.waxwingcourse.model.time.Deadline;
 
 /**
  * Replays steady arrivals on fleets of growing size and counts how many requests open a connection:
@@ -76,7 +71,8 @@
       Set<UpstreamId> connected = Set.copyOf(ownIdle.keySet());
       RunId id = new RunId(host, n);
       for (SlotDecision decision :
-          scheduler.submit(request(id, named ? connected : Set.of(), now), now)) {
+          scheduler.submit(
+              SlotSimulation.onlineRequest(id, named ? connected : Set.of(), now), now)) {
         if (decision instanceof SlotDecision.Grant grant) {
           Pair pair = new Pair(host, grant.engine());
           maxRuns = Math.max(maxRuns, runs.merge(grant.engine(), 1, Integer::sum));
@@ -98,24 +94,6 @@
     return new Outcome((double) opened / counted, maxRuns, refused);
   }
 
-  private static SlotRequest request(RunId id, Set<UpstreamId> connected, Instant now) {
-    return new SlotRequest(
-        id,
-        RequestId.of("r" + id.number()),
-        SlotSimulation.SERVICE,
-        WorkClass.ONLINE,
-        0,
-        Option.none(),
-        now,
-        Deadline.at(now.plusMillis(200)),
-        Deadline.at(now.plusSeconds(2)),
-        List.of(),
-        DataCentreId.of("a"),
-        Set.of(),
-        connected,
-        Option.none());
-  }
-
   @ParameterizedTest
   @CsvSource({"7, 13, 60", "60, 42, 193", "350, 350, 1500"})
   void fewRequestsOpenAConnectionInAFleetOfAnySize(int hosts, int engines, double perSecond) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -79,6 +79,25 @@
         1);
   }
 
+  /** Returns an online request that is in time if it starts within {@link #OBJECTIVE_WAIT}. */
+  static SlotRequest onlineRequest(RunId id, Set<UpstreamId> connected, Instant now) {
+    return new SlotRequest(
+        id,
+        RequestId.of("r" + id.number()),
+        SERVICE,
+        WorkClass.ONLINE,
+        0,
+        Option.none(),
+        now,
+        Deadline.at(now.plus(OBJECTIVE_WAIT)),
+        Deadline.at(now.plusSeconds(2)),
+        List.of(),
+        DataCentreId.of("a"),
+        Set.of(),
+        connected,
+        Option.none());
+  }
+
   void publishEngines() {
     execute(scheduler.setEngines(engines, 8, now));
   }
