Hosts that restart together agree on a coordinator before their old entries are gone

Change: a pong tells when its process registered, and that is the host's rank until the table has the new entry; a process that has not registered is no candidate. With no candidate all listed hosts are pinged. CoordinatorLossTest.hostsThatRestartTogetherAgreeOnOneCoordinatorWithinASecond, CoordinatorLinkTest.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -149,7 +149,15 @@
     SlotClient slots =
         new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(outside.calls()));
     coordinatorLink =
-        new CoordinatorLink(self, peers, storeView, clocks, follower, coordinator, slots);
+        new CoordinatorLink(
+            self,
+            peers,
+            storeView,
+            clocks,
+            follower,
+            coordinator,
+            slots,
+            registration::registeredAt);
     gate =
         new AdmissionGate(
             storeView, clocks, () -> this.settings.trustLimit(), this::refusesNewRequests);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -1,14 +1,17 @@
 package org.waxwingcourse.fleet.coordinate;
 
 import com.google.protobuf.ByteString;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -98,6 +101,7 @@
   private final StoreFollower follower;
   private final Coordinator coordinator;
   private final SlotClient slots;
+  private final Supplier<Revision> ownRegistration;
   private final Map<HostId, LastPong> lastPongs = new HashMap<>();
   private final Map<HostId, AttachedHost> attachedHosts = new HashMap<>();
   private final Map<OrganisationId, Long> reportedLevels = new HashMap<>();
@@ -112,7 +116,11 @@
   private Instant contactLostAt = FAR_FUTURE;
   private Instant levelsReportedAt = Instant.MIN;
 
-  /** Creates the link of {@code self}, which is not attached to a coordinator yet. */
+  /**
+   * Creates the link of {@code self}, which is not attached to a coordinator yet.
+   *
+   * @param ownRegistration supplies the revision at which this process registered, none before
+   */
   public CoordinatorLink(
       FleetHost self,
       PeerTransport peers,
@@ -120,7 +128,9 @@
       Clocks clocks,
       StoreFollower follower,
       Coordinator coordinator,
-      SlotClient slots) {
+      SlotClient slots,
+      Supplier<Revision> ownRegistration) {
+    this.ownRegistration = ownRegistration;
     this.self = self;
     this.peers = peers;
     this.storeView = storeView;
@@ -137,8 +147,13 @@
    * @param receivedAt when it was received
    * @param readsStore whether the host reads the store itself
    * @param boot the process that sent it
+   * @param registeredAt revision at which that process registered, none before it has
    */
-  private record LastPong(Instant receivedAt, boolean readsStore, long boot) {}
+  private record LastPong(
+      Instant receivedAt, boolean readsStore, long boot, Revision registeredAt) {}
+
+  /** A host that may coordinate; the one that registered first has the highest rank. */
+  private record Candidate(HostId host, Revision registeredAt) {}
 
   /** An attached host and the time of its last ping. */
   private record AttachedHost(Instant pingedAt, boolean takesCallers) {}
@@ -221,6 +236,7 @@
             .setSentNanos(ping.getSentNanos())
             .setSentMillis(ping.getSentMillis())
             .setBoot(self.boot())
+            .setRegistered(ownRegistration.get().value())
             .setInContact(storeView.evidence().isOwnReadWithin(MAX_OWN_READ_AGE))
             .setConfigurationRevision(storeView.planRevision().value());
     storeView
@@ -252,7 +268,10 @@
     Instant now = clocks.instant();
     synchronized (this) {
       firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
-      lastPongs.put(from, new LastPong(now, pong.getInContact(), pong.getBoot()));
+      lastPongs.put(
+          from,
+          new LastPong(
+              now, pong.getInContact(), pong.getBoot(), Revision.of(pong.getRegistered())));
       probedAt.remove(from);
       if (from.equals(coordinatorId) && pong.getBucketsCount() > 0) {
         reportedLevels.clear();
@@ -310,18 +329,36 @@
     return 1 + storeView.fleetHosts().inRegistrationOrder().size() / MAX_HOSTS_AT_FULL_PING_RATE;
   }
 
+  /**
+   * Returns the hosts that may coordinate, the longest registered first. After a restart the entry
+   * of a host's previous process remains until its lease expires, with a rank that the host no
+   * longer has; a pong tells when the new process registered.
+   */
   private List<HostId> candidateOrder() {
-    List<HostId> candidates =
-        new ArrayList<>(
-            storeView.fleetHosts().inRegistrationOrder().stream()
-                .filter(h -> !h.leaving())
-                .filter(h -> !h.id().equals(self.id()) || h.boot() == self.boot())
-                .map(FleetHost::id)
-                .toList());
-    if (!candidates.contains(self.id())) {
-      candidates.add(self.id());
+    List<Candidate> candidates = new ArrayList<>();
+    for (FleetHost host : storeView.fleetHosts().inRegistrationOrder()) {
+      if (!host.id().equals(self.id())) {
+        toCandidate(host).forEach(candidates::add);
+      }
     }
-    return candidates;
+    candidates.sort(Comparator.comparing(Candidate::registeredAt).thenComparing(Candidate::host));
+    List<HostId> order = new ArrayList<>(candidates.stream().map(Candidate::host).toList());
+    Revision own = ownRegistration.get();
+    long ahead =
+        own.equals(Revision.NONE)
+            ? order.size()
+            : candidates.stream().filter(c -> own.isAfter(c.registeredAt)).count();
+    order.add((int) ahead, self.id());
+    return order;
+  }
+
+  private Option<Candidate> toCandidate(FleetHost host) {
+    LastPong last = lastPongs.get(host.id());
+    if (last == null || last.boot == host.boot()) {
+      return Option.when(!host.leaving(), () -> new Candidate(host.id(), host.registeredAt()));
+    }
+    boolean isRegistered = !last.registeredAt.equals(Revision.NONE);
+    return Option.when(isRegistered, () -> new Candidate(host.id(), last.registeredAt));
   }
 
   private boolean isAnswering(HostId host, Instant now) {
@@ -330,19 +367,9 @@
     boolean missedProbe = probed != null && now.isAfter(probed.plus(PROBE_TIMEOUT));
     return last != null
         && !missedProbe
-        && isListedProcess(host, last.boot)
         && now.isBefore(last.receivedAt.plus(PONG_TIMEOUT.multipliedBy(ownPingTicks)));
   }
 
-  /**
-   * Returns whether a process is the one that a host's entry stands for. After a restart the entry
-   * of the previous process remains until its lease expires; by its rank the host would be chosen
-   * until it registers again, and left then.
-   */
-  private boolean isListedProcess(HostId host, long boot) {
-    return storeView.fleetHosts().findHost(host).exists(h -> h.boot() == boot);
-  }
-
   /**
    * Returns whether a host may coordinate. The present coordinator still may for a while after it
    * has lost contact: as the store goes down for all hosts, their last reads differ by up to one
@@ -426,7 +453,7 @@
     }
     boolean allSilent = receivers.stream().noneMatch(h -> isAnswering(h, now));
     if (allSilent) {
-      receivers.addAll(candidates);
+      storeView.fleetHosts().inRegistrationOrder().forEach(h -> receivers.add(h.id()));
     }
     receivers.remove(self.id());
     receivers.forEach(this::ping);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
@@ -59,6 +60,7 @@
   private volatile Option<Lease> lease = Option.none();
   private volatile boolean stopped;
   private volatile long term;
+  private volatile Revision registeredAt = Revision.NONE;
   private volatile Duration storeResponseTime = Duration.ZERO;
   private Runnable newTermListener = () -> {};
 
@@ -110,6 +112,11 @@
     newTermListener = listener;
   }
 
+  /** Returns the revision at which this process registered; none before it has. */
+  public Revision registeredAt() {
+    return registeredAt;
+  }
+
   /** Returns the response time of the store in the last renewal; zero before the first. */
   public Duration storeResponseTime() {
     return storeResponseTime;
@@ -220,10 +227,11 @@
   }
 
   private void onWritten(Lease granted, WriteOutcome outcome) {
-    if (!(outcome instanceof WriteOutcome.Done)) {
+    if (!(outcome instanceof WriteOutcome.Done done)) {
       scheduleStep(this::requestLease);
       return;
     }
+    registeredAt = done.revision();
     lease = Option.some(granted);
     LOG.write(Event.HOST_REGISTERED, host.id(), host.boot(), granted.id().value());
     newTermListener.run();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
@@ -42,6 +42,7 @@
   private final StoreView storeView = StoreView.of(document -> Either.left("none"), clocks);
   private final SlotClient slots =
       new SlotClient(SILENT, clock, FleetFixtures.DATA_CENTRE, List::of);
+  private Revision ownRegistration = Revision.of(2);
   private final CoordinatorLink link =
       new CoordinatorLink(
           SELF,
@@ -56,7 +57,8 @@
               new StoreFollower.Sources(KeyRange.ofPrefix("o/"), "o/plan", KeyRange.ofPrefix("e/")),
               orders -> {}),
           new Coordinator(SILENT, clock),
-          slots);
+          slots,
+          () -> ownRegistration);
 
   @BeforeEach
   void registerBothHosts() {
@@ -109,6 +111,27 @@
     return Pong.newBuilder().setInContact(true).setBoot(boot).build();
   }
 
+  /** All hosts start together: the table still names their previous processes only. */
+  @Test
+  void restartedHostIsChosenByTheRankThatItsPongTells() {
+    ownRegistration = Revision.of(12);
+    link.updateAttachment();
+    link.onPong(OLDER.id(), pong(2).toBuilder().setRegistered(11).build());
+    clock.advance(TICK);
+    link.updateAttachment();
+    assertThat(slots.coordinator()).containsExactly(OLDER.id());
+  }
+
+  @Test
+  void hostThatRegisteredEarlierThanARestartedOneChoosesItself() {
+    storeView.evidence().recordOwnRead(clocks.now());
+    link.updateAttachment();
+    link.onPong(OLDER.id(), pong(2).toBuilder().setRegistered(11).build());
+    clock.advance(TICK);
+    link.updateAttachment();
+    assertThat(slots.coordinator()).containsExactly(SELF.id());
+  }
+
   /** Its entry is that of the previous process, whose rank it loses when it registers again. */
   @Test
   void hostThatHasRestartedIsNotChosenByItsOldEntry() {
@@ -121,6 +144,7 @@
 
   @Test
   void hostThatHasRestartedDoesNotChooseItselfByItsOldEntry() {
+    ownRegistration = Revision.NONE;
     FleetHost earlierSelf = FleetFixtures.host(SELF.id(), 0);
     storeView
         .hostTable()
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -67,7 +67,7 @@
     private final CoordinatorLink link;
     private final FleetMessageRouter router;
 
-    Member(FleetHost self) {
+    Member(FleetHost self, Revision registered) {
       PeerTransport peers =
           FleetFixtures.recordingPeers((to, m) -> network.add(new Message(self.id(), to, m)));
       slots = new SlotClient(peers, clock, FleetFixtures.DATA_CENTRE, List::of);
@@ -78,7 +78,9 @@
       store.setFaults(store.faults().withOutage(StoreFaults.Outage.SILENT));
       StoreFollower follower =
           new StoreFollower(store, storeView, clocks, timer, sources, orders -> {});
-      link = new CoordinatorLink(self, peers, storeView, clocks, follower, coordinator, slots);
+      link =
+          new CoordinatorLink(
+              self, peers, storeView, clocks, follower, coordinator, slots, () -> registered);
       router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
     }
   }
@@ -100,7 +102,7 @@
       entries.add(new Entry(key, host.encode(), created, created, LeaseId.NONE));
     }
     for (FleetHost host : hosts) {
-      Member member = new Member(host);
+      Member member = new Member(host, Revision.of(ids.indexOf(host.id()) + 1));
       member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(size + 1), entries));
       members.put(host.id(), member);
     }
@@ -195,4 +197,23 @@
       assertThat(attachedTo(ids.get(0))).as("after " + 50 * (i + 1) + " ms").isEqualTo(9);
     }
   }
+
+  /** All processes are killed and start together; the store still lists the previous ones. */
+  @Test
+  void hostsThatRestartTogetherAgreeOnOneCoordinatorWithinASecond() {
+    createFleet(11);
+    run(Duration.ofSeconds(3));
+    List<Entry> earlier = members.get(ids.get(0)).storeView.hostTable().entries();
+    members.clear();
+    for (int i = 0; i < ids.size(); i++) {
+      FleetHost restarted = FleetFixtures.host(ids.get(i), 2);
+      Member member = new Member(restarted, Revision.of(100 - i));
+      member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(50), earlier));
+      members.put(ids.get(i), member);
+    }
+    run(Duration.ofSeconds(1));
+    assertThat(attachedTo(ids.get(10))).isEqualTo(11);
+    run(Duration.ofSeconds(3));
+    assertThat(attachedTo(ids.get(10))).isEqualTo(11);
+  }
 }
