--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -334,7 +334,7 @@
    * of a host's previous process remains until its lease expires, with a rank that the host no
    * longer has; a pong tells when the new process registered.
    */
-  private List<HostId> candidateOrder() {
+  private synchronized List<HostId> candidateOrder() {
     List<Candidate> candidates = new ArrayList<>();
     for (FleetHost host : storeView.fleetHosts().inRegistrationOrder()) {
       if (!host.id().equals(self.id())) {
@@ -361,7 +361,7 @@
     return Option.when(isRegistered, () -> new Candidate(host.id(), last.registeredAt));
   }
 
-  private boolean isAnswering(HostId host, Instant now) {
+  private synchronized boolean isAnswering(HostId host, Instant now) {
     LastPong last = lastPongs.get(host);
     Instant probed = probedAt.get(host);
     boolean missedProbe = probed != null && now.isAfter(probed.plus(PROBE_TIMEOUT));
