--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -91,6 +91,9 @@
   /** Hosts that start together discover each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
+  /** Rank of a process that has not registered. */
+  private static final Revision LAST_RANK = Revision.of(Long.MAX_VALUE);
+
   /** A time later than any other, to which a short duration may still be added. */
   private static final Instant FAR_FUTURE = Instant.MAX.minus(Duration.ofDays(1));
 
@@ -341,15 +344,10 @@
         toCandidate(host).forEach(candidates::add);
       }
     }
-    candidates.sort(Comparator.comparing(Candidate::registeredAt).thenComparing(Candidate::host));
-    List<HostId> order = new ArrayList<>(candidates.stream().map(Candidate::host).toList());
     Revision own = ownRegistration.get();
-    long ahead =
-        own.equals(Revision.NONE)
-            ? order.size()
-            : candidates.stream().filter(c -> own.isAfter(c.registeredAt)).count();
-    order.add((int) ahead, self.id());
-    return order;
+    candidates.add(new Candidate(self.id(), own.equals(Revision.NONE) ? LAST_RANK : own));
+    candidates.sort(Comparator.comparing(Candidate::registeredAt).thenComparing(Candidate::host));
+    return candidates.stream().map(Candidate::host).toList();
   }
 
   private Option<Candidate> toCandidate(FleetHost host) {
@@ -424,9 +422,8 @@
 
   private void reportLost(HostId lost) {
     CoordinatorLost.Builder message = CoordinatorLost.newBuilder().setHost(lost.value());
-    storeView.fleetHosts().inRegistrationOrder().stream()
-        .map(FleetHost::id)
-        .filter(h -> !h.equals(self.id()) && !h.equals(lost))
+    storeView.fleetHosts().othersThan(self.id()).stream()
+        .filter(h -> !h.equals(lost))
         .forEach(h -> send(h, FleetMessage.newBuilder().setCoordinatorLost(message)));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/SilenceWatch.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/SilenceWatch.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.waxwingcourse.model.time.Deadline;
@@ -28,6 +29,7 @@
   private final Runnable onSilence;
   private Duration limit;
   private Deadline deadline;
+  private ScheduledFuture<?> nextCheck;
   private int extensions;
   private boolean stopped;
 
@@ -70,11 +72,20 @@
   /** Stops the watch. */
   public synchronized void stop() {
     stopped = true;
+    cancelCheck();
   }
 
+  /** Schedules the next check, instead of an earlier one that is still due. */
   private void scheduleCheck() {
+    cancelCheck();
     long nanos = deadline.remaining(clock.instant()).toNanos();
-    timer.schedule(this::check, nanos, TimeUnit.NANOSECONDS);
+    nextCheck = timer.schedule(this::check, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void cancelCheck() {
+    if (nextCheck != null) {
+      nextCheck.cancel(false);
+    }
   }
 
   private void check() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.JobTerms;
@@ -57,18 +56,9 @@
    */
   private static final Duration LIMIT_RETRY_DELAY = Duration.ofSeconds(1);
 
-  /**
-   * Interval between lookups of a write whose answer was lost; the write may take effect seconds
-   * later.
-   */
-  private static final Duration LOOKUP_INTERVAL = Duration.ofSeconds(1);
-
-  private static final int MAX_LOOKUPS = 8;
-
   private final JobStore store;
   private final JobRunner runner;
   private final RunnerName self;
-  private final ScheduledExecutorService timer;
   private final InstantSource clock;
   private final Supplier<Duration> storeResponseTime;
   private final Supplier<Duration> storeRetryDelay;
@@ -87,7 +77,6 @@
       JobStore store,
       JobRunner runner,
       RunnerName self,
-      ScheduledExecutorService timer,
       InstantSource clock,
       Supplier<Duration> storeResponseTime,
       Supplier<Duration> storeRetryDelay) {
@@ -97,7 +86,6 @@
     this.store = store;
     this.runner = runner;
     this.self = self;
-    this.timer = timer;
   }
 
   /** An organisation's waiting tokens as last read or written. */
@@ -236,32 +224,12 @@
                 runner.takeOver(job.id());
                 return new JobAnswer.Accepted();
               }
-              scheduleLookup(job.id(), MAX_LOOKUPS);
+              runner.lookForLostWrite(job.id(), record -> true);
               LOG.write(Event.JOB_UNKNOWN, job.id(), reason);
               return new JobAnswer.Unknown(reason);
             });
   }
 
-  private void scheduleLookup(JobId job, int remainingLookups) {
-    if (remainingLookups == 0) {
-      return;
-    }
-    timer.schedule(
-        () ->
-            store
-                .readRecord(job)
-                .thenAccept(
-                    answer -> {
-                      if (answer.isRight() && answer.get().isDefined()) {
-                        runner.takeOver(job);
-                      } else {
-                        scheduleLookup(job, remainingLookups - 1);
-                      }
-                    }),
-        LOOKUP_INTERVAL.toMillis(),
-        TimeUnit.MILLISECONDS);
-  }
-
   private static JobAnswer answerRepeated(JobSubmission job, Entry existing) {
     Either<?, JobStore.StoredRecord> stored = JobStore.parseRecord(existing);
     boolean sameOrganisation =
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineSender;
@@ -36,11 +37,10 @@
 final class JobRunner {
   private static final EventLog LOG = EventLog.of(JobRunner.class);
 
-  /** Interval between checks whether a claim whose answer was lost took effect. */
-  private static final Duration CLAIM_CHECK_INTERVAL = Duration.ofSeconds(1);
+  /** Interval between lookups of a write whose answer was lost. */
+  private static final Duration LOOKUP_INTERVAL = Duration.ofSeconds(1);
 
-  /** Number of checks; a write without an answer may take effect seconds later. */
-  private static final int MAX_CLAIM_CHECKS = 8;
+  private static final int MAX_LOOKUPS = 8;
 
   private final Ports ports;
   private final Map<JobId, RunningJob> running = new ConcurrentHashMap<>();
@@ -172,7 +172,7 @@
     if (outcome instanceof WriteOutcome.Unknown unknown) {
       LOG.write(Event.JOB_CLAIM_UNKNOWN, id, unknown.message());
       takeOversInProgress.remove(id);
-      scheduleClaimCheck(id, MAX_CLAIM_CHECKS);
+      lookForLostWrite(id, ports.self()::isRunnerOf);
       return;
     }
     if (!(outcome instanceof WriteOutcome.Done done)) {
@@ -185,21 +185,25 @@
   }
 
   /**
-   * Looks for a claim whose answer was lost. The store may apply it seconds later, and the record
-   * then names this host, so that no other host takes the job over.
+   * Looks for a write whose answer was lost, since the store may apply it seconds later, and takes
+   * the job over once its record shows the write.
    */
-  private void scheduleClaimCheck(JobId id, int remainingChecks) {
-    if (remainingChecks > 0 && !stopped) {
+  void lookForLostWrite(JobId id, Predicate<JobRecord> isWritten) {
+    scheduleLookup(id, isWritten, MAX_LOOKUPS);
+  }
+
+  private void scheduleLookup(JobId id, Predicate<JobRecord> isWritten, int remainingLookups) {
+    if (remainingLookups > 0 && !stopped) {
       ports
           .timer()
           .schedule(
-              () -> checkClaim(id, remainingChecks),
-              CLAIM_CHECK_INTERVAL.toMillis(),
+              () -> lookUp(id, isWritten, remainingLookups),
+              LOOKUP_INTERVAL.toMillis(),
               TimeUnit.MILLISECONDS);
     }
   }
 
-  private void checkClaim(JobId id, int remainingChecks) {
+  private void lookUp(JobId id, Predicate<JobRecord> isWritten, int remainingLookups) {
     if (running.containsKey(id)) {
       return;
     }
@@ -208,11 +212,10 @@
         .readRecord(id)
         .thenAccept(
             answer -> {
-              if (answer.isRight()
-                  && answer.get().exists(s -> ports.self().isRunnerOf(s.record()))) {
+              if (answer.isRight() && answer.get().exists(s -> isWritten.test(s.record()))) {
                 takeOver(id);
               } else {
-                scheduleClaimCheck(id, remainingChecks - 1);
+                scheduleLookup(id, isWritten, remainingLookups - 1);
               }
             });
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -21,7 +21,6 @@
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
-import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -159,7 +158,6 @@
             store,
             runner,
             self,
-            ports.timer(),
             ports.clock(),
             ports.registration()::storeResponseTime,
             this::storeRetryDelay);
@@ -362,9 +360,10 @@
             .setOrganisation(job.organisation().value())
             .setTotal(job.itemCount())
             .setRunner(self.host().value());
-    ports.storeView().fleetHosts().inRegistrationOrder().stream()
-        .map(FleetHost::id)
-        .filter(h -> !h.equals(self.host()))
+    ports
+        .storeView()
+        .fleetHosts()
+        .othersThan(self.host())
         .forEach(h -> send(h, FleetMessage.newBuilder().setJobAnnounced(message)));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -7,7 +7,6 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -27,8 +26,7 @@
 
   private final BatchOrder order;
   private final Map<RunId, SlotRequest> waiting = new LinkedHashMap<>();
-  private final Deque<SlotRequest> inTime = new ArrayDeque<>();
-  private final Deque<SlotRequest> late = new ArrayDeque<>();
+  private final Deque<SlotRequest> planned = new ArrayDeque<>();
   private Deadline planExpiry = Deadline.at(Instant.MIN);
 
   BatchQueue(BatchOrder order) {
@@ -67,31 +65,18 @@
   void updatePlan(Supplier<BatchLoad> load, Instant now) {
     if (planExpiry.isPast(now) || (first().isEmpty() && !waiting.isEmpty())) {
       BatchPlan plan = order.plan(waiting.values(), load.get(), now);
-      replace(inTime, plan.inTime());
-      replace(late, plan.late());
+      planned.clear();
+      planned.addAll(plan.inTime());
+      planned.addAll(plan.late());
       planExpiry = Deadline.at(now.plus(PLAN_LIFETIME));
     }
   }
 
   /** Returns the request that is to start next, none if no planned request waits any more. */
   Option<SlotRequest> first() {
-    return firstInTime().orElse(() -> firstWaiting(late));
-  }
-
-  /** Returns the next request that is expected to end in time. */
-  Option<SlotRequest> firstInTime() {
-    return firstWaiting(inTime);
-  }
-
-  private Option<SlotRequest> firstWaiting(Deque<SlotRequest> planned) {
     while (!planned.isEmpty() && !waiting.containsKey(planned.peekFirst().id())) {
       planned.pollFirst();
     }
     return Option.of(planned.peekFirst());
   }
-
-  private static void replace(Deque<SlotRequest> planned, List<SlotRequest> next) {
-    planned.clear();
-    planned.addAll(next);
-  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -39,13 +39,12 @@
   /**
    * A run that occupies a slot.
    *
-   * @param request the request that runs; none for a run that started under another coordinator
+   * @param adopted whether it started under another coordinator
    * @param online whether a caller waits for the run
    * @param work the work of a batch run, none if it is not known
    * @param startedAt when it started
    */
-  record Run(
-      Option<SlotRequest> request, boolean online, Option<BatchWork> work, Instant startedAt) {
+  record Run(boolean adopted, boolean online, Option<BatchWork> work, Instant startedAt) {
     /**
      * Returns when a batch run is expected to end; the start of the run if too little is known of
      * it.
@@ -116,13 +115,12 @@
   }
 
   void startRun(SlotRequest request, Instant now) {
-    runs.put(
-        request.id(), new Run(Option.some(request), request.isOnline(), request.batchWork(), now));
+    runs.put(request.id(), new Run(false, request.isOnline(), request.batchWork(), now));
     request.promptParts().forEach(p -> recentParts.put(p, true));
   }
 
   void addExistingRun(RunId id, boolean online, Option<BatchWork> work, Instant startedAt) {
-    runs.putIfAbsent(id, new Run(Option.none(), online, work, startedAt));
+    runs.putIfAbsent(id, new Run(true, online, work, startedAt));
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -514,7 +514,7 @@
     }
     if (!run.online()) {
       batchRunTimes.recordCompleted(end.events(), end.meanGap());
-    } else if (run.request().isDefined()) {
+    } else if (!run.adopted()) {
       double millis = Duration.between(run.startedAt(), now).toNanos() / 1e6;
       meanRunMillis += RUN_TIME_SMOOTHING * (millis - meanRunMillis);
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/FleetHosts.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/FleetHosts.java
@@ -40,6 +40,11 @@
     return registrationOrder;
   }
 
+  /** Returns the ids of all hosts but one, the longest registered first. */
+  public List<HostId> othersThan(HostId id) {
+    return registrationOrder.stream().map(FleetHost::id).filter(h -> !h.equals(id)).toList();
+  }
+
   /** Returns the newest process of a host, none if the host is not registered. */
   public Option<FleetHost> findHost(HostId id) {
     return Option.of(byId.get(id));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -1,7 +1,6 @@
 package org.waxwingcourse.fleet.view;
 
 import io.vavr.control.Option;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -25,11 +24,14 @@
  * <p>Listeners are called after each change, outside the lock, by the thread that made the change.
  */
 public final class StoreTable {
-  private final Map<String, Entry> entries = new TreeMap<>();
+  private final Map<String, MeaningfulEntry> entries = new TreeMap<>();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private final Function<Entry, Object> meaning;
   private Revision revision = Revision.NONE;
 
+  /** An entry and what it means, which is read once only. */
+  private record MeaningfulEntry(Entry entry, Object meaning) {}
+
   /** Creates an empty table in which each write of an entry is a change. */
   public StoreTable() {
     this(entry -> entry);
@@ -46,12 +48,12 @@
 
   /** Returns the entries in key order. */
   public synchronized List<Entry> entries() {
-    return new ArrayList<>(entries.values());
+    return entries.values().stream().map(MeaningfulEntry::entry).toList();
   }
 
   /** Returns the entry with the given key, none if there is none. */
   public synchronized Option<Entry> get(String key) {
-    return Option.of(entries.get(key));
+    return Option.of(entries.get(key)).map(MeaningfulEntry::entry);
   }
 
   /** Returns the revision up to which the content is known to be current. */
@@ -83,8 +85,8 @@
       if (revision.isAfter(asOf)) {
         return;
       }
-      Map<String, Entry> newEntries = new TreeMap<>();
-      content.forEach(e -> newEntries.put(e.key(), e));
+      Map<String, MeaningfulEntry> newEntries = new TreeMap<>();
+      content.forEach(e -> newEntries.put(e.key(), read(e)));
       changed = !meanings(newEntries).equals(meanings(entries)) || revision.equals(Revision.NONE);
       entries.clear();
       entries.putAll(newEntries);
@@ -101,8 +103,9 @@
         return;
       }
       for (Entry put : puts) {
-        Entry previous = entries.put(put.key(), put);
-        changed |= previous == null || !meaning.apply(previous).equals(meaning.apply(put));
+        MeaningfulEntry next = read(put);
+        MeaningfulEntry previous = entries.put(put.key(), next);
+        changed |= previous == null || !previous.meaning.equals(next.meaning);
       }
       for (String key : deletes) {
         changed |= entries.remove(key) != null;
@@ -112,9 +115,13 @@
     notifyListeners(changed);
   }
 
-  private Map<String, Object> meanings(Map<String, Entry> content) {
+  private MeaningfulEntry read(Entry entry) {
+    return new MeaningfulEntry(entry, meaning.apply(entry));
+  }
+
+  private static Map<String, Object> meanings(Map<String, MeaningfulEntry> content) {
     Map<String, Object> meanings = new HashMap<>();
-    content.forEach((key, entry) -> meanings.put(key, meaning.apply(entry)));
+    content.forEach((key, known) -> meanings.put(key, known.meaning));
     return meanings;
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -136,7 +136,6 @@
                     null,
                     null)),
             new RunnerName(SELF, 1),
-            timer,
             clock,
             () -> Duration.ofMillis(4),
             () -> Duration.ofMillis(20));
