--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
@@ -234,6 +234,10 @@
     registeredAt = done.revision();
     lease = Option.some(granted);
     LOG.write(Event.HOST_REGISTERED, host.id(), host.boot(), granted.id().value());
+    if (host.leaving()) {
+      // The entry just written may still invite callers.
+      writeEntry(granted.id());
+    }
     newTermListener.run();
     timer.schedule(this::sendRenewal, RENEWAL_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
   }
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/HostEntryRegistrationTest.java
@@ -0,0 +1,77 @@
+package org.waxwingcourse.fleet.view;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.lang.reflect.Proxy;
+import java.security.SecureRandom;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Store;
+
+/** Tests the entry by which a host is known to the fleet. */
+class HostEntryRegistrationTest {
+  private static final HostId SELF = HostId.of("self");
+
+  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  private final Clocks clocks = new Clocks(clock, clock);
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final MemoryStore store = MemoryStore.of(clock);
+  private final CompletableFuture<Void> answersMayArrive = new CompletableFuture<>();
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  /** Returns the store, with the answer to each write of this host's entry held back. */
+  private Store holdingAnswers() {
+    return (Store)
+        Proxy.newProxyInstance(
+            Store.class.getClassLoader(),
+            new Class<?>[] {Store.class},
+            (self, method, arguments) -> {
+              Object answer = method.invoke(store, arguments);
+              return method.getName().equals("write") && !entries().isEmpty()
+                  ? answersMayArrive.thenCompose(v -> (CompletableFuture<?>) answer)
+                  : answer;
+            });
+  }
+
+  private List<Entry> entries() {
+    return store.readDirectly(KeyRange.ofPrefix(StoreKeys.HOSTS_PREFIX)).entries();
+  }
+
+  /** Otherwise callers are sent to the host until it has ended. */
+  @Test
+  void hostToldToStopWhileItRegistersIsListedAsLeaving() throws Exception {
+    HostEntryRegistration registration =
+        new HostEntryRegistration(
+            FleetFixtures.host(SELF, 1),
+            holdingAnswers(),
+            StoreView.of(document -> Either.left("none"), clocks),
+            clocks,
+            timer,
+            new SecureRandom());
+    registration.start().get(5, TimeUnit.SECONDS);
+    while (entries().isEmpty()) {
+      Thread.sleep(5);
+    }
+    registration.announceLeaving();
+    answersMayArrive.complete(null);
+    timer.submit(() -> {}).get(5, TimeUnit.SECONDS);
+    assertThat(FleetHost.parse(entries().get(0)).get().leaving()).isTrue();
+  }
+}
