Starting hosts ask one host for its views and wait for the fleet's coordinator

Each starting host also followed the store until it was attached: two reads, a read of the configuration and two watches for nothing.

Ruled out: lost pongs (the hosts attached to the same coordinator a second later); rates used up (no request ran).

Change: a ping says whether its sender wants views; only the coordinator, or one host that tells of a newer configuration, is asked. A starting host that would choose itself waits, within its patience, if a listed process of higher rank answers.

Before: the three new tests of CoordinatorLossTest fail (95 followers; a starting host gets a table from each host; starting hosts choose themselves 140 ms after their start). After: they pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -91,6 +91,9 @@
   /** Hosts that start together discover each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
+  /** A host that was asked for its views sends them within this time. */
+  private static final Duration VIEWS_TIMEOUT = Duration.ofMillis(300);
+
   /** Rank of a process that has not registered. */
   private static final Revision LAST_RANK = Revision.of(Long.MAX_VALUE);
 
@@ -118,6 +121,7 @@
   private Instant lastContactAt;
   private Instant contactLostAt = FAR_FUTURE;
   private Instant levelsReportedAt = Instant.MIN;
+  private Instant viewsAskedAt = Instant.EPOCH;
 
   /**
    * Creates the link of {@code self}, which is not attached to a coordinator yet.
@@ -167,18 +171,17 @@
    */
   public void updateAttachment() {
     Instant now = clocks.instant();
+    recordFirstTick(now);
     List<HostId> candidates = candidateOrder();
     ownPingTicks = pingIntervalTicks(candidates);
     HostId newCoordinator;
     List<HostId> detachedHosts;
     synchronized (this) {
-      newCoordinator =
-          CoordinatorChoice.choose(
-              candidates, self.id(), h -> isAnswering(h, now), h -> countsAsInContact(h, now));
+      newCoordinator = chooseAmong(candidates, now);
       detachedHosts = removeDetached(now);
     }
     detachedHosts.forEach(this::onDetached);
-    if (!newCoordinator.equals(coordinatorId) && mayChooseCoordinator(candidates, now)) {
+    if (!newCoordinator.equals(coordinatorId) && mayChoose(newCoordinator, candidates, now)) {
       changeCoordinator(newCoordinator, now);
     }
     slots.resendLostMessages();
@@ -186,7 +189,7 @@
     if (coordinatorId == null || tickCount % ownPingTicks == 0) {
       ping(candidates, now);
     }
-    updateFollowing(newCoordinator, now);
+    updateFollowing(now);
     coordinator.setFleetShare(fleetShare());
   }
 
@@ -205,10 +208,13 @@
     if (coordinatorId != null || !now.isAfter(firstPongAt.plus(PONG_SPREAD))) {
       return false;
     }
-    HostId first = candidateOrder().get(0);
-    return first.equals(self.id())
-        || isAnswering(first, now)
-        || now.isAfter(firstPongAt.plus(STARTING_PONG_SPREAD));
+    List<HostId> candidates = candidateOrder();
+    HostId first = candidates.get(0);
+    boolean hasWaited =
+        first.equals(self.id())
+            || isAnswering(first, now)
+            || now.isAfter(firstPongAt.plus(STARTING_PONG_SPREAD));
+    return hasWaited && !isJoining(chooseAmong(candidates, now), candidates, now);
   }
 
   /** Returns whether slots can be requested: a coordinator that reads the store has been chosen. */
@@ -246,15 +252,8 @@
         .evidence()
         .age()
         .forEach(a -> pong.setHasEvidence(true).setEvidenceAgeNanos(a.toNanos()));
-    storeView
-        .document()
-        .filter(d -> d.revision().value() > ping.getConfiguration())
-        .forEach(d -> pong.setConfiguration(ByteString.copyFrom(d.bytes())));
-    if (storeView.engineTable().revision().value() > ping.getEngines()) {
-      pong.setEngines(FleetMessageConverter.encodeTable(storeView.engineTable()));
-    }
-    if (storeView.hostTable().revision().value() > ping.getHosts()) {
-      pong.setHosts(FleetMessageConverter.encodeTable(storeView.hostTable()));
+    if (!ping.getWithoutViews()) {
+      addViews(ping, pong);
     }
     if (ping.getAttached()) {
       coordinator
@@ -267,6 +266,19 @@
     send(from, FleetMessage.newBuilder().setPong(pong));
   }
 
+  private void addViews(Ping ping, Pong.Builder pong) {
+    storeView
+        .document()
+        .filter(d -> d.revision().value() > ping.getConfiguration())
+        .forEach(d -> pong.setConfiguration(ByteString.copyFrom(d.bytes())));
+    if (storeView.engineTable().revision().value() > ping.getEngines()) {
+      pong.setEngines(FleetMessageConverter.encodeTable(storeView.engineTable()));
+    }
+    if (storeView.hostTable().revision().value() > ping.getHosts()) {
+      pong.setHosts(FleetMessageConverter.encodeTable(storeView.hostTable()));
+    }
+  }
+
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
     synchronized (this) {
@@ -295,6 +307,9 @@
     if (pong.hasHosts()) {
       FleetMessageConverter.applyTable(pong.getHosts(), storeView.hostTable());
     }
+    if (revision.isAfter(storeView.planRevision()) && mayAskForViews(now)) {
+      ping(from, true);
+    }
     if (pong.getHasEvidence() && !revision.isAfter(storeView.planRevision())) {
       ClockReading sent =
           FleetMessageConverter.toClockReading(pong.getSentNanos(), pong.getSentMillis());
@@ -304,20 +319,54 @@
     }
   }
 
+  /** Returns whether this host has not asked for newer views within the time of an answer. */
+  private synchronized boolean mayAskForViews(Instant now) {
+    if (now.isBefore(viewsAskedAt.plus(VIEWS_TIMEOUT))) {
+      return false;
+    }
+    viewsAskedAt = now;
+    return true;
+  }
+
   /**
    * Returns whether this host may choose a coordinator. A host that has just started waits for the
    * pongs of the others first; otherwise it would coordinate for a moment with empty token buckets
    * and refuse requests that the fleet has room for.
    */
-  private synchronized boolean mayChooseCoordinator(List<HostId> candidates, Instant now) {
-    if (firstTickAt == null) {
-      firstTickAt = now;
-    }
+  private synchronized boolean mayChoose(HostId chosen, List<HostId> candidates, Instant now) {
     Duration patience = PONG_TIMEOUT.multipliedBy(pingIntervalTicks());
     return coordinatorId != null
         || candidates.size() == 1
-        || !lastPongs.isEmpty()
-        || now.isAfter(firstTickAt.plus(patience));
+        || now.isAfter(firstTickAt.plus(patience))
+        || !lastPongs.isEmpty() && !isJoining(chosen, candidates, now);
+  }
+
+  /**
+   * Returns whether this host has started in a fleet that runs, but does not hear its coordinator
+   * yet: it would choose itself although a process that the store lists with a higher rank answers.
+   * A host that coordinates only for itself may hand out no more than its share of each rate.
+   */
+  private boolean isJoining(HostId chosen, List<HostId> candidates, Instant now) {
+    return chosen.equals(self.id())
+        && candidates.subList(0, candidates.indexOf(self.id())).stream()
+            .anyMatch(h -> isAnswering(h, now) && isListed(h));
+  }
+
+  /** Returns whether the process that has answered for a host is the one that the store lists. */
+  private boolean isListed(HostId host) {
+    return storeView.fleetHosts().findHost(host).exists(h -> h.boot() == lastPongs.get(host).boot);
+  }
+
+  private HostId chooseAmong(List<HostId> candidates, Instant now) {
+    return CoordinatorChoice.choose(
+        candidates, self.id(), h -> isAnswering(h, now), h -> countsAsInContact(h, now));
+  }
+
+  private synchronized void recordFirstTick(Instant now) {
+    if (firstTickAt == null) {
+      firstTickAt = now;
+      lastContactAt = now;
+    }
   }
 
   private int pingIntervalTicks(List<HostId> candidates) {
@@ -413,7 +462,7 @@
         previous,
         storeView.hostTable().revision().value());
     if (!newCoordinator.equals(self.id())) {
-      ping(newCoordinator);
+      ping(newCoordinator, true);
     } else if (previous != null && !isAnswering(previous, now)) {
       reportLost(previous);
     }
@@ -439,8 +488,8 @@
       probedAt.put(reported, clocks.instant());
     }
     LOG.write(Event.COORDINATOR_SUSPECTED, reported, from);
-    ping(reported);
-    ping(from);
+    ping(reported, false);
+    ping(from, false);
   }
 
   private void ping(List<HostId> candidates, Instant now) {
@@ -453,10 +502,19 @@
       storeView.fleetHosts().inRegistrationOrder().forEach(h -> receivers.add(h.id()));
     }
     receivers.remove(self.id());
-    receivers.forEach(this::ping);
+    if (coordinatorSince.equals(now)) {
+      // It was pinged as it was chosen; a second ping would bring the views twice.
+      receivers.remove(coordinatorId);
+    }
+    receivers.forEach(h -> ping(h, h.equals(coordinatorId)));
   }
 
-  private void ping(HostId host) {
+  /**
+   * Sends a ping. Only one host at a time is asked for the views that this host lacks: if each of
+   * many starting hosts received them from all others, the network and the processors would be busy
+   * with nothing else.
+   */
+  private void ping(HostId host, boolean asksForViews) {
     ClockReading sent = clocks.now();
     Ping.Builder ping =
         Ping.newBuilder()
@@ -467,18 +525,24 @@
             .setConfiguration(storeView.planRevision().value())
             .setEngines(storeView.engineTable().revision().value())
             .setHosts(storeView.hostTable().revision().value())
-            .setTakesCallers(self.takesCallers());
+            .setTakesCallers(self.takesCallers())
+            .setWithoutViews(!asksForViews);
     send(host, FleetMessage.newBuilder().setPing(ping));
   }
 
-  private void updateFollowing(HostId chosen, Instant now) {
+  /**
+   * Follows the store if other hosts depend on this one or the coordinator is without contact to
+   * it. A host that starts first waits for a coordinator, which sends it the content of the store.
+   */
+  private void updateFollowing(Instant now) {
     boolean servesHosts;
     boolean withoutContact;
     synchronized (this) {
-      if (isInContact(chosen) && !chosen.equals(self.id())) {
+      boolean coordinates = self.id().equals(coordinatorId);
+      if (coordinatorId != null && !coordinates && isInContact(coordinatorId)) {
         lastContactAt = now;
       }
-      servesHosts = chosen.equals(self.id()) || !attachedHosts.isEmpty();
+      servesHosts = coordinates || !attachedHosts.isEmpty();
       withoutContact = now.isAfter(lastContactAt.plus(FOLLOW_DELAY));
     }
     follower.setFollowing(servesHosts || withoutContact);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -48,6 +48,9 @@
   private static final Duration STEP = Duration.ofMillis(10);
   private static final Duration MAX_TAKE_OVER = Duration.ofSeconds(1);
 
+  /** The coordinator and those that may take its place. */
+  private static final int MAX_FOLLOWERS = 3;
+
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final Clocks clocks = new Clocks(clock, clock);
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -58,7 +61,16 @@
   private final Set<HostId> cutFromStore = new HashSet<>();
   private final Map<HostId, Integer> receivedBy = new HashMap<>();
 
-  private record Message(HostId from, HostId to, FleetMessage content) {}
+  private final Set<HostId> readingOnce = new HashSet<>();
+  private final Map<HostId, Duration> answerDelays = new HashMap<>();
+  private final Map<HostId, Integer> tablesReceivedBy = new HashMap<>();
+
+  private record Message(HostId from, HostId to, FleetMessage content, Instant dueAt) {}
+
+  private void send(HostId from, HostId to, FleetMessage content) {
+    Duration delay = answerDelays.getOrDefault(from, Duration.ZERO);
+    network.add(new Message(from, to, content, clock.instant().plus(delay)));
+  }
 
   /** The parts of one host that choose a coordinator. */
   private final class Member {
@@ -66,18 +78,17 @@
     private final SlotClient slots;
     private final CoordinatorLink link;
     private final FleetMessageRouter router;
+    private final StoreFollower follower;
 
     Member(FleetHost self, Revision registered) {
-      PeerTransport peers =
-          FleetFixtures.recordingPeers((to, m) -> network.add(new Message(self.id(), to, m)));
+      PeerTransport peers = FleetFixtures.recordingPeers((to, m) -> send(self.id(), to, m));
       slots = new SlotClient(peers, clock, FleetFixtures.DATA_CENTRE, List::of);
       Coordinator coordinator = new Coordinator(peers, clock);
       StoreFollower.Sources sources =
           new StoreFollower.Sources(KeyRange.ofPrefix("o/"), "o/plan", KeyRange.ofPrefix("e/"));
       MemoryStore store = MemoryStore.of(InstantSource.system());
       store.setFaults(store.faults().withOutage(StoreFaults.Outage.SILENT));
-      StoreFollower follower =
-          new StoreFollower(store, storeView, clocks, timer, sources, orders -> {});
+      follower = new StoreFollower(store, storeView, clocks, timer, sources, orders -> {});
       link =
           new CoordinatorLink(
               self, peers, storeView, clocks, follower, coordinator, slots, () -> registered);
@@ -125,7 +136,7 @@
 
   private void tick(HostId id) {
     Member member = members.get(id);
-    if (!cutFromStore.contains(id)) {
+    if (!cutFromStore.contains(id) && !readingOnce.contains(id)) {
       ClockReading now = clocks.now();
       member.storeView.evidence().recordOwnRead(now);
     }
@@ -135,8 +146,13 @@
   private void deliver() {
     for (int n = network.size(); n > 0; n--) {
       Message message = network.poll();
-      if (!silent.contains(message.to) && !silent.contains(message.from)) {
+      if (message.dueAt.isAfter(clock.instant())) {
+        network.add(message);
+      } else if (!silent.contains(message.to) && !silent.contains(message.from)) {
         receivedBy.merge(message.to, 1, Integer::sum);
+        if (message.content.getPong().hasEngines()) {
+          tablesReceivedBy.merge(message.to, 1, Integer::sum);
+        }
         members.get(message.to).router.onMessage(message.from, message.content.toByteArray());
       }
     }
@@ -203,17 +219,98 @@
   void hostsThatRestartTogetherAgreeOnOneCoordinatorWithinASecond() {
     createFleet(11);
     run(Duration.ofSeconds(3));
+    restartAll();
+    run(Duration.ofSeconds(1));
+    assertThat(attachedTo(ids.get(10))).isEqualTo(11);
+    run(Duration.ofSeconds(3));
+    assertThat(attachedTo(ids.get(10))).isEqualTo(11);
+  }
+
+  /** Replaces all hosts by new processes; the last host registers first. */
+  private void restartAll() {
     List<Entry> earlier = members.get(ids.get(0)).storeView.hostTable().entries();
     members.clear();
     for (int i = 0; i < ids.size(); i++) {
       FleetHost restarted = FleetFixtures.host(ids.get(i), 2);
-      Member member = new Member(restarted, Revision.of(100 - i));
-      member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(50), earlier));
+      Member member = new Member(restarted, Revision.of(1000 - i));
+      member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(500), earlier));
       members.put(ids.get(i), member);
     }
+  }
+
+  /** A host that follows the store makes six calls for it; those that attach need none of them. */
+  @Test
+  void hostsThatStartTogetherDoNotAllFollowTheStore() {
+    createFleet(95);
+    run(Duration.ofSeconds(3));
+    restartAll();
+    Set<HostId> followers = new HashSet<>();
+    for (int i = 0; i < 300; i++) {
+      run(STEP);
+      ids.stream().filter(id -> members.get(id).follower.isFollowing()).forEach(followers::add);
+    }
+    assertThat(attachedTo(ids.get(94))).isEqualTo(95);
+    assertThat(followers).contains(ids.get(94)).hasSizeLessThanOrEqualTo(MAX_FOLLOWERS);
+  }
+
+  /** Adds processes that have not registered; they have read the store once. */
+  private List<HostId> addStartingHosts(int count) {
+    List<Entry> entries = members.get(ids.get(0)).storeView.hostTable().entries();
+    List<HostId> added = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      FleetHost host = FleetFixtures.host(HostId.of("started-%03d".formatted(i)), 1);
+      Member member = new Member(host, Revision.NONE);
+      member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(500), entries));
+      member.storeView.evidence().recordOwnRead(clocks.now());
+      members.put(host.id(), member);
+      readingOnce.add(host.id());
+      added.add(host.id());
+    }
+    ids.addAll(added);
+    return added;
+  }
+
+  private void listEngines() {
+    Entry engine =
+        new Entry("e/1", new byte[] {1}, Revision.of(600), Revision.of(600), LeaseId.NONE);
+    members
+        .values()
+        .forEach(
+            m ->
+                m.storeView
+                    .engineTable()
+                    .replaceFromRead(new Snapshot(Revision.of(600), List.of(engine))));
+  }
+
+  /**
+   * Load pattern: after a loss of all power most hosts start while a few already serve. Each asks
+   * all others for a sign of life; a table from each of them would starve the coordinator.
+   */
+  @Test
+  void startingHostsGetTheTablesFromFewHosts() {
+    createFleet(30);
+    run(Duration.ofSeconds(3));
+    listEngines();
+    List<HostId> started = addStartingHosts(65);
     run(Duration.ofSeconds(1));
-    assertThat(attachedTo(ids.get(10))).isEqualTo(11);
+    assertThat(attachedTo(ids.get(0))).isEqualTo(95);
+    assertThat(started).allMatch(id -> tablesReceivedBy.getOrDefault(id, 0) == 1);
+  }
+
+  /** The same with a coordinator that answers late, since all hosts attach to it at once. */
+  @Test
+  void startingHostsWaitForACoordinatorThatAnswersLate() {
+    createFleet(30);
+    readingOnce.addAll(ids.subList(1, 30));
     run(Duration.ofSeconds(3));
-    assertThat(attachedTo(ids.get(10))).isEqualTo(11);
+    answerDelays.put(ids.get(0), Duration.ofMillis(350));
+    List<HostId> started = addStartingHosts(65);
+    for (int i = 0; i < 200; i++) {
+      run(STEP);
+      assertThat(started)
+          .as("after " + 10 * (i + 1) + " ms")
+          .noneMatch(id -> members.get(id).slots.coordinator().contains(id));
+    }
+    assertThat(attachedTo(ids.get(0))).isEqualTo(95);
   }
 }
