Callers are not sent to hosts that have not started again, and return when hosts have attached

Ruled out: a larger part of the rate at once (two coordinators on both sides of a cut would admit more than the rate together).

OrganisationRateLimiter.returnTime: while the share grows the caller is told to return after a second or the wait at the whole rate.

Before: callersAreNotSentToHostsThatHaveNotStartedAgain and callersReturnWhenTheHostsThatStartHaveAttached fail with the two new rules switched off. After: they pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -240,7 +240,7 @@
    */
   public List<String> callerAddresses(String serviceName) {
     return RendezvousHash.rank(
-            storeView.fleetHosts().callerHosts(), (FleetHost h) -> h.id().value(), serviceName)
+            coordinatorLink.callerHosts(), (FleetHost h) -> h.id().value(), serviceName)
         .stream()
         .limit(MAX_HOSTS_IN_ANSWER)
         .flatMap(h -> h.callerAddress().toJavaStream())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -160,7 +160,7 @@
         request.chargedTo().map(o -> rates.acquireToken(o, patience, now)).getOrElse(Duration.ZERO);
     if (wait.compareTo(patience) > 0) {
       String reason = "organisation \"" + ask.getOrganisation() + "\" is over its rate";
-      sendRefusal(new SlotDecision.Refuse(request, true, now.plus(wait), reason));
+      sendRefusal(new SlotDecision.Refuse(request, true, rates.returnTime(wait, now), reason));
     } else if (wait.isZero()) {
       execute(scheduler(request.service()).submit(request, now));
     } else {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -112,6 +112,7 @@
   private final Map<HostId, AttachedHost> attachedHosts = new HashMap<>();
   private final Map<OrganisationId, Long> reportedLevels = new HashMap<>();
   private final Map<HostId, Instant> probedAt = new HashMap<>();
+  private final SearchedHosts searchedHosts = new SearchedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
   private Instant firstPongAt = FAR_FUTURE;
@@ -217,6 +218,17 @@
     return hasWaited && !isJoining(chooseAmong(candidates, now), candidates, now);
   }
 
+  /** Returns the hosts that callers may be sent to, all that are listed if none has answered. */
+  public List<FleetHost> callerHosts() {
+    Instant now = clocks.instant();
+    List<FleetHost> all = storeView.fleetHosts().callerHosts();
+    List<FleetHost> answering =
+        all.stream()
+            .filter(h -> h.id().equals(self.id()) || !searchedHosts.isSilent(h, now))
+            .toList();
+    return answering.isEmpty() ? all : answering;
+  }
+
   /** Returns whether slots can be requested: a coordinator that reads the store has been chosen. */
   public synchronized boolean isAttached() {
     return coordinatorId != null && isInContact(coordinatorId);
@@ -281,6 +293,7 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
+    searchedHosts.recordAnswer(from);
     synchronized (this) {
       firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
       lastPongs.put(
@@ -499,7 +512,11 @@
     }
     boolean allSilent = receivers.stream().noneMatch(h -> isAnswering(h, now));
     if (allSilent) {
-      storeView.fleetHosts().inRegistrationOrder().forEach(h -> receivers.add(h.id()));
+      List<FleetHost> hosts = storeView.fleetHosts().inRegistrationOrder();
+      hosts.forEach(h -> receivers.add(h.id()));
+      if (coordinatorId == null) {
+        searchedHosts.recordSearch(hosts, now);
+      }
     }
     receivers.remove(self.id());
     if (coordinatorSince.equals(now)) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/OrganisationRateLimiter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/OrganisationRateLimiter.java
@@ -27,10 +27,17 @@
    */
   private static final long INITIAL_TOKENS = 8 * TokenBucket.TOKEN;
 
+  /**
+   * Hosts that start together attach within this time of one another; while the share of the fleet
+   * grows, a wait worked out from the present share is far too long.
+   */
+  private static final Duration SHARE_GROWTH_INTERVAL = Duration.ofMillis(1000);
+
   private final Map<OrganisationId, TokenBucket> buckets = new HashMap<>();
   private final Map<OrganisationId, Long> restoredLevels = new HashMap<>();
   private OrganisationTable organisations;
   private double fleetShare;
+  private Instant shareGrewAt = Instant.EPOCH;
 
   /** The largest fleet share for which initial tokens have been added. */
   private double initialTokensShare;
@@ -43,6 +50,7 @@
   /** Sets the rates and the share of the fleet that is attached here, in [0, 1]. */
   public synchronized void update(OrganisationTable table, double newFleetShare, Instant now) {
     organisations = table;
+    shareGrewAt = newFleetShare > fleetShare ? now : shareGrewAt;
     fleetShare = newFleetShare;
     addInitialTokens(now);
     buckets.keySet().removeIf(id -> !table.byId(id).exists(OrganisationPlan::isLimited));
@@ -61,6 +69,28 @@
         : Duration.ZERO;
   }
 
+  /**
+   * Returns when the caller of a request that would have to wait too long for its token may return.
+   * While hosts attach that is when the share of the fleet, and the rate with it, has grown, not
+   * when the present share would do.
+   */
+  public synchronized Instant returnTime(Duration wait, Instant now) {
+    boolean isGrowing = fleetShare < 1 && now.isBefore(shareGrewAt.plus(SHARE_GROWTH_INTERVAL));
+    if (!isGrowing) {
+      return now.plus(wait);
+    }
+    Duration atWholeRate = Duration.ofNanos((long) (wait.toNanos() * fleetShare));
+    return now.plus(max(atWholeRate, min(wait, SHARE_GROWTH_INTERVAL)));
+  }
+
+  private static Duration max(Duration a, Duration b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+
+  private static Duration min(Duration a, Duration b) {
+    return a.compareTo(b) < 0 ? a : b;
+  }
+
   /** Returns the token of a request that was not run. */
   public synchronized void returnToken(OrganisationId id, Instant now) {
     TokenBucket bucket = buckets.get(id);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -34,13 +34,22 @@
 
   /** Returns a host that serves no callers. */
   public static FleetHost host(HostId id, long boot) {
+    return host(id, boot, Option.none());
+  }
+
+  /** Returns a host to which callers are sent. */
+  public static FleetHost callerHost(HostId id, long boot) {
+    return host(id, boot, Option.some("127.0.0.1:2"));
+  }
+
+  private static FleetHost host(HostId id, long boot, Option<String> callerAddress) {
     return new FleetHost(
         id,
         boot,
         DATA_CENTRE,
         "r",
         new InetSocketAddress("127.0.0.1", 1),
-        Option.none(),
+        callerAddress,
         false,
         Revision.NONE);
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -105,7 +106,7 @@
     List<Entry> entries = new ArrayList<>();
     List<FleetHost> hosts = new ArrayList<>();
     for (int i = 0; i < size; i++) {
-      FleetHost host = FleetFixtures.host(HostId.of("host-%03d".formatted(i)), 1);
+      FleetHost host = FleetFixtures.callerHost(HostId.of("host-%03d".formatted(i)), 1);
       hosts.add(host);
       ids.add(host.id());
       Revision created = Revision.of(i + 1);
@@ -231,7 +232,7 @@
     List<Entry> earlier = members.get(ids.get(0)).storeView.hostTable().entries();
     members.clear();
     for (int i = 0; i < ids.size(); i++) {
-      FleetHost restarted = FleetFixtures.host(ids.get(i), 2);
+      FleetHost restarted = FleetFixtures.callerHost(ids.get(i), 2);
       Member member = new Member(restarted, Revision.of(1000 - i));
       member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(500), earlier));
       members.put(ids.get(i), member);
@@ -258,7 +259,7 @@
     List<Entry> entries = members.get(ids.get(0)).storeView.hostTable().entries();
     List<HostId> added = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      FleetHost host = FleetFixtures.host(HostId.of("started-%03d".formatted(i)), 1);
+      FleetHost host = FleetFixtures.callerHost(HostId.of("started-%03d".formatted(i)), 1);
       Member member = new Member(host, Revision.NONE);
       member.storeView.hostTable().replaceFromRead(new Snapshot(Revision.of(500), entries));
       member.storeView.evidence().recordOwnRead(clocks.now());
@@ -313,4 +314,46 @@
     }
     assertThat(attachedTo(ids.get(0))).isEqualTo(95);
   }
+
+  /** Load pattern: as all hosts restart, the slow ones start seconds after the others. */
+  @Test
+  void callersAreNotSentToHostsThatHaveNotStartedAgain() {
+    createFleet(95);
+    run(Duration.ofSeconds(3));
+    restartAll();
+    silent.addAll(ids.subList(0, 80));
+    run(Duration.ofMillis(800));
+    assertThat(callerHosts(ids.get(94))).isEqualTo(Set.copyOf(ids.subList(80, 95)));
+    run(Duration.ofSeconds(3));
+    assertThat(callerHosts(ids.get(94))).as("entries that are still listed").hasSize(95);
+  }
+
+  @Test
+  void hostThatStartsCutOffFromTheOthersNamesAllHosts() {
+    createFleet(30);
+    run(Duration.ofSeconds(3));
+    silent.addAll(ids);
+    HostId started = addStartingHosts(1).get(0);
+    for (int i = 0; i < 100; i++) {
+      run(STEP);
+      assertThat(callerHosts(started)).hasSize(30);
+    }
+  }
+
+  @Test
+  void hostThatStartsInARunningFleetNamesAllThatRun() {
+    createFleet(30);
+    run(Duration.ofSeconds(3));
+    HostId started = addStartingHosts(1).get(0);
+    for (int i = 0; i < 100; i++) {
+      run(STEP);
+      assertThat(callerHosts(started)).hasSize(30);
+    }
+  }
+
+  private Set<HostId> callerHosts(HostId host) {
+    return members.get(host).link.callerHosts().stream()
+        .map(FleetHost::id)
+        .collect(Collectors.toSet());
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrganisationRateLimiterTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/OrganisationRateLimiterTest.java
@@ -116,4 +116,25 @@
     OrganisationRateLimiter rates = rates(9, 3, 1 / 9.0);
     assertThat(rates.acquireToken(ID, Duration.ZERO, START.plusSeconds(5))).isZero();
   }
+
+  /** Load pattern: all hosts restart, and the first of them get the traffic of all. */
+  @Test
+  void callersReturnWhenTheHostsThatStartHaveAttached() {
+    OrganisationRateLimiter rates = rates(1, 4, 1 / 80.0);
+    Instant now = START.plusMillis(200);
+    rates.acquireToken(ID, Duration.ZERO, now);
+    Duration wait = rates.acquireToken(ID, Duration.ZERO, now);
+    assertThat(wait).isGreaterThan(Duration.ofSeconds(9));
+    assertThat(rates.returnTime(wait, now)).isEqualTo(now.plusSeconds(1));
+  }
+
+  @Test
+  void callersOfAPartOfTheFleetThatStaysAPartReturnAtItsRate() {
+    OrganisationRateLimiter rates = rates(1, 4, 1 / 2.0);
+    Instant now = START.plusSeconds(2);
+    rates.acquireToken(ID, Duration.ZERO, now);
+    rates.acquireToken(ID, Duration.ZERO, now);
+    Duration wait = rates.acquireToken(ID, Duration.ZERO, now);
+    assertThat(rates.returnTime(wait, now)).isEqualTo(now.plus(wait));
+  }
 }
