A poll for results reads a job's record once while its runner has restarted

Cause: a host that does not know a job reads its record, asks the runner named there, and read the record again if that host no longer runs the job.

Ruled out: reads that may be seconds old at a tenth of the price (a result that was read once could be missing in the next answer).

Change: the record just read is used if the runner has answered that it does not run the job, or cannot be asked; it is read again if the runner did not answer.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -184,7 +184,7 @@
     }
     CachedJob cached = cachedJobs.get(job);
     if (cached != null) {
-      return readCached(job, cached, organisation, after, patience);
+      return readCached(job, cached, Option.none(), organisation, after, patience);
     }
     return store
         .readRecord(job)
@@ -196,8 +196,9 @@
               if (answer.get().isEmpty()) {
                 return completed(new JobAnswer.NotFound());
               }
-              CachedJob cachedJob = updateCache(job, answer.get().get().record(), List.of());
-              return readCached(job, cachedJob, organisation, after, patience);
+              JobRecord record = answer.get().get().record();
+              CachedJob cachedJob = updateCache(job, record, List.of());
+              return readCached(job, cachedJob, Option.some(record), organisation, after, patience);
             });
   }
 
@@ -281,15 +282,26 @@
         .thenApply(nothing -> job.page(after));
   }
 
+  /**
+   * Returns results from the cache, from the job's runner or from the store.
+   *
+   * @param record the job's record if it has just been read
+   */
   private CompletableFuture<JobAnswer> readCached(
-      JobId job, CachedJob cached, OrganisationId organisation, int after, Duration patience) {
+      JobId job,
+      CachedJob cached,
+      Option<JobRecord> record,
+      OrganisationId organisation,
+      int after,
+      Duration patience) {
     if (!cached.belongsTo(organisation)) {
       return completed(new JobAnswer.NotFound());
     }
     if (cached.hasResultsAfter(after) || cached.isComplete()) {
       return completed(cached.page(after));
     }
-    return askRunner(job, cached, after, patience)
+    HostId host = cached.runner();
+    return askRunner(job, host, after, patience)
         .thenCompose(
             page -> {
               if (page.isDefined() && page.get().getKnown()) {
@@ -297,15 +309,23 @@
                 return completed(
                     new JobAnswer.Page(cached.itemCount(), after, page.get().getResultsList()));
               }
-              return loadFromStore(job)
+              // A runner that has answered that it does not run the job has added no results since.
+              Option<JobRecord> current =
+                  page.isDefined() || !mayAsk(host) ? record : Option.none();
+              return current
+                  .map(r -> loadResults(job, r))
+                  .getOrElse(() -> loadFromStore(job))
                   .thenApply(answer -> pageOrRefusal(answer, organisation, after));
             });
   }
 
+  private boolean mayAsk(HostId host) {
+    return !host.equals(self.host()) && ports.storeView().fleetHosts().findHost(host).isDefined();
+  }
+
   private CompletableFuture<Option<JobPage>> askRunner(
-      JobId job, CachedJob cached, int after, Duration patience) {
-    HostId host = cached.runner();
-    if (host.equals(self.host()) || ports.storeView().fleetHosts().findHost(host).isEmpty()) {
+      JobId job, HostId host, int after, Duration patience) {
+    if (!mayAsk(host)) {
       return completed(Option.none());
     }
     long number = lastNumber.incrementAndGet();
@@ -396,16 +416,21 @@
               if (answer.isLeft() || answer.get().isEmpty()) {
                 return completed(answer.map(o -> Option.<CachedJob>none()));
               }
-              JobRecord record = answer.get().get().record();
-              if (record.getListedCount() == 0) {
-                return completed(Either.right(Option.some(updateCache(job, record, List.of()))));
-              }
-              return store
-                  .readResults(job)
-                  .thenApply(r -> r.map(list -> Option.some(updateCache(job, record, list))));
+              return loadResults(job, answer.get().get().record());
             });
   }
 
+  /** Reads the results that a record lists and caches them. */
+  private CompletableFuture<Either<StoreFailure, Option<CachedJob>>> loadResults(
+      JobId job, JobRecord record) {
+    if (record.getListedCount() == 0) {
+      return completed(Either.right(Option.some(updateCache(job, record, List.of()))));
+    }
+    return store
+        .readResults(job)
+        .thenApply(r -> r.map(list -> Option.some(updateCache(job, record, list))));
+  }
+
   private CachedJob updateCache(JobId job, JobRecord record, List<JobResult> results) {
     CachedJob cachedJob = cachedJobs.computeIfAbsent(job, j -> new CachedJob(record));
     cachedJob.updateRunner(record);
