ViewExchange: what pings and pongs carry of the store is a class apart

Cause: CoordinatorLink chose coordinators and also moved the store's content. Change: the latter is ViewExchange, behaviour unchanged; ViewExchangeTest holds that one host at a time is asked for newer views.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -1,6 +1,5 @@
 package org.waxwingcourse.fleet.coordinate;
 
-import com.google.protobuf.ByteString;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
@@ -12,7 +11,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.StoreFollower;
@@ -91,9 +89,6 @@
   /** Hosts that start together discover each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
-  /** A host that was asked for its views sends them within this time. */
-  private static final Duration VIEWS_TIMEOUT = Duration.ofMillis(300);
-
   /** Rank of a process that has not registered. */
   private static final Revision LAST_RANK = Revision.of(Long.MAX_VALUE);
 
@@ -112,6 +107,7 @@
   private final Map<HostId, AttachedHost> attachedHosts = new HashMap<>();
   private final Map<OrganisationId, Long> reportedLevels = new HashMap<>();
   private final Map<HostId, Instant> probedAt = new HashMap<>();
+  private final ViewExchange views;
   private final SearchedHosts searchedHosts = new SearchedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
@@ -122,7 +118,6 @@
   private Instant lastContactAt;
   private Instant contactLostAt = FAR_FUTURE;
   private Instant levelsReportedAt = Instant.MIN;
-  private Instant viewsAskedAt = Instant.EPOCH;
 
   /**
    * Creates the link of {@code self}, which is not attached to a coordinator yet.
@@ -143,6 +138,7 @@
     this.peers = peers;
     this.storeView = storeView;
     this.clocks = clocks;
+    this.views = new ViewExchange(storeView, clocks);
     this.follower = follower;
     this.coordinator = coordinator;
     this.slots = slots;
@@ -258,15 +254,8 @@
             .setSentMillis(ping.getSentMillis())
             .setBoot(self.boot())
             .setRegistered(ownRegistration.get().value())
-            .setInContact(storeView.evidence().isOwnReadWithin(MAX_OWN_READ_AGE))
-            .setConfigurationRevision(storeView.planRevision().value());
-    storeView
-        .evidence()
-        .age()
-        .forEach(a -> pong.setHasEvidence(true).setEvidenceAgeNanos(a.toNanos()));
-    if (!ping.getWithoutViews()) {
-      addViews(ping, pong);
-    }
+            .setInContact(storeView.evidence().isOwnReadWithin(MAX_OWN_READ_AGE));
+    views.addTo(pong, ping);
     if (ping.getAttached()) {
       coordinator
           .rateLevels()
@@ -278,19 +267,6 @@
     send(from, FleetMessage.newBuilder().setPong(pong));
   }
 
-  private void addViews(Ping ping, Pong.Builder pong) {
-    storeView
-        .document()
-        .filter(d -> d.revision().value() > ping.getConfiguration())
-        .forEach(d -> pong.setConfiguration(ByteString.copyFrom(d.bytes())));
-    if (storeView.engineTable().revision().value() > ping.getEngines()) {
-      pong.setEngines(FleetMessageConverter.encodeTable(storeView.engineTable()));
-    }
-    if (storeView.hostTable().revision().value() > ping.getHosts()) {
-      pong.setHosts(FleetMessageConverter.encodeTable(storeView.hostTable()));
-    }
-  }
-
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
     searchedHosts.recordAnswer(from);
@@ -309,36 +285,9 @@
         levelsReportedAt = now;
       }
     }
-    Revision revision = Revision.of(pong.getConfigurationRevision());
-    if (!pong.getConfiguration().isEmpty()) {
-      storeView.applyIfNewer(
-          new StoreView.ConfigurationDocument(revision, pong.getConfiguration().toByteArray()));
-    }
-    if (pong.hasEngines()) {
-      FleetMessageConverter.applyTable(pong.getEngines(), storeView.engineTable());
-    }
-    if (pong.hasHosts()) {
-      FleetMessageConverter.applyTable(pong.getHosts(), storeView.hostTable());
-    }
-    if (revision.isAfter(storeView.planRevision()) && mayAskForViews(now)) {
+    if (views.apply(pong, now)) {
       ping(from, true);
     }
-    if (pong.getHasEvidence() && !revision.isAfter(storeView.planRevision())) {
-      ClockReading sent =
-          FleetMessageConverter.toClockReading(pong.getSentNanos(), pong.getSentMillis());
-      storeView
-          .evidence()
-          .recordPeerProof(sent.minus(Duration.ofNanos(pong.getEvidenceAgeNanos())));
-    }
-  }
-
-  /** Returns whether this host has not asked for newer views within the time of an answer. */
-  private synchronized boolean mayAskForViews(Instant now) {
-    if (now.isBefore(viewsAskedAt.plus(VIEWS_TIMEOUT))) {
-      return false;
-    }
-    viewsAskedAt = now;
-    return true;
   }
 
   /**
@@ -532,18 +481,12 @@
    * with nothing else.
    */
   private void ping(HostId host, boolean asksForViews) {
-    ClockReading sent = clocks.now();
     Ping.Builder ping =
         Ping.newBuilder()
-            .setSentNanos(FleetMessageConverter.nanosOf(sent.steady()))
-            .setSentMillis(sent.wall().toEpochMilli())
             .setBoot(self.boot())
             .setAttached(host.equals(coordinatorId))
-            .setConfiguration(storeView.planRevision().value())
-            .setEngines(storeView.engineTable().revision().value())
-            .setHosts(storeView.hostTable().revision().value())
-            .setTakesCallers(self.takesCallers())
-            .setWithoutViews(!asksForViews);
+            .setTakesCallers(self.takesCallers());
+    views.addTo(ping, asksForViews);
     send(host, FleetMessage.newBuilder().setPing(ping));
   }
 
