Log lines are written by an appender without reflection at the start

Cause: the builder of Log4j's console appender validates annotated fields, which generates eight proxy classes at every start (class loading from 0.18 to 0.207 s of 0.415 s until the callers' port is open). Ruled out: a log that starts later (Ratpack and Netty create their loggers at their start and with them the whole of Log4j). Change: StreamAppender, flushed after the last line of a batch.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/log/FleetLogging.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/log/FleetLogging.java
@@ -6,7 +6,6 @@
 import org.apache.logging.log4j.core.Appender;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
-import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
@@ -59,12 +58,7 @@
     @Override
     protected void doConfigure() {
       addAppender(droppedLines);
-      addAppender(
-          ConsoleAppender.newBuilder()
-              .setName(CONSOLE)
-              .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
-              .setLayout(new JsonLineLayout())
-              .build());
+      addAppender(new StreamAppender(CONSOLE, System.out));
       Appender queue =
           AsyncAppender.newBuilder()
               .setName(QUEUE)
--- a/fleet/src/test/java/org/waxwingcourse/fleet/log/FleetLoggingTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/log/FleetLoggingTest.java
@@ -4,6 +4,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.List;
 import org.apache.logging.log4j.Level;
@@ -57,6 +59,20 @@
     assertThat(dropped.count()).isEqualTo(2);
   }
 
+  @Test
+  void linesAreWrittenAtTheEndOfABatch() {
+    ByteArrayOutputStream stream = new ByteArrayOutputStream();
+    StreamAppender appender = new StreamAppender("stream", stream);
+    LogEvent first = event("first", null);
+    first.setEndOfBatch(false);
+    appender.append(first);
+    assertThat(stream.size()).isZero();
+    LogEvent last = event("last", null);
+    last.setEndOfBatch(true);
+    appender.append(last);
+    assertThat(stream.toString(StandardCharsets.UTF_8).lines()).hasSize(2);
+  }
+
   private static LogEvent event(String message, Throwable thrown) {
     MutableInstant at = new MutableInstant();
     at.initFromEpochMilli(AT.toEpochMilli(), 0);
