Starting hosts open few connections; the coordinator tells which hosts have attached

At its first tick, before any answer can have come, a starting host pinged all 94 others, each time over a new connection with its handshake: 6,000 of them within half a second on thirds of a core.

Ruled out: lost registrations (63 of 65 hosts are registered by 39.2 s).

Change: first the three first candidates; all others only after 200 ms without an answer, or at once if a process answers that the store does not list, since then the fleet starts as a whole. So a starting host no longer learns from its search who runs; CollectedHosts replaces SearchedHosts: a coordinator that started less than four seconds ago tells with its pongs who has attached.

Before: startingHostsOfARunningFleetPingFewHosts counts all hosts as pinged. After: three; callersAreNotSentToHostsThatHaveNotStartedAgain holds for each started host and for the slow ones that follow.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -89,6 +89,12 @@
   /** Hosts that start together discover each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
+  /**
+   * A host that has just started pings all others if the first candidates have been silent for this
+   * long. A first ping opens a connection, which costs a starting host more than anything else.
+   */
+  private static final Duration SEARCH_DELAY = Duration.ofMillis(200);
+
   /** Rank of a process that has not registered. */
   private static final Revision LAST_RANK = Revision.of(Long.MAX_VALUE);
 
@@ -108,11 +114,12 @@
   private final Map<OrganisationId, Long> reportedLevels = new HashMap<>();
   private final Map<HostId, Instant> probedAt = new HashMap<>();
   private final ViewExchange views;
-  private final SearchedHosts searchedHosts = new SearchedHosts();
+  private final CollectedHosts collectedHosts = new CollectedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
   private Instant firstPongAt = FAR_FUTURE;
   private long tickCount;
+  private boolean restartNoticed;
   private volatile int ownPingTicks = 1;
   private Instant coordinatorSince = Instant.MAX;
   private Instant lastContactAt;
@@ -214,15 +221,28 @@
     return hasWaited && !isJoining(chooseAmong(candidates, now), candidates, now);
   }
 
-  /** Returns the hosts that callers may be sent to, all that are listed if none has answered. */
+  /** Returns the hosts that callers may be sent to. */
   public List<FleetHost> callerHosts() {
     Instant now = clocks.instant();
-    List<FleetHost> all = storeView.fleetHosts().callerHosts();
-    List<FleetHost> answering =
-        all.stream()
-            .filter(h -> h.id().equals(self.id()) || !searchedHosts.isSilent(h, now))
-            .toList();
-    return answering.isEmpty() ? all : answering;
+    if (isCollecting(now)) {
+      collectedHosts.record(collected(), now);
+    }
+    return storeView.fleetHosts().callerHosts().stream()
+        .filter(h -> h.id().equals(self.id()) || collectedHosts.mayBeNamed(h.id(), now))
+        .toList();
+  }
+
+  /** Returns whether this host coordinates and has started recently. */
+  private synchronized boolean isCollecting(Instant now) {
+    return self.id().equals(coordinatorId)
+        && !attachedHosts.isEmpty()
+        && now.isBefore(firstTickAt.plus(CollectedHosts.COLLECTION_TIME));
+  }
+
+  private synchronized List<HostId> collected() {
+    List<HostId> hosts = new ArrayList<>(attachedHosts.keySet());
+    hosts.add(self.id());
+    return hosts;
   }
 
   /** Returns whether slots can be requested: a coordinator that reads the store has been chosen. */
@@ -256,6 +276,9 @@
             .setRegistered(ownRegistration.get().value())
             .setInContact(storeView.evidence().isOwnReadWithin(MAX_OWN_READ_AGE));
     views.addTo(pong, ping);
+    if (ping.getAttached() && isCollecting(clocks.instant())) {
+      collected().forEach(h -> pong.addAttached(h.value()));
+    }
     if (ping.getAttached()) {
       coordinator
           .rateLevels()
@@ -269,7 +292,6 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
-    searchedHosts.recordAnswer(from);
     synchronized (this) {
       firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
       lastPongs.put(
@@ -277,6 +299,9 @@
           new LastPong(
               now, pong.getInContact(), pong.getBoot(), Revision.of(pong.getRegistered())));
       probedAt.remove(from);
+      if (from.equals(coordinatorId)) {
+        collectedHosts.record(pong.getAttachedList().stream().map(HostId::of).toList(), now);
+      }
       if (from.equals(coordinatorId) && pong.getBucketsCount() > 0) {
         reportedLevels.clear();
         pong.getBucketsList()
@@ -288,6 +313,22 @@
     if (views.apply(pong, now)) {
       ping(from, true);
     }
+    if (noticesRestart(from)) {
+      storeView.fleetHosts().othersThan(self.id()).forEach(h -> ping(h, false));
+    }
+  }
+
+  /**
+   * Returns whether a host without a coordinator hears for the first time from a process that the
+   * store does not list yet. Then others have started with it, and the order of candidates has to
+   * be found out from all of them.
+   */
+  private synchronized boolean noticesRestart(HostId from) {
+    if (coordinatorId != null || restartNoticed || isListed(from)) {
+      return false;
+    }
+    restartNoticed = true;
+    return true;
   }
 
   /**
@@ -460,12 +501,8 @@
       receivers.add(coordinatorId);
     }
     boolean allSilent = receivers.stream().noneMatch(h -> isAnswering(h, now));
-    if (allSilent) {
-      List<FleetHost> hosts = storeView.fleetHosts().inRegistrationOrder();
-      hosts.forEach(h -> receivers.add(h.id()));
-      if (coordinatorId == null) {
-        searchedHosts.recordSearch(hosts, now);
-      }
+    if (allSilent && now.isAfter(firstTickAt.plus(SEARCH_DELAY))) {
+      storeView.fleetHosts().inRegistrationOrder().forEach(h -> receivers.add(h.id()));
     }
     receivers.remove(self.id());
     if (coordinatorSince.equals(now)) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -64,11 +64,15 @@
 
   private final Set<HostId> readingOnce = new HashSet<>();
   private final Map<HostId, Duration> answerDelays = new HashMap<>();
+  private final Map<HostId, Set<HostId>> pinged = new HashMap<>();
   private final Map<HostId, Integer> tablesReceivedBy = new HashMap<>();
 
   private record Message(HostId from, HostId to, FleetMessage content, Instant dueAt) {}
 
   private void send(HostId from, HostId to, FleetMessage content) {
+    if (content.hasPing()) {
+      pinged.computeIfAbsent(from, h -> new HashSet<>()).add(to);
+    }
     Duration delay = answerDelays.getOrDefault(from, Duration.ZERO);
     network.add(new Message(from, to, content, clock.instant().plus(delay)));
   }
@@ -323,9 +327,14 @@
     restartAll();
     silent.addAll(ids.subList(0, 80));
     run(Duration.ofMillis(800));
-    assertThat(callerHosts(ids.get(94))).isEqualTo(Set.copyOf(ids.subList(80, 95)));
-    run(Duration.ofSeconds(3));
-    assertThat(callerHosts(ids.get(94))).as("entries that are still listed").hasSize(95);
+    for (HostId started : ids.subList(80, 95)) {
+      assertThat(callerHosts(started)).isEqualTo(Set.copyOf(ids.subList(80, 95)));
+    }
+    silent.clear();
+    run(Duration.ofSeconds(2));
+    assertThat(callerHosts(ids.get(94))).as("slow hosts have attached").hasSize(95);
+    run(Duration.ofSeconds(2));
+    assertThat(callerHosts(ids.get(94))).as("all that are listed").hasSize(95);
   }
 
   @Test
@@ -356,4 +365,22 @@
         .map(FleetHost::id)
         .collect(Collectors.toSet());
   }
+
+  /** A first ping opens a connection at both hosts. */
+  @Test
+  void startingHostsOfARunningFleetPingFewHosts() {
+    createFleet(30);
+    run(Duration.ofSeconds(3));
+    receivedBy.clear();
+    List<HostId> started = addStartingHosts(65);
+    run(Duration.ofSeconds(1));
+    assertThat(attachedTo(ids.get(0))).isEqualTo(95);
+    assertThat(receivedBy.keySet().stream().filter(started::contains).count()).isEqualTo(65);
+    assertThat(members.keySet().stream().filter(id -> pingedByStarted(started, id)).count())
+        .isLessThanOrEqualTo(3);
+  }
+
+  private boolean pingedByStarted(List<HostId> started, HostId id) {
+    return started.stream().anyMatch(s -> pinged.getOrDefault(s, Set.of()).contains(id));
+  }
 }
