Requests wait for a coordinator that has just been chosen to read the engines

Ruled out: reading the engines on every starting host (two calls a host and start, priced).

Change: until 200 ms after the first request a coordinator without engines holds requests, at most to their latest start; then it refuses at once as before.

Before: CoordinatorStartTest.requestWaitsUntilTheEnginesAreKnown fails. After: both tests of the class pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -57,6 +57,14 @@
   /** Within this time after an engine was listed, hosts may not have received its entry. */
   private static final Duration LISTING_SPREAD = Duration.ofSeconds(5);
 
+  /**
+   * A coordinator that has just been chosen reads the engines within this time; requests that come
+   * earlier wait for them instead of being refused.
+   */
+  private static final Duration ENGINES_PATIENCE = Duration.ofMillis(200);
+
+  private static final Duration ENGINES_CHECK_INTERVAL = Duration.ofMillis(10);
+
   private final PeerTransport peers;
   private final InstantSource clock;
   private final OrganisationRateLimiter rates =
@@ -67,6 +75,7 @@
   private volatile double fleetShare;
   private volatile Map<ServiceName, List<EngineEntry>> engines = Map.of();
   private volatile Map<UpstreamId, ListedEngine> listed = Map.of();
+  private volatile Instant firstAskAt = Instant.MAX;
 
   /** An engine and the time at which this coordinator learned of it. */
   private record ListedEngine(EngineEntry entry, Instant since) {}
@@ -145,7 +154,7 @@
   /** Starts or refuses waiting requests that are due. Called every few milliseconds. */
   public void processQueues() {
     Instant now = clock.instant();
-    pacedRequests.removeDue(now).forEach(r -> execute(scheduler(r.service()).submit(r, now)));
+    pacedRequests.removeDue(now).forEach(r -> submit(r, now));
     services.values().forEach(s -> execute(s.processQueues(clock.instant())));
   }
 
@@ -162,12 +171,31 @@
       String reason = "organisation \"" + ask.getOrganisation() + "\" is over its rate";
       sendRefusal(new SlotDecision.Refuse(request, true, rates.returnTime(wait, now), reason));
     } else if (wait.isZero()) {
-      execute(scheduler(request.service()).submit(request, now));
+      submit(request, now);
     } else {
       pacedRequests.add(request, now.plus(wait));
     }
   }
 
+  private void submit(SlotRequest request, Instant now) {
+    if (awaitsEngines(now) && !request.startBy().isPast(now)) {
+      pacedRequests.add(request, now.plus(ENGINES_CHECK_INTERVAL));
+    } else {
+      execute(scheduler(request.service()).submit(request, now));
+    }
+  }
+
+  /** Returns whether the engines are about to be known, as a coordinator has just been chosen. */
+  private boolean awaitsEngines(Instant now) {
+    if (!listed.isEmpty()) {
+      return false;
+    }
+    if (firstAskAt.equals(Instant.MAX)) {
+      firstAskAt = now;
+    }
+    return now.isBefore(firstAskAt.plus(ENGINES_PATIENCE));
+  }
+
   void onEnd(HostId from, SlotEnd end) {
     RunEnd runEnd =
         new RunEnd(
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorStartTest.java
@@ -0,0 +1,83 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.model.id.DataCentreId;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.SlotAsk;
+
+/** Tests requests that reach a coordinator before it has read the engines. */
+class CoordinatorStartTest {
+  private static final HostId HOST = HostId.of("host");
+  private static final EngineEntry ENGINE =
+      new EngineEntry(
+          UpstreamId.of("engine"),
+          ServiceName.of("s"),
+          new InetSocketAddress("127.0.0.1", 4711),
+          DataCentreId.of("a"),
+          8,
+          false,
+          77);
+
+  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  private final List<FleetMessage> sent = new ArrayList<>();
+  private final Coordinator coordinator =
+      new Coordinator(FleetFixtures.recordingPeers((to, m) -> sent.add(m)), clock);
+
+  @BeforeEach
+  void serveWholeFleet() {
+    coordinator.setFleetShare(1);
+  }
+
+  private void ask(long number, Duration patience) {
+    coordinator.onAsk(
+        HOST,
+        SlotAsk.newBuilder()
+            .setNumber(number)
+            .setRequest("r" + number)
+            .setService("s")
+            .setDataCentre("a")
+            .setStartWithinNanos(patience.toNanos())
+            .setGiveUpWithinNanos(patience.toNanos())
+            .build());
+  }
+
+  private void pass(Duration span) {
+    for (long ms = 0; ms < span.toMillis(); ms += 5) {
+      clock.advance(Duration.ofMillis(5));
+      coordinator.processQueues();
+    }
+  }
+
+  @Test
+  void requestWaitsUntilTheEnginesAreKnown() {
+    ask(1, Duration.ofMillis(250));
+    pass(Duration.ofMillis(40));
+    assertThat(sent).isEmpty();
+    coordinator.setEngines(List.of(ENGINE));
+    pass(Duration.ofMillis(15));
+    assertThat(sent.get(0).getGrant().getEngine()).isEqualTo("engine");
+  }
+
+  @Test
+  void requestsAreRefusedAtOnceIfThereAreNoEngines() {
+    ask(1, Duration.ofSeconds(5));
+    pass(Duration.ofMillis(225));
+    assertThat(sent).hasSize(1).allMatch(FleetMessage::hasRefusal);
+    ask(2, Duration.ofSeconds(5));
+    assertThat(sent).hasSize(2).allMatch(FleetMessage::hasRefusal);
+  }
+}
