Candidates: the rank of hosts and their answers are a class apart

Change: the former is Candidates, behaviour unchanged but for one test of a first answer that has just come.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -1,10 +1,8 @@
 package org.waxwingcourse.fleet.coordinate;
 
-import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -53,39 +51,18 @@
   /** A host that has not answered for this long counts as lost; three pings and a margin. */
   private static final Duration PONG_TIMEOUT = Duration.ofMillis(450);
 
-  /** A coordinator that was reported lost and does not answer a probe within this time is left. */
-  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(150);
-
   /** A coordinator is left this long after it has lost contact to the store; one read interval. */
   private static final Duration CONTACT_LOSS_DELAY = Duration.ofMillis(800);
 
   /** A host that has not pinged for this long counts as detached. */
   private static final Duration ATTACHMENT_TIMEOUT = Duration.ofMillis(1100);
 
-  /**
-   * A host counts as reading the store itself if it has done so within this time; two reads and a
-   * margin.
-   */
-  private static final Duration MAX_OWN_READ_AGE = Duration.ofMillis(1500);
-
   /**
    * How long the coordinator may be without contact to the store before this host follows the store
    * too.
    */
   private static final Duration FOLLOW_DELAY = Duration.ofMillis(350);
 
-  /**
-   * The pongs to one round of pings are received within this time; a few round trips within a
-   * region.
-   */
-  private static final Duration PONG_SPREAD = Duration.ofMillis(20);
-
-  /**
-   * The same while many hosts start together, short of processor time; the first candidate is
-   * waited for as long, since a change of coordinator soon after costs more.
-   */
-  private static final Duration STARTING_PONG_SPREAD = Duration.ofMillis(120);
-
   /** Hosts that start together discover each other within this time. */
   private static final Duration SETTLE_TIME = Duration.ofMillis(800);
 
@@ -95,9 +72,6 @@
    */
   private static final Duration SEARCH_DELAY = Duration.ofMillis(200);
 
-  /** Rank of a process that has not registered. */
-  private static final Revision LAST_RANK = Revision.of(Long.MAX_VALUE);
-
   /** A time later than any other, to which a short duration may still be added. */
   private static final Instant FAR_FUTURE = Instant.MAX.minus(Duration.ofDays(1));
 
@@ -108,16 +82,13 @@
   private final StoreFollower follower;
   private final Coordinator coordinator;
   private final SlotClient slots;
-  private final Supplier<Revision> ownRegistration;
-  private final Map<HostId, LastPong> lastPongs = new HashMap<>();
   private final Map<HostId, AttachedHost> attachedHosts = new HashMap<>();
   private final Map<OrganisationId, Long> reportedLevels = new HashMap<>();
-  private final Map<HostId, Instant> probedAt = new HashMap<>();
+  private final Candidates candidates;
   private final ViewExchange views;
   private final CollectedHosts collectedHosts = new CollectedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
-  private Instant firstPongAt = FAR_FUTURE;
   private long tickCount;
   private boolean restartNoticed;
   private volatile int ownPingTicks = 1;
@@ -140,11 +111,11 @@
       Coordinator coordinator,
       SlotClient slots,
       Supplier<Revision> ownRegistration) {
-    this.ownRegistration = ownRegistration;
     this.self = self;
     this.peers = peers;
     this.storeView = storeView;
     this.clocks = clocks;
+    this.candidates = new Candidates(self.id(), storeView, ownRegistration);
     this.views = new ViewExchange(storeView, clocks);
     this.follower = follower;
     this.coordinator = coordinator;
@@ -152,20 +123,6 @@
     this.lastContactAt = clocks.instant();
   }
 
-  /**
-   * A host's last pong.
-   *
-   * @param receivedAt when it was received
-   * @param readsStore whether the host reads the store itself
-   * @param boot the process that sent it
-   * @param registeredAt revision at which that process registered, none before it has
-   */
-  private record LastPong(
-      Instant receivedAt, boolean readsStore, long boot, Revision registeredAt) {}
-
-  /** A host that may coordinate; the one that registered first has the highest rank. */
-  private record Candidate(HostId host, Revision registeredAt) {}
-
   /** An attached host and the time of its last ping. */
   private record AttachedHost(Instant pingedAt, boolean takesCallers) {}
 
@@ -176,22 +133,22 @@
   public void updateAttachment() {
     Instant now = clocks.instant();
     recordFirstTick(now);
-    List<HostId> candidates = candidateOrder();
-    ownPingTicks = pingIntervalTicks(candidates);
+    List<HostId> order = candidates.order();
+    ownPingTicks = pingIntervalTicks(order);
     HostId newCoordinator;
     List<HostId> detachedHosts;
     synchronized (this) {
-      newCoordinator = chooseAmong(candidates, now);
+      newCoordinator = chooseAmong(order, now);
       detachedHosts = removeDetached(now);
     }
     detachedHosts.forEach(this::onDetached);
-    if (!newCoordinator.equals(coordinatorId) && mayChoose(newCoordinator, candidates, now)) {
+    if (!newCoordinator.equals(coordinatorId) && mayChoose(newCoordinator, order, now)) {
       changeCoordinator(newCoordinator, now);
     }
     slots.resendLostMessages();
     tickCount++;
     if (coordinatorId == null || tickCount % ownPingTicks == 0) {
-      ping(candidates, now);
+      ping(order, now);
     }
     updateFollowing(now);
     coordinator.setFleetShare(fleetShare());
@@ -202,23 +159,18 @@
    * answer, without waiting for the next tick.
    */
   public void attachEarly() {
-    if (hasFirstPongs()) {
+    if (mayChooseEarly()) {
       updateAttachment();
     }
   }
 
-  private synchronized boolean hasFirstPongs() {
+  private synchronized boolean mayChooseEarly() {
     Instant now = clocks.instant();
-    if (coordinatorId != null || !now.isAfter(firstPongAt.plus(PONG_SPREAD))) {
+    if (coordinatorId != null || !candidates.haveAnswered(now)) {
       return false;
     }
-    List<HostId> candidates = candidateOrder();
-    HostId first = candidates.get(0);
-    boolean hasWaited =
-        first.equals(self.id())
-            || isAnswering(first, now)
-            || now.isAfter(firstPongAt.plus(STARTING_PONG_SPREAD));
-    return hasWaited && !isJoining(chooseAmong(candidates, now), candidates, now);
+    List<HostId> order = candidates.order();
+    return !candidates.isJoining(chooseAmong(order, now), order, now, answerTimeout());
   }
 
   /** Returns the hosts that callers may be sent to. */
@@ -247,13 +199,13 @@
 
   /** Returns whether slots can be requested: a coordinator that reads the store has been chosen. */
   public synchronized boolean isAttached() {
-    return coordinatorId != null && isInContact(coordinatorId);
+    return coordinatorId != null && candidates.isInContact(coordinatorId);
   }
 
   /** Returns whether this host has been the coordinator for long enough to act for the fleet. */
   public synchronized boolean isSettledCoordinator() {
     return self.id().equals(coordinatorId)
-        && isInContact(coordinatorId)
+        && candidates.isInContact(coordinatorId)
         && clocks.instant().isAfter(coordinatorSince.plus(SETTLE_TIME));
   }
 
@@ -273,8 +225,8 @@
             .setSentNanos(ping.getSentNanos())
             .setSentMillis(ping.getSentMillis())
             .setBoot(self.boot())
-            .setRegistered(ownRegistration.get().value())
-            .setInContact(storeView.evidence().isOwnReadWithin(MAX_OWN_READ_AGE));
+            .setRegistered(candidates.ownRegistration().value())
+            .setInContact(candidates.isInContact(self.id()));
     views.addTo(pong, ping);
     if (ping.getAttached() && isCollecting(clocks.instant())) {
       collected().forEach(h -> pong.addAttached(h.value()));
@@ -292,13 +244,8 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
+    candidates.recordPong(from, pong, now);
     synchronized (this) {
-      firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
-      lastPongs.put(
-          from,
-          new LastPong(
-              now, pong.getInContact(), pong.getBoot(), Revision.of(pong.getRegistered())));
-      probedAt.remove(from);
       if (from.equals(coordinatorId)) {
         collectedHosts.record(pong.getAttachedList().stream().map(HostId::of).toList(), now);
       }
@@ -324,7 +271,7 @@
    * be found out from all of them.
    */
   private synchronized boolean noticesRestart(HostId from) {
-    if (coordinatorId != null || restartNoticed || isListed(from)) {
+    if (coordinatorId != null || restartNoticed || candidates.isListed(from)) {
       return false;
     }
     restartNoticed = true;
@@ -336,33 +283,26 @@
    * pongs of the others first; otherwise it would coordinate for a moment with empty token buckets
    * and refuse requests that the fleet has room for.
    */
-  private synchronized boolean mayChoose(HostId chosen, List<HostId> candidates, Instant now) {
+  private synchronized boolean mayChoose(HostId chosen, List<HostId> order, Instant now) {
     Duration patience = PONG_TIMEOUT.multipliedBy(pingIntervalTicks());
     return coordinatorId != null
-        || candidates.size() == 1
+        || order.size() == 1
         || now.isAfter(firstTickAt.plus(patience))
-        || !lastPongs.isEmpty() && !isJoining(chosen, candidates, now);
+        || candidates.hasPong() && !candidates.isJoining(chosen, order, now, answerTimeout());
   }
 
-  /**
-   * Returns whether this host has started in a fleet that runs, but does not hear its coordinator
-   * yet: it would choose itself although a process that the store lists with a higher rank answers.
-   * A host that coordinates only for itself may hand out no more than its share of each rate.
-   */
-  private boolean isJoining(HostId chosen, List<HostId> candidates, Instant now) {
-    return chosen.equals(self.id())
-        && candidates.subList(0, candidates.indexOf(self.id())).stream()
-            .anyMatch(h -> isAnswering(h, now) && isListed(h));
+  private boolean isAnswering(HostId host, Instant now) {
+    return candidates.isAnswering(host, now, answerTimeout());
   }
 
-  /** Returns whether the process that has answered for a host is the one that the store lists. */
-  private boolean isListed(HostId host) {
-    return storeView.fleetHosts().findHost(host).exists(h -> h.boot() == lastPongs.get(host).boot);
+  /** Returns the time for which a host may be silent. */
+  private Duration answerTimeout() {
+    return PONG_TIMEOUT.multipliedBy(ownPingTicks);
   }
 
-  private HostId chooseAmong(List<HostId> candidates, Instant now) {
+  private HostId chooseAmong(List<HostId> order, Instant now) {
     return CoordinatorChoice.choose(
-        candidates, self.id(), h -> isAnswering(h, now), h -> countsAsInContact(h, now));
+        order, self.id(), h -> isAnswering(h, now), h -> countsAsInContact(h, now));
   }
 
   private synchronized void recordFirstTick(Instant now) {
@@ -372,61 +312,25 @@
     }
   }
 
-  private int pingIntervalTicks(List<HostId> candidates) {
-    return firstOf(candidates).contains(self.id()) ? 1 : pingIntervalTicks();
+  private int pingIntervalTicks(List<HostId> order) {
+    return firstOf(order).contains(self.id()) ? 1 : pingIntervalTicks();
   }
 
-  private static List<HostId> firstOf(List<HostId> candidates) {
-    return candidates.subList(0, Math.min(PINGED_CANDIDATES, candidates.size()));
+  private static List<HostId> firstOf(List<HostId> order) {
+    return order.subList(0, Math.min(PINGED_CANDIDATES, order.size()));
   }
 
   private int pingIntervalTicks() {
     return 1 + storeView.fleetHosts().inRegistrationOrder().size() / MAX_HOSTS_AT_FULL_PING_RATE;
   }
 
-  /**
-   * Returns the hosts that may coordinate, the longest registered first. After a restart the entry
-   * of a host's previous process remains until its lease expires, with a rank that the host no
-   * longer has; a pong tells when the new process registered.
-   */
-  private synchronized List<HostId> candidateOrder() {
-    List<Candidate> candidates = new ArrayList<>();
-    for (FleetHost host : storeView.fleetHosts().inRegistrationOrder()) {
-      if (!host.id().equals(self.id())) {
-        toCandidate(host).forEach(candidates::add);
-      }
-    }
-    Revision own = ownRegistration.get();
-    candidates.add(new Candidate(self.id(), own.equals(Revision.NONE) ? LAST_RANK : own));
-    candidates.sort(Comparator.comparing(Candidate::registeredAt).thenComparing(Candidate::host));
-    return candidates.stream().map(Candidate::host).toList();
-  }
-
-  private Option<Candidate> toCandidate(FleetHost host) {
-    LastPong last = lastPongs.get(host.id());
-    if (last == null || last.boot == host.boot()) {
-      return Option.when(!host.leaving(), () -> new Candidate(host.id(), host.registeredAt()));
-    }
-    boolean isRegistered = !last.registeredAt.equals(Revision.NONE);
-    return Option.when(isRegistered, () -> new Candidate(host.id(), last.registeredAt));
-  }
-
-  private synchronized boolean isAnswering(HostId host, Instant now) {
-    LastPong last = lastPongs.get(host);
-    Instant probed = probedAt.get(host);
-    boolean missedProbe = probed != null && now.isAfter(probed.plus(PROBE_TIMEOUT));
-    return last != null
-        && !missedProbe
-        && now.isBefore(last.receivedAt.plus(PONG_TIMEOUT.multipliedBy(ownPingTicks)));
-  }
-
   /**
    * Returns whether a host may coordinate. The present coordinator still may for a while after it
    * has lost contact: as the store goes down for all hosts, their last reads differ by up to one
    * interval, and without this delay each would leave the coordinator for itself.
    */
   private boolean countsAsInContact(HostId host, Instant now) {
-    boolean inContact = isInContact(host);
+    boolean inContact = candidates.isInContact(host);
     if (host.equals(coordinatorId)) {
       if (inContact) {
         contactLostAt = FAR_FUTURE;
@@ -438,14 +342,6 @@
     return inContact;
   }
 
-  private boolean isInContact(HostId host) {
-    if (host.equals(self.id())) {
-      return storeView.evidence().isOwnReadWithin(MAX_OWN_READ_AGE);
-    }
-    LastPong last = lastPongs.get(host);
-    return last != null && last.readsStore;
-  }
-
   private void changeCoordinator(HostId newCoordinator, Instant now) {
     HostId previous;
     synchronized (this) {
@@ -485,18 +381,17 @@
   void onCoordinatorLost(HostId from, CoordinatorLost message) {
     HostId reported = HostId.of(message.getHost());
     synchronized (this) {
-      if (!reported.equals(coordinatorId) || probedAt.containsKey(reported)) {
+      if (!reported.equals(coordinatorId) || !candidates.recordProbe(reported, clocks.instant())) {
         return;
       }
-      probedAt.put(reported, clocks.instant());
     }
     LOG.write(Event.COORDINATOR_SUSPECTED, reported, from);
     ping(reported, false);
     ping(from, false);
   }
 
-  private void ping(List<HostId> candidates, Instant now) {
-    Set<HostId> receivers = new HashSet<>(firstOf(candidates));
+  private void ping(List<HostId> order, Instant now) {
+    Set<HostId> receivers = new HashSet<>(firstOf(order));
     if (coordinatorId != null) {
       receivers.add(coordinatorId);
     }
@@ -536,7 +431,7 @@
     boolean withoutContact;
     synchronized (this) {
       boolean coordinates = self.id().equals(coordinatorId);
-      if (coordinatorId != null && !coordinates && isInContact(coordinatorId)) {
+      if (coordinatorId != null && !coordinates && candidates.isInContact(coordinatorId)) {
         lastContactAt = now;
       }
       servesHosts = coordinates || !attachedHosts.isEmpty();
