The last log lines are written when the log stops

Ruled out: stops that do not come to their end (the processes exit in time). Change: the appender flushes as it stops. Before: linesOfAnUnfinishedBatchAreWrittenWhenTheLogStops fails. After: passes, with SignalDuringStartTest, which reads W102.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/log/StreamAppender.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/log/StreamAppender.java
@@ -3,6 +3,7 @@
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.appender.AbstractAppender;
 import org.apache.logging.log4j.core.config.Property;
@@ -20,9 +21,8 @@
     this.stream = new BufferedOutputStream(stream);
   }
 
-  /** Called by the thread of the queue only. */
   @Override
-  public void append(LogEvent event) {
+  public synchronized void append(LogEvent event) {
     try {
       stream.write(getLayout().toByteArray(event));
       if (event.isEndOfBatch()) {
@@ -33,4 +33,15 @@
       error("the log line cannot be written", event, e);
     }
   }
+
+  /** Flushes the last lines: a queue that stops does not mark the last of them as one. */
+  @Override
+  public synchronized boolean stop(long timeout, TimeUnit unit) {
+    try {
+      stream.flush();
+    } catch (IOException e) {
+      getHandler().error("the last log lines cannot be written", e);
+    }
+    return super.stop(timeout, unit);
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/log/FleetLoggingTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/log/FleetLoggingTest.java
@@ -73,6 +73,18 @@
     assertThat(stream.toString(StandardCharsets.UTF_8).lines()).hasSize(2);
   }
 
+  @Test
+  void linesOfAnUnfinishedBatchAreWrittenWhenTheLogStops() {
+    ByteArrayOutputStream stream = new ByteArrayOutputStream();
+    StreamAppender appender = new StreamAppender("stream", stream);
+    appender.start();
+    LogEvent line = event("last", null);
+    line.setEndOfBatch(false);
+    appender.append(line);
+    appender.stop();
+    assertThat(stream.toString(StandardCharsets.UTF_8)).contains("last");
+  }
+
   private static LogEvent event(String message, Throwable thrown) {
     MutableInstant at = new MutableInstant();
     at.initFromEpochMilli(AT.toEpochMilli(), 0);
