Jobs that the store refuses or leaves unanswered are forwarded to the coordinator

Ruled out: a shorter patience (the usual answer of a slow store takes longer); keeping the job in memory (what must last lives on the platform).

Change: JobForwarder: if some host has reached the store within 1.5 s, the job goes to the coordinator, which stores and runs it as its own. One id is accepted once, also if this host's own write is applied later. Without an answer the job is unknown; "refused" of the coordinator does not replace "unknown" of this host.

Before: four of five tests of JobForwardingTest fail with the forwarding switched off. After: they pass, with all tests of fleet and platform.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -40,6 +40,7 @@
 import org.waxwingcourse.wire.fleet.JobAnnounced;
 import org.waxwingcourse.wire.fleet.JobAssigned;
 import org.waxwingcourse.wire.fleet.JobClosed;
+import org.waxwingcourse.wire.fleet.JobForwarded;
 import org.waxwingcourse.wire.fleet.JobItem;
 import org.waxwingcourse.wire.fleet.JobPage;
 import org.waxwingcourse.wire.fleet.JobRead;
@@ -80,11 +81,17 @@
   /** Maximum age of evidence that some host reaches the store; two reads of the configuration. */
   private static final Duration MAX_STORE_CONTACT_AGE = Duration.ofMillis(1500);
 
+  /** Part of the objective for an acceptance that a forwarded job may use up. */
+  private static final double FORWARD_OBJECTIVE_PART = 0.4;
+
+  private static final Duration NO_DELAY = Duration.ZERO;
+
   private final Ports ports;
   private final RunnerName self;
   private final JobStore store;
   private final JobRunner runner;
   private final JobIntake intake;
+  private final JobForwarder forwarder = new JobForwarder(this::send);
   private final Map<JobId, CachedJob> cachedJobs =
       Collections.synchronizedMap(
           new LinkedHashMap<>(16, 0.75f, true) {
@@ -168,9 +175,43 @@
     runner.confirmAll();
   }
 
-  /** Accepts a job, or answers why not. */
+  /**
+   * Accepts a job, or answers why not. A job that cannot be stored from here is forwarded to the
+   * coordinator, if some host has reached the store lately.
+   */
   public CompletableFuture<JobAnswer> submitJob(JobSubmission job) {
-    return intake.submit(job, ports.wall().instant());
+    return intake
+        .submit(job, ports.wall().instant())
+        .thenCompose(
+            answer -> {
+              Option<HostId> other =
+                  ports.slots().coordinator().filter(h -> !h.equals(self.host()));
+              if (other.isEmpty() || hasReachedStore(answer) || !isStoreReached()) {
+                return completed(answer);
+              }
+              LOG.write(Event.JOB_FORWARDED, job.id(), other.get(), answer);
+              Duration limit =
+                  Duration.ofNanos(
+                      (long) (FORWARD_OBJECTIVE_PART * job.route().objective().toNanos()));
+              return forwarder.forward(other.get(), job, answer, limit);
+            });
+  }
+
+  private static boolean hasReachedStore(JobAnswer answer) {
+    boolean refusedByStore = answer instanceof JobAnswer.Refused refused && !refused.overLimit();
+    return !refusedByStore && !(answer instanceof JobAnswer.Unknown);
+  }
+
+  private void acceptForwarded(HostId from, JobForwarded message) {
+    Option<JobSubmission> job = JobForwarder.decode(message, ports.storeView().plan());
+    job.map(j -> intake.submit(j, ports.wall().instant()))
+        .getOrElse(() -> completed(new JobAnswer.Refused(false, NO_DELAY, "unknown route")))
+        .thenAccept(
+            answer ->
+                send(
+                    from,
+                    FleetMessage.newBuilder()
+                        .setJobForwardAnswer(JobForwarder.encode(message.getNumber(), answer))));
   }
 
   /** Returns the results from a position on, waiting up to {@code patience} for the first one. */
@@ -257,6 +298,8 @@
           waiting.complete(Option.some(message.getJobPage()));
         }
       }
+      case JOB_FORWARDED -> acceptForwarded(from, message.getJobForwarded());
+      case JOB_FORWARD_ANSWER -> forwarder.onAnswer(message.getJobForwardAnswer());
       case JOB_CLOSED -> onClosed(from, message.getJobClosed());
       case JOB_ANNOUNCED -> onAnnounced(message.getJobAnnounced());
       case JOB_ASSIGNED -> runner.takeOver(JobId.of(message.getJobAssigned().getJob()));
@@ -561,9 +604,11 @@
    * others; their reads are reported as evidence.
    */
   private Duration storeRetryDelay() {
-    return ports.storeView().evidence().isWithin(MAX_STORE_CONTACT_AGE)
-        ? OTHER_HOST_RETRY_DELAY
-        : STORE_RETRY_DELAY;
+    return isStoreReached() ? OTHER_HOST_RETRY_DELAY : STORE_RETRY_DELAY;
+  }
+
+  private boolean isStoreReached() {
+    return ports.storeView().evidence().isWithin(MAX_STORE_CONTACT_AGE);
   }
 
   private static <T> CompletableFuture<T> completed(T value) {
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
@@ -0,0 +1,157 @@
+package org.waxwingcourse.fleet.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.HostEntryRegistration;
+import org.waxwingcourse.fleet.view.StoreKeys;
+import org.waxwingcourse.fleet.view.StoreView;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.standin.store.StoreFaults;
+import org.waxwingcourse.store.KeyRange;
+import org.waxwingcourse.store.Transaction;
+import org.waxwingcourse.wire.fleet.JobItem;
+import org.waxwingcourse.wire.fleet.JobRecord;
+
+/**
+ * Load pattern: the store is silent to a host, or refuses it, while it serves the coordinator. The
+ * objective for an acceptance is 400 ms.
+ */
+class JobForwardingTest {
+  private static final HostId CUT_OFF = HostId.of("cut-off");
+  private static final HostId COORDINATOR = HostId.of("coordinator");
+  private static final JobId JOB = JobId.of("job-1");
+  private static final OrganisationId PARISH = OrganisationId.of("parish");
+
+  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  private final Clocks clocks = new Clocks(clock, clock);
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+  private final MemoryStore store = MemoryStore.of(clock);
+  private final MemoryStore storeOfCutOff = MemoryStore.of(clock);
+  private final Map<HostId, JobService> hosts = new HashMap<>();
+  private final Map<HostId, StoreView> views = new HashMap<>();
+  private boolean networkIsCut;
+
+  @BeforeEach
+  void startHosts() {
+    start(COORDINATOR, store);
+    start(CUT_OFF, storeOfCutOff);
+    views.get(CUT_OFF).evidence().recordPeerProof(clocks.now());
+  }
+
+  @AfterEach
+  void stop() {
+    timer.shutdownNow();
+  }
+
+  private void start(HostId host, MemoryStore hostStore) {
+    StoreView view = StoreView.of(document -> Either.right(FleetFixtures.jobPlan()), clocks);
+    view.applyIfNewer(
+        new StoreView.ConfigurationDocument(
+            Revision.of(1), "plan".getBytes(StandardCharsets.UTF_8)));
+    views.put(host, view);
+    SlotClient slots =
+        new SlotClient(FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE, List::of);
+    slots.attachTo(COORDINATOR);
+    JobService.Ports ports =
+        new JobService.Ports(
+            hostStore,
+            new HostEntryRegistration(
+                FleetFixtures.host(host, 1), hostStore, view, clocks, timer, new SecureRandom()),
+            FleetFixtures.recordingPeers(
+                (to, message) -> {
+                  if (!networkIsCut) {
+                    timer.execute(() -> hosts.get(to).onJobMessage(host, message));
+                  }
+                }),
+            clock,
+            clock,
+            timer,
+            new Random(1),
+            view,
+            new EngineDirectory(view.engineTable(), e -> Option.none()),
+            (request, listener) -> () -> {},
+            slots,
+            headers -> List.of());
+    hosts.put(host, new JobService(host, 1, ports));
+  }
+
+  private static JobSubmission job() {
+    return new JobSubmission(
+        JOB,
+        PARISH,
+        "h",
+        FleetFixtures.jobRoute(),
+        List.of(JobItem.newBuilder().setId("item-1").setTokens(10).build()));
+  }
+
+  private CompletableFuture<JobAnswer> submit() {
+    return hosts.get(CUT_OFF).submitJob(job()).orTimeout(390, TimeUnit.MILLISECONDS);
+  }
+
+  private boolean isStored() {
+    return store.readDirectly(KeyRange.ofKey(StoreKeys.jobKey(JOB))).firstEntry().isPresent();
+  }
+
+  @Test
+  void jobIsAcceptedByTheCoordinatorWhenTheStoreRefusesThisHost() {
+    storeOfCutOff.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    assertThat(submit().join()).isInstanceOf(JobAnswer.Accepted.class);
+    assertThat(isStored()).isTrue();
+  }
+
+  @Test
+  void jobIsAcceptedByTheCoordinatorWithinTheObjectiveWhenTheStoreIsSilent() {
+    storeOfCutOff.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.SILENT));
+    assertThat(submit().join()).isInstanceOf(JobAnswer.Accepted.class);
+    assertThat(isStored()).isTrue();
+  }
+
+  /** It may have been stored there, so "refused" would not be true. */
+  @Test
+  void forwardedJobWithoutAnAnswerIsUnknown() {
+    storeOfCutOff.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    networkIsCut = true;
+    assertThat(submit().join()).isInstanceOf(JobAnswer.Unknown.class);
+  }
+
+  @Test
+  void jobIsRefusedAtOnceWhenNoHostReachesTheStore() {
+    storeOfCutOff.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    clock.advance(Duration.ofSeconds(3));
+    assertThat(submit().getNow(null)).isInstanceOf(JobAnswer.Refused.class);
+  }
+
+  @Test
+  void jobOfAnotherOrganisationIsNotFound() {
+    JobRecord other = JobRecord.newBuilder().setOrganisation("other").build();
+    store.write(Transaction.builder().put(StoreKeys.jobKey(JOB), other.toByteArray()).build());
+    storeOfCutOff.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    assertThat(submit().join()).isInstanceOf(JobAnswer.NotFound.class);
+  }
+}
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -98,6 +98,7 @@
       Level.INFO,
       "item {} of job \"{}\" ended {} ms after it was due; waited {} ms for slots,"
           + " yielded {}, moved {}, failed {} times"),
+  JOB_FORWARDED(625, Level.INFO, "job \"{}\" is forwarded to host \"{}\": {}"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
