A store that refuses is asked for the tables less and less often

Ruled out: fewer followers (without a coordinator in contact each host needs its own evidence that keys are current).

Before: StoreFollowerTest counts 25 calls in 3 s and finds no table at the store's return. After: at most 13, and the table with the first read.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -35,9 +35,14 @@
 
   /**
    * Delay before a broken watch is reopened, so that a store that refuses watches is not flooded.
+   * It doubles with each failure, since in an outage all hosts follow the store; the reads of the
+   * configuration show when the store is back.
    */
   private static final Duration WATCH_RETRY_DELAY = Duration.ofMillis(300);
 
+  /** Maximum number of times that the delay is doubled. */
+  private static final int MAX_DOUBLINGS = 3;
+
   /**
    * Entries that disappeared while the store was unreachable are kept for this long after it is
    * reachable again, since their owners need that long to write them again.
@@ -131,10 +136,16 @@
   }
 
   private void onConfiguration(ClockReading sentAt, Either<StoreFailure, Snapshot> answer) {
+    boolean regained;
     synchronized (this) {
       readInProgress = false;
+      regained = answer.isRight() && unreachable;
       updateReachability(answer);
     }
+    if (regained) {
+      engines.reopenIfWaiting();
+      hosts.reopenIfWaiting();
+    }
     answer.forEach(
         snapshot -> {
           List<Entry> orders = new ArrayList<>();
@@ -175,6 +186,8 @@
     private final StoreTable table;
     private Watch watch;
     private long generation;
+    private int failures;
+    private boolean waitsForRetry;
 
     WatchedRange(KeyRange range, StoreTable table) {
       this.range = range;
@@ -186,12 +199,24 @@
       synchronized (StoreFollower.this) {
         generation++;
         expectedGeneration = generation;
+        waitsForRetry = false;
       }
       store.read(range).thenAccept(answer -> onRead(expectedGeneration, answer));
     }
 
+    /** Opens the watch now if it waits for its next retry. */
+    void reopenIfWaiting() {
+      synchronized (StoreFollower.this) {
+        if (!waitsForRetry || readSchedule == null) {
+          return;
+        }
+      }
+      open();
+    }
+
     void close() {
       generation++;
+      waitsForRetry = false;
       if (watch != null) {
         watch.close();
         watch = null;
@@ -207,6 +232,7 @@
           scheduleRetry(expectedGeneration);
           return;
         }
+        failures = 0;
       }
       Snapshot snapshot = answer.get();
       boolean keepsMissing = isRecovering() && lacksKnownEntries(snapshot);
@@ -242,6 +268,9 @@
     }
 
     private void scheduleRetry(long expectedGeneration) {
+      waitsForRetry = true;
+      Duration delay = WATCH_RETRY_DELAY.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
+      failures++;
       timer.schedule(
           () -> {
             synchronized (StoreFollower.this) {
@@ -251,7 +280,7 @@
             }
             open();
           },
-          WATCH_RETRY_DELAY.toMillis(),
+          delay.toMillis(),
           TimeUnit.MILLISECONDS);
     }
 
