Large jobs are not forwarded

Cause: found on reading: a job may have 18 MB, more than a frame between hosts; and megabytes would hold up pings behind them. Change: only jobs of up to 1 MB of items are forwarded; the callers of others are sent elsewhere as before. Before: JobForwardingTest.largeJobIsNotForwarded fails without the bound. After: it passes.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
@@ -17,6 +17,7 @@
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.JobForwardAnswer;
 import org.waxwingcourse.wire.fleet.JobForwarded;
+import org.waxwingcourse.wire.fleet.JobItem;
 
 /**
  * Forwards jobs that this host cannot store to a host that reaches the store. The other host
@@ -28,6 +29,12 @@
  * <p>Safe for use by several threads.
  */
 final class JobForwarder {
+  /**
+   * Maximum size in bytes of the items of a forwarded job. A larger one would hold up the messages
+   * behind it, pings among them.
+   */
+  private static final long MAX_ITEM_BYTES = 1 << 20;
+
   private final BiConsumer<HostId, FleetMessage.Builder> sender;
   private final Map<Long, CompletableFuture<Option<JobAnswer>>> pending = new ConcurrentHashMap<>();
   private final AtomicLong lastNumber = new AtomicLong();
@@ -37,6 +44,11 @@
     this.sender = sender;
   }
 
+  /** Returns whether the job is small enough to be forwarded. */
+  static boolean mayForward(JobSubmission job) {
+    return job.items().stream().mapToLong(JobItem::getSerializedSize).sum() <= MAX_ITEM_BYTES;
+  }
+
   /**
    * Forwards a job and returns the answer.
    *
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -84,8 +84,6 @@
   /** Part of the objective for an acceptance that a forwarded job may use up. */
   private static final double FORWARD_OBJECTIVE_PART = 0.4;
 
-  private static final Duration NO_DELAY = Duration.ZERO;
-
   private final Ports ports;
   private final RunnerName self;
   private final JobStore store;
@@ -186,7 +184,10 @@
             answer -> {
               Option<HostId> other =
                   ports.slots().coordinator().filter(h -> !h.equals(self.host()));
-              if (other.isEmpty() || hasReachedStore(answer) || !isStoreReached()) {
+              if (other.isEmpty()
+                  || hasReachedStore(answer)
+                  || !isStoreReached()
+                  || !JobForwarder.mayForward(job)) {
                 return completed(answer);
               }
               LOG.write(Event.JOB_FORWARDED, job.id(), other.get(), answer);
@@ -205,7 +206,8 @@
   private void acceptForwarded(HostId from, JobForwarded message) {
     Option<JobSubmission> job = JobForwarder.decode(message, ports.storeView().plan());
     job.map(j -> intake.submit(j, ports.wall().instant()))
-        .getOrElse(() -> completed(new JobAnswer.Refused(false, NO_DELAY, "unknown route")))
+        .getOrElse(
+            () -> completed(new JobAnswer.Refused(false, OTHER_HOST_RETRY_DELAY, "unknown route")))
         .thenAccept(
             answer ->
                 send(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.protobuf.ByteString;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +17,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -101,17 +103,25 @@
     hosts.put(host, new JobService(host, 1, ports));
   }
 
-  private static JobSubmission job() {
+  private static JobSubmission job(int items, int bodyBytes) {
+    ByteString body = ByteString.copyFrom(new byte[bodyBytes]);
     return new JobSubmission(
         JOB,
         PARISH,
         "h",
         FleetFixtures.jobRoute(),
-        List.of(JobItem.newBuilder().setId("item-1").setTokens(10).build()));
+        IntStream.range(0, items)
+            .mapToObj(i -> JobItem.newBuilder().setId("item-" + i).setTokens(10).setBody(body))
+            .map(JobItem.Builder::build)
+            .toList());
   }
 
   private CompletableFuture<JobAnswer> submit() {
-    return hosts.get(CUT_OFF).submitJob(job()).orTimeout(390, TimeUnit.MILLISECONDS);
+    return submit(job(1, 10));
+  }
+
+  private CompletableFuture<JobAnswer> submit(JobSubmission job) {
+    return hosts.get(CUT_OFF).submitJob(job).orTimeout(390, TimeUnit.MILLISECONDS);
   }
 
   private boolean isStored() {
@@ -147,6 +157,13 @@
     assertThat(submit().getNow(null)).isInstanceOf(JobAnswer.Refused.class);
   }
 
+  @Test
+  void largeJobIsNotForwarded() {
+    storeOfCutOff.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    assertThat(submit(job(4, 600_000)).join()).isInstanceOf(JobAnswer.Refused.class);
+    assertThat(isStored()).isFalse();
+  }
+
   @Test
   void jobOfAnotherOrganisationIsNotFound() {
     JobRecord other = JobRecord.newBuilder().setOrganisation("other").build();
