One place each for awaited answers, routes of jobs and listed engines

Cause: read again as a newcomer: JobForwarder repeated JobService's numbered answers and RunningJob's look-up of a job's route; the part of the objective that one host may use stood twice; Coordinator kept the engines in two forms; Candidates used a time in the far future for "no pong yet".

Change: PendingAnswers, RouteTable.findJobRoute, AcceptancePatience.partOfOneHost, Coordinator.enginesOf. Behaviour unchanged.

Checked: verify of fleet and platform with all their tests, formatter and linter.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Candidates.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Candidates.java
@@ -46,15 +46,12 @@
   /** Rank of a process that has not registered. */
   private static final Revision LAST_RANK = Revision.of(Long.MAX_VALUE);
 
-  /** A time later than any other, to which a short duration may still be added. */
-  private static final Instant FAR_FUTURE = Instant.MAX.minus(Duration.ofDays(1));
-
   private final HostId self;
   private final StoreView storeView;
   private final Supplier<Revision> ownRegistration;
   private final Map<HostId, LastPong> lastPongs = new HashMap<>();
   private final Map<HostId, Instant> probedAt = new HashMap<>();
-  private Instant firstPongAt = FAR_FUTURE;
+  private Instant firstPongAt;
 
   /**
    * Creates the candidates as {@code self} sees them.
@@ -86,7 +83,7 @@
   }
 
   synchronized void recordPong(HostId from, Pong pong, Instant now) {
-    firstPongAt = lastPongs.isEmpty() ? now : firstPongAt;
+    firstPongAt = firstPongAt == null ? now : firstPongAt;
     lastPongs.put(
         from,
         new LastPong(now, pong.getInContact(), pong.getBoot(), Revision.of(pong.getRegistered())));
@@ -100,12 +97,12 @@
 
   /** Returns whether any host has answered since this process started. */
   synchronized boolean hasPong() {
-    return !lastPongs.isEmpty();
+    return firstPongAt != null;
   }
 
   /** Returns whether the hosts have had time to answer the first pings of a starting host. */
   synchronized boolean haveAnswered(Instant now) {
-    if (!now.isAfter(firstPongAt.plus(PONG_SPREAD))) {
+    if (firstPongAt == null || !now.isAfter(firstPongAt.plus(PONG_SPREAD))) {
       return false;
     }
     HostId first = order().get(0);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -6,7 +6,6 @@
 import java.time.InstantSource;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,7 +72,6 @@
   private final PacedRequests pacedRequests = new PacedRequests();
   private volatile Option<Plan> plan = Option.none();
   private volatile double fleetShare;
-  private volatile Map<ServiceName, List<EngineEntry>> engines = Map.of();
   private volatile Map<UpstreamId, ListedEngine> listed = Map.of();
   private volatile Instant firstAskAt = Instant.MAX;
 
@@ -94,16 +92,21 @@
 
   /** Replaces the engines by those listed in the store. */
   public void setEngines(Collection<EngineEntry> entries) {
-    engines = entries.stream().collect(Collectors.groupingBy(EngineEntry::service));
     listed = listEngines(entries);
-    Set<ServiceName> names = new HashSet<>(engines.keySet());
+    Set<ServiceName> names = entries.stream().map(EngineEntry::service).collect(Collectors.toSet());
     names.addAll(services.keySet());
     for (ServiceName name : names) {
-      List<EngineEntry> serviceEngines = engines.getOrDefault(name, List.of());
-      execute(scheduler(name).setEngines(serviceEngines, defaultSlots(name), clock.instant()));
+      execute(scheduler(name).setEngines(enginesOf(name), defaultSlots(name), clock.instant()));
     }
   }
 
+  private List<EngineEntry> enginesOf(ServiceName service) {
+    return listed.values().stream()
+        .map(ListedEngine::entry)
+        .filter(e -> e.service().equals(service))
+        .toList();
+  }
+
   private Map<UpstreamId, ListedEngine> listEngines(Collection<EngineEntry> entries) {
     Instant now = clock.instant();
     Map<UpstreamId, ListedEngine> next = new HashMap<>();
@@ -269,8 +272,7 @@
         name -> {
           SlotScheduler slots = new SlotScheduler();
           slots.setFleetShare(fleetShare);
-          slots.setEngines(
-              engines.getOrDefault(name, List.of()), defaultSlots(name), clock.instant());
+          slots.setEngines(enginesOf(name), defaultSlots(name), clock.instant());
           return slots;
         });
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -228,10 +228,10 @@
             .setRegistered(candidates.ownRegistration().value())
             .setInContact(candidates.isInContact(self.id()));
     views.addTo(pong, ping);
-    if (ping.getAttached() && isCollecting(clocks.instant())) {
-      collected().forEach(h -> pong.addAttached(h.value()));
-    }
     if (ping.getAttached()) {
+      if (isCollecting(clocks.instant())) {
+        collected().forEach(h -> pong.addAttached(h.value()));
+      }
       coordinator
           .rateLevels()
           .forEach(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/AcceptancePatience.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/AcceptancePatience.java
@@ -25,11 +25,16 @@
 
   /** Returns how long to wait for the store. */
   Duration patience(Duration objective, Duration storeResponseTime) {
-    Duration part = Duration.ofNanos((long) (OBJECTIVE_PART * objective.toNanos()));
+    Duration part = partOfOneHost(objective);
     Duration usual = storeResponseTime.multipliedBy(RESPONSE_TIMES);
     return part.compareTo(usual) >= 0 ? part : usual;
   }
 
+  /** Returns the part of the objective for an acceptance that one host may use up. */
+  static Duration partOfOneHost(Duration objective) {
+    return Duration.ofNanos((long) (OBJECTIVE_PART * objective.toNanos()));
+  }
+
   void recordSilence(Instant now) {
     silentUntil = Deadline.at(now.plus(SILENCE_MEMORY));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
@@ -2,14 +2,9 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.waxwingcourse.fleet.plan.Plan;
-import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
@@ -36,8 +31,7 @@
   private static final long MAX_ITEM_BYTES = 1 << 20;
 
   private final BiConsumer<HostId, FleetMessage.Builder> sender;
-  private final Map<Long, CompletableFuture<Option<JobAnswer>>> pending = new ConcurrentHashMap<>();
-  private final AtomicLong lastNumber = new AtomicLong();
+  private final PendingAnswers<JobAnswer> pending = new PendingAnswers<>();
 
   /** Creates a forwarder that sends its messages with {@code sender}. */
   JobForwarder(BiConsumer<HostId, FleetMessage.Builder> sender) {
@@ -57,23 +51,19 @@
    */
   CompletableFuture<JobAnswer> forward(
       HostId host, JobSubmission job, JobAnswer answer, Duration limit) {
-    long number = lastNumber.incrementAndGet();
-    CompletableFuture<Option<JobAnswer>> waiting = new CompletableFuture<>();
-    pending.put(number, waiting);
-    sender.accept(
-        host,
-        FleetMessage.newBuilder()
-            .setJobForwarded(
-                JobForwarded.newBuilder()
-                    .setNumber(number)
-                    .setJob(job.id().value())
-                    .setOrganisation(job.organisation().value())
-                    .setHost(job.host())
-                    .setRoute(job.route().name())
-                    .addAllItems(job.items())));
-    return waiting
-        .completeOnTimeout(Option.none(), limit.toMillis(), TimeUnit.MILLISECONDS)
-        .whenComplete((forwarded, error) -> pending.remove(number))
+    JobForwarded.Builder message =
+        JobForwarded.newBuilder()
+            .setJob(job.id().value())
+            .setOrganisation(job.organisation().value())
+            .setHost(job.host())
+            .setRoute(job.route().name())
+            .addAllItems(job.items());
+    return pending
+        .await(
+            number ->
+                sender.accept(
+                    host, FleetMessage.newBuilder().setJobForwarded(message.setNumber(number))),
+            limit)
         .thenApply(forwarded -> combine(answer, forwarded));
   }
 
@@ -87,22 +77,12 @@
   }
 
   void onAnswer(JobForwardAnswer message) {
-    CompletableFuture<Option<JobAnswer>> waiting = pending.remove(message.getNumber());
-    if (waiting != null) {
-      waiting.complete(Option.some(decode(message)));
-    }
+    pending.complete(message.getNumber(), decode(message));
   }
 
   /** Returns the submission of a forwarded job; none if its route is not known here. */
   static Option<JobSubmission> decode(JobForwarded message, Option<Plan> plan) {
-    Option<Route> route =
-        plan.flatMap(
-            p ->
-                Option.ofOptional(
-                    p.routes().all().stream()
-                        .filter(r -> r.name().equals(message.getRoute()))
-                        .filter(r -> r.kind() == RequestKind.JOB)
-                        .findFirst()));
+    Option<Route> route = plan.flatMap(p -> p.routes().findJobRoute(message.getRoute()));
     return route.map(
         r ->
             new JobSubmission(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -81,9 +81,6 @@
   /** Maximum age of evidence that some host reaches the store; two reads of the configuration. */
   private static final Duration MAX_STORE_CONTACT_AGE = Duration.ofMillis(1500);
 
-  /** Part of the objective for an acceptance that a forwarded job may use up. */
-  private static final double FORWARD_OBJECTIVE_PART = 0.4;
-
   private final Ports ports;
   private final RunnerName self;
   private final JobStore store;
@@ -100,8 +97,7 @@
               return size() > MAX_CACHED_JOBS;
             }
           });
-  private final Map<Long, CompletableFuture<Option<JobPage>>> pendingReads =
-      new ConcurrentHashMap<>();
+  private final PendingAnswers<JobPage> pendingReads = new PendingAnswers<>();
   private final Map<Long, JobId> unconfirmedCloses = new ConcurrentHashMap<>();
   private final AtomicLong lastNumber = new AtomicLong();
 
@@ -191,9 +187,7 @@
                 return completed(answer);
               }
               LOG.write(Event.JOB_FORWARDED, job.id(), other.get(), answer);
-              Duration limit =
-                  Duration.ofNanos(
-                      (long) (FORWARD_OBJECTIVE_PART * job.route().objective().toNanos()));
+              Duration limit = AcceptancePatience.partOfOneHost(job.route().objective());
               return forwarder.forward(other.get(), job, answer, limit);
             });
   }
@@ -293,13 +287,8 @@
   public void onJobMessage(HostId from, FleetMessage message) {
     switch (message.getBodyCase()) {
       case JOB_READ -> answerRead(from, message.getJobRead());
-      case JOB_PAGE -> {
-        CompletableFuture<Option<JobPage>> waiting =
-            pendingReads.remove(message.getJobPage().getNumber());
-        if (waiting != null) {
-          waiting.complete(Option.some(message.getJobPage()));
-        }
-      }
+      case JOB_PAGE ->
+          pendingReads.complete(message.getJobPage().getNumber(), message.getJobPage());
       case JOB_FORWARDED -> acceptForwarded(from, message.getJobForwarded());
       case JOB_FORWARD_ANSWER -> forwarder.onAnswer(message.getJobForwardAnswer());
       case JOB_CLOSED -> onClosed(from, message.getJobClosed());
@@ -373,22 +362,11 @@
     if (!mayAsk(host)) {
       return completed(Option.none());
     }
-    long number = lastNumber.incrementAndGet();
-    CompletableFuture<Option<JobPage>> waiting = new CompletableFuture<>();
-    pendingReads.put(number, waiting);
-    send(
-        host,
-        FleetMessage.newBuilder()
-            .setJobRead(
-                JobRead.newBuilder()
-                    .setNumber(number)
-                    .setJob(job.value())
-                    .setAfter(after)
-                    .setWaitNanos(patience.toNanos())));
-    long limit = patience.plus(PEER_ANSWER_MARGIN).toMillis();
-    return waiting
-        .completeOnTimeout(Option.none(), limit, TimeUnit.MILLISECONDS)
-        .whenComplete((page, error) -> pendingReads.remove(number));
+    JobRead.Builder message =
+        JobRead.newBuilder().setJob(job.value()).setAfter(after).setWaitNanos(patience.toNanos());
+    return pendingReads.await(
+        number -> send(host, FleetMessage.newBuilder().setJobRead(message.setNumber(number))),
+        patience.plus(PEER_ANSWER_MARGIN));
   }
 
   private void answerRead(HostId from, JobRead readRequest) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.event.Event;
@@ -163,15 +162,7 @@
     synchronized (this) {
       name = stored.record().getRoute();
     }
-    return ports
-        .storeView()
-        .plan()
-        .flatMap(
-            p ->
-                Option.ofOptional(
-                    p.routes().all().stream()
-                        .filter(r -> r.name().equals(name) && r.kind() == RequestKind.JOB)
-                        .findFirst()));
+    return ports.storeView().plan().flatMap(p -> p.routes().findJobRoute(name));
   }
 
   /** Returns the results from a position on. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/RouteTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/RouteTable.java
@@ -39,6 +39,14 @@
         candidates.stream().filter(r -> path.startsWith(r.pathPrefix())).findFirst());
   }
 
+  /** Returns the route of kind JOB with a name, none if there is no such route. */
+  public Option<Route> findJobRoute(String name) {
+    return Option.ofOptional(
+        all().stream()
+            .filter(r -> r.name().equals(name) && r.kind() == RequestKind.JOB)
+            .findFirst());
+  }
+
   /** Returns all routes. */
   public List<Route> all() {
     return byHost.values().stream().flatMap(List::stream).toList();
