A run that its engine broke off is reported as such and logged with the parts of its prompt

The logs could not tell the hypotheses apart: the end of a run said only that the engine was lost, whether it was silent, unreachable or had closed the connection, and no line named the parts of the prompts that an engine was working on. A host now says which (SlotEnd.broken_off, which older hosts ignore), a coordinator logs W507 with the request, its host, the time to its first event and the parts, and hosts report request and parts of their runs to a coordinator that succeeds another. No decision changes.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -16,6 +16,8 @@
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
 import org.waxwingcourse.fleet.slot.BatchWork;
+import org.waxwingcourse.fleet.slot.ExistingRun;
+import org.waxwingcourse.fleet.slot.GrantedRun;
 import org.waxwingcourse.fleet.slot.OrganisationRateLimiter;
 import org.waxwingcourse.fleet.slot.PacedRequests;
 import org.waxwingcourse.fleet.slot.RunEnd;
@@ -202,14 +204,29 @@
   void onEnd(HostId from, SlotEnd end) {
     RunEnd runEnd =
         new RunEnd(
-            RunEnd.How.valueOf(end.getHow().name()),
+            end.getBrokenOff()
+                ? RunEnd.How.ENGINE_BROKE_OFF
+                : RunEnd.How.valueOf(end.getHow().name()),
             Duration.ofNanos(end.getFirstEventNanos()),
             Duration.ofNanos(end.getGapNanos()),
             end.getEvents());
     RunId id = new RunId(from, end.getNumber());
+    if (runEnd.how() == RunEnd.How.ENGINE_BROKE_OFF) {
+      services.values().forEach(s -> s.findRun(id).forEach(run -> logBrokenOff(from, run, runEnd)));
+    }
     services.values().forEach(s -> execute(s.endRun(id, runEnd, clock.instant())));
   }
 
+  private static void logBrokenOff(HostId host, GrantedRun run, RunEnd end) {
+    LOG.write(
+        Event.RUN_BROKEN_OFF,
+        run.engine(),
+        run.request(),
+        host,
+        end.firstEventDelay().isZero() ? "none" : end.firstEventDelay().toMillis() + " ms",
+        run.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(",")));
+  }
+
   void onWithdraw(HostId from, long number) {
     pacedRequests.removeIf(id -> id.equals(new RunId(from, number)));
     services.values().forEach(s -> s.withdrawRequest(new RunId(from, number)));
@@ -233,8 +250,14 @@
       RunId id = new RunId(from, run.getNumber());
       UpstreamId engine = UpstreamId.of(run.getEngine());
       Option<BatchWork> work = batchWork(run.getDueWithinNanos(), run.getReceivedEvents(), now);
-      scheduler(ServiceName.of(run.getService()))
-          .addExistingRun(id, engine, !run.getBatch(), work, now.minusNanos(run.getElapsedNanos()));
+      ExistingRun existing =
+          new ExistingRun(
+              RequestId.of(run.getRequest()),
+              run.getPromptPartsList(),
+              !run.getBatch(),
+              work,
+              now.minusNanos(run.getElapsedNanos()));
+      scheduler(ServiceName.of(run.getService())).addExistingRun(id, engine, existing);
     }
     services.values().forEach(s -> execute(s.retainListedRuns(from, listed, now)));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -103,12 +103,19 @@
             .setEnd(
                 SlotEnd.newBuilder()
                     .setNumber(number)
-                    .setHow(SlotEnd.How.valueOf(end.how().name()))
+                    .setHow(toWire(end.how()))
+                    .setBrokenOff(end.how() == RunEnd.How.ENGINE_BROKE_OFF)
                     .setFirstEventNanos(end.firstEventDelay().toNanos())
                     .setGapNanos(end.meanGap().toNanos())
                     .setEvents(end.events())));
   }
 
+  private static SlotEnd.How toWire(RunEnd.How how) {
+    return how == RunEnd.How.ENGINE_BROKE_OFF
+        ? SlotEnd.How.ENGINE_LOST
+        : SlotEnd.How.valueOf(how.name());
+  }
+
   /** Withdraws a request that has not been granted. */
   public void withdrawRequest(long number) {
     if (pending.remove(number) != null) {
@@ -274,6 +281,8 @@
         .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
         .setNumber(number)
         .setEngine(request.engine.value())
+        .setRequest(request.requirements.requestId().value())
+        .addAllPromptParts(request.requirements.promptParts())
         .setService(request.requirements.service().value())
         .setBatch(request.requirements.workClass() == WorkClass.BATCH);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -301,17 +301,17 @@
     private void onSilence() {
       synchronized (ItemRun.this) {
         if (!slotReleased && attempt == this) {
-          moveToAnotherEngine("silent");
+          moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "silent");
         }
       }
     }
 
-    private void moveToAnotherEngine(String reason) {
+    private void moveToAnotherEngine(RunEnd.How outcomeKind, String reason) {
       LOG.write(
           Event.ITEM_MOVED, item.getId(), job.id(), engine, reason, lastEventId.getOrElse(0L));
       failedOn.add(engine);
       moves++;
-      cancelAttempt(RunEnd.How.ENGINE_LOST);
+      cancelAttempt(outcomeKind);
       requestSlot();
     }
 
@@ -333,7 +333,8 @@
             cancelAttempt(RunEnd.How.ENGINE_WRONG);
             scheduleRetry();
           }
-          case MISMATCHED -> moveToAnotherEngine("sent the answer to another request");
+          case MISMATCHED ->
+              moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "sent the answer to another request");
           default -> {
             // The body follows.
           }
@@ -373,7 +374,10 @@
           return;
         }
         if (failure.isDefined()) {
-          moveToAnotherEngine(failure.get().message());
+          boolean brokeOff = failure.get().kind() == CallFailure.Kind.LOST;
+          moveToAnotherEngine(
+              brokeOff ? RunEnd.How.ENGINE_BROKE_OFF : RunEnd.How.ENGINE_LOST,
+              failure.get().message());
           return;
         }
         attempt = null;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -387,7 +387,9 @@
                   RunEnd.How.ENGINE_WRONG,
                   "engine " + engine.id() + " is no longer at its address");
           case MISMATCHED ->
-              retryAfterLoss("engine " + engine.id() + " sent the answer to another request");
+              retryAfterLoss(
+                  RunEnd.How.ENGINE_LOST,
+                  "engine " + engine.id() + " sent the answer to another request");
           default -> lastActivityAt = now();
         }
       }
@@ -398,9 +400,9 @@
       retryOrEnd(reason);
     }
 
-    private void retryAfterLoss(String reason) {
+    private void retryAfterLoss(RunEnd.How outcomeKind, String reason) {
       runCount++;
-      cancelAttempt(RunEnd.How.ENGINE_LOST);
+      cancelAttempt(outcomeKind);
       retryOrEnd(reason);
     }
 
@@ -486,10 +488,10 @@
         retryAfterNoRun(RunEnd.How.ENGINE_LOST, reason);
       } else if (headForwarded && !isStream()) {
         runCount++;
-        cancelAttempt(RunEnd.How.ENGINE_LOST);
+        cancelAttempt(RunEnd.How.ENGINE_BROKE_OFF);
         fail(new Outcome.Unknown(reason));
       } else {
-        retryAfterLoss(reason);
+        retryAfterLoss(RunEnd.How.ENGINE_BROKE_OFF, reason);
       }
     }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
@@ -40,7 +40,7 @@
     switch (end.how()) {
       case WHOLE, CANCELLED -> recordAnswer(end);
       case ENGINE_FULL -> ejectedUntil = latest(Deadline.at(now.plus(FULL_ENGINE_PAUSE)));
-      case ENGINE_LOST -> recordFailure(now, end.firstEventDelay().isZero());
+      case ENGINE_LOST, ENGINE_BROKE_OFF -> recordFailure(now, end.firstEventDelay().isZero());
       case ENGINE_WRONG -> ejectedUntil = Deadline.at(now.plus(Duration.ofSeconds(30)));
       default -> recordAnswer(end);
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.model.id.RequestId;
 
 /**
  * The slots of one engine and the runs that occupy them. Not safe for use by several threads;
@@ -39,12 +40,20 @@
   /**
    * A run that occupies a slot.
    *
+   * @param request id of the caller's request or the job's item, for logs
+   * @param promptParts ids of the parts of its prompt, in order
    * @param adopted whether it started under another coordinator
    * @param online whether a caller waits for the run
    * @param work the work of a batch run, none if it is not known
    * @param startedAt when it started
    */
-  record Run(boolean adopted, boolean online, Option<BatchWork> work, Instant startedAt) {
+  record Run(
+      RequestId request,
+      List<Long> promptParts,
+      boolean adopted,
+      boolean online,
+      Option<BatchWork> work,
+      Instant startedAt) {
     /**
      * Returns when a batch run is expected to end; the start of the run if too little is known of
      * it.
@@ -115,12 +124,22 @@
   }
 
   void startRun(SlotRequest request, Instant now) {
-    runs.put(request.id(), new Run(false, request.isOnline(), request.batchWork(), now));
+    runs.put(
+        request.id(),
+        new Run(
+            request.requestId(),
+            request.promptParts(),
+            false,
+            request.isOnline(),
+            request.batchWork(),
+            now));
     request.promptParts().forEach(p -> recentParts.put(p, true));
   }
 
-  void addExistingRun(RunId id, boolean online, Option<BatchWork> work, Instant startedAt) {
-    runs.putIfAbsent(id, new Run(true, online, work, startedAt));
+  void addExistingRun(RunId id, ExistingRun run) {
+    runs.putIfAbsent(
+        id,
+        new Run(run.request(), run.promptParts(), true, run.online(), run.work(), run.startedAt()));
   }
 
   /**
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ExistingRun.java
@@ -0,0 +1,27 @@
+package org.waxwingcourse.fleet.slot;
+
+import io.vavr.control.Option;
+import java.time.Instant;
+import java.util.List;
+import org.waxwingcourse.model.id.RequestId;
+
+/**
+ * A run that a host reports to a coordinator that has not granted it.
+ *
+ * @param request id of the caller's request or the job's item, for logs
+ * @param promptParts ids of the parts of its prompt, in order
+ * @param online whether a caller waits for it
+ * @param work the work of a batch run, none if it is not known
+ * @param startedAt when it started
+ */
+public record ExistingRun(
+    RequestId request,
+    List<Long> promptParts,
+    boolean online,
+    Option<BatchWork> work,
+    Instant startedAt) {
+  /** Copies the list. */
+  public ExistingRun {
+    promptParts = List.copyOf(promptParts);
+  }
+}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
@@ -13,7 +13,7 @@
 public record RunEnd(How how, Duration firstEventDelay, Duration meanGap, int events) {
   /**
    * Outcomes of a run, as far as they say something about its engine. The names equal those of
-   * {@code SlotEnd.How} in fleet.proto.
+   * {@code SlotEnd.How} in fleet.proto, except for {@link #ENGINE_BROKE_OFF}.
    */
   public enum How {
     /** The complete answer was received. */
@@ -22,14 +22,21 @@
     CANCELLED,
     /** The engine reported that it is full and did not run the request. */
     ENGINE_FULL,
-    /** The engine could not be reached, closed the connection early or stopped sending. */
+    /** The engine could not be reached or stopped sending. */
     ENGINE_LOST,
+    /** The engine closed the connection before the answer was complete, as when it crashes. */
+    ENGINE_BROKE_OFF,
     /** The engine answered with an error of its own. */
     ENGINE_FAILED,
     /** Another engine listens on the address. */
     ENGINE_WRONG
   }
 
+  /** Returns whether the run lost its engine. */
+  public boolean lostEngine() {
+    return how == How.ENGINE_LOST || how == How.ENGINE_BROKE_OFF;
+  }
+
   /** Returns an outcome without times. */
   public static RunEnd of(How how) {
     return new RunEnd(how, Duration.ZERO, Duration.ZERO, 0);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -150,7 +150,7 @@
       EngineSlots.Run run = engine.runs().remove(id);
       if (run != null) {
         updateRunTimes(run, end, now);
-        if (end.how() != RunEnd.How.ENGINE_LOST || isCredible(id.host(), engine, now)) {
+        if (!end.lostEngine() || isCredible(id.host(), engine, now)) {
           engine.health().recordEnd(end, now);
         }
       }
@@ -158,6 +158,17 @@
     return startWaitingRequests(now, new ArrayList<>());
   }
 
+  /** Returns a run that occupies a slot, none if the run is not known. */
+  public synchronized Option<GrantedRun> findRun(RunId id) {
+    for (EngineSlots engine : engines.values()) {
+      EngineSlots.Run run = engine.runs().get(id);
+      if (run != null) {
+        return Option.some(new GrantedRun(engine.entry().id(), run.request(), run.promptParts()));
+      }
+    }
+    return Option.none();
+  }
+
   /** Records that a run received no byte for longer than a healthy engine takes. */
   public synchronized void recordSilence(RunId id, Instant now) {
     engines.values().stream()
@@ -223,12 +234,11 @@
     return startWaitingRequests(now, new ArrayList<>());
   }
 
-  /** Adds a run that started at {@code startedAt} under another coordinator. */
-  public synchronized void addExistingRun(
-      RunId id, UpstreamId engine, boolean isOnline, Option<BatchWork> work, Instant startedAt) {
+  /** Adds a run that another coordinator has granted. */
+  public synchronized void addExistingRun(RunId id, UpstreamId engine, ExistingRun run) {
     EngineSlots slots = engines.get(engine);
     if (slots != null && findEngineOfRun(id).isEmpty()) {
-      slots.addExistingRun(id, isOnline, work, startedAt);
+      slots.addExistingRun(id, run);
     }
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSchedulerTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSchedulerTest.java
@@ -4,12 +4,14 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.WorkClass;
 
@@ -139,7 +141,9 @@
     for (long n = 100; n < 102; n++) {
       RunId existingRun = new RunId(HostId.of("other"), n);
       s.scheduler.addExistingRun(
-          existingRun, UpstreamId.of("engine-0"), false, Option.none(), s.now);
+          existingRun,
+          UpstreamId.of("engine-0"),
+          new ExistingRun(RequestId.of("r" + n), List.of(), false, Option.none(), s.now));
     }
     s.submit(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
     assertThat(s.refusals).isEmpty();
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -71,6 +71,10 @@
       506,
       Level.INFO,
       "batch run {} of host \"{}\" yields engine \"{}\" to request {}; part {}, load {}"),
+  RUN_BROKEN_OFF(
+      507,
+      Level.INFO,
+      "engine \"{}\" broke off request {} of host \"{}\"; first event {}, prompt parts {}"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
