--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
@@ -0,0 +1,289 @@
+package org.waxwingcourse.fleet.slot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.UpstreamId;
+
+/** The parts of prompts under which engines crash are found, and sound ones are not blamed. */
+class CrashBlameTest {
+  private static final HostId HOST = HostId.of("host-1");
+  private static final HostId OTHER_HOST = HostId.of("host-2");
+  private static final long SHARED = 1;
+  private static final long CRASHING = 2;
+  private static final long SOUND = 3;
+  private static final Duration FIRST_EVENT = Duration.ofMillis(40);
+
+  private final CrashBlame blame = new CrashBlame();
+  private final List<Set<Long>> verdicts = new ArrayList<>();
+  private Instant now = Instant.ofEpochSecond(1000);
+  private long lastNumber;
+
+  private RunId start(HostId host, String engine, long... shared) {
+    RunId id = new RunId(host, ++lastNumber);
+    List<Long> parts = new ArrayList<>();
+    for (long part : shared) {
+      parts.add(part);
+    }
+    parts.add(1_000_000 + lastNumber);
+    blame.recordStart(id, UpstreamId.of(engine), parts, now);
+    return id;
+  }
+
+  private RunId start(String engine, long... shared) {
+    return start(HOST, engine, shared);
+  }
+
+  private void end(RunId run, RunEnd.How how, Duration firstEvent) {
+    verdicts.addAll(blame.recordEnd(run, new RunEnd(how, firstEvent, Duration.ZERO, 0), now));
+  }
+
+  private void breakOff(RunId run) {
+    end(run, RunEnd.How.ENGINE_BROKE_OFF, Duration.ZERO);
+  }
+
+  private void breakOffWithEvent(RunId run) {
+    end(run, RunEnd.How.ENGINE_BROKE_OFF, FIRST_EVENT);
+  }
+
+  private void complete(RunId run) {
+    end(run, RunEnd.How.WHOLE, FIRST_EVENT);
+  }
+
+  private void advance(long millis) {
+    for (long i = 0; i < millis; i += 20) {
+      now = now.plusMillis(20);
+      verdicts.addAll(blame.update(now));
+    }
+  }
+
+  /** Crashes an engine on one run. */
+  private void crash(String engine, long... shared) {
+    RunId run = start(engine, shared);
+    advance(60);
+    breakOff(run);
+    advance(400);
+  }
+
+  private void seeSound(String engine, long... shared) {
+    RunId run = start(engine, shared);
+    advance(60);
+    complete(run);
+  }
+
+  @Test
+  void secondCrashOnOnePartMakesAVerdict() {
+    seeSound("e-0", SHARED);
+    crash("e-1", SHARED, CRASHING);
+    assertThat(verdicts).isEmpty();
+    crash("e-2", SHARED, CRASHING);
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void partsThatNoEventTellsApartShareAVerdictUntilOneIsSeenSound() {
+    crash("e-1", SHARED, CRASHING);
+    crash("e-2", SHARED, CRASHING);
+    assertThat(verdicts).containsExactly(Set.of(SHARED, CRASHING));
+    verdicts.clear();
+    seeSound("e-3", SHARED, SOUND);
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void furtherCrashConfirmsTheVerdict() {
+    seeSound("e-0", SHARED);
+    crash("e-1", SHARED, CRASHING);
+    crash("e-2", SHARED, CRASHING);
+    crash("e-3", SHARED, CRASHING);
+    assertThat(verdicts).containsExactly(Set.of(CRASHING), Set.of(CRASHING));
+  }
+
+  @Test
+  void soundRunBesideACrashIsNotBlamed() {
+    seeSound("e-0", SHARED);
+    for (String engine : List.of("e-1", "e-2")) {
+      RunId crashing = start(engine, SHARED, CRASHING);
+      RunId sound = start(OTHER_HOST, engine, SHARED, SOUND);
+      advance(60);
+      breakOffWithEvent(sound);
+      breakOff(crashing);
+      advance(400);
+    }
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void runsThatAreIndistinguishableForTwoCrashesAreToldApartByTheThird() {
+    seeSound("e-0", SHARED);
+    for (String engine : List.of("e-1", "e-2")) {
+      RunId crashing = start(engine, SHARED, CRASHING);
+      RunId sound = start(OTHER_HOST, engine, SHARED, SOUND);
+      advance(60);
+      breakOff(sound);
+      breakOff(crashing);
+      advance(400);
+    }
+    assertThat(verdicts).isEmpty();
+    crash("e-3", SHARED, CRASHING);
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void crashOnAPromptWithAVerdictIncriminatesNoOtherPart() {
+    seeSound("e-0", SHARED);
+    crash("e-1", SHARED, CRASHING);
+    crash("e-2", SHARED, CRASHING);
+    for (String engine : List.of("e-3", "e-4", "e-5")) {
+      RunId crashing = start(engine, SHARED, CRASHING);
+      RunId sound = start(OTHER_HOST, engine, SHARED, SOUND);
+      advance(60);
+      breakOff(sound);
+      breakOff(crashing);
+      advance(400);
+      assertThat(blame.isSuspect(List.of(SHARED, SOUND, 9L))).isFalse();
+    }
+    assertThat(Set.copyOf(verdicts)).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void enginesThatEndTogetherCountOnce() {
+    List<RunId> runs = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      runs.add(start("e-" + i, SHARED, SOUND));
+    }
+    advance(60);
+    runs.forEach(this::breakOff);
+    advance(1000);
+    assertThat(verdicts).isEmpty();
+    assertThat(blame.isSuspect(List.of(SHARED, SOUND, 9L))).isTrue();
+  }
+
+  @Test
+  void retryThatMeetsTheSameWaveOfCrashesMakesNoVerdict() {
+    List<RunId> others = new ArrayList<>();
+    RunId first = start("e-0", SHARED, SOUND);
+    for (int i = 1; i < 6; i++) {
+      others.add(start("e-" + i, SHARED, 100 + i));
+    }
+    advance(40);
+    breakOff(first);
+    RunId retry = start("e-5", SHARED, SOUND);
+    advance(40);
+    others.forEach(this::breakOffWithEvent);
+    breakOff(retry);
+    advance(1000);
+    assertThat(verdicts).isEmpty();
+  }
+
+  @Test
+  void lostAnswerOnAnEngineThatGoesOnIsNoCrash() {
+    for (int i = 0; i < 5; i++) {
+      RunId lost = start("e-1", SHARED, SOUND);
+      RunId other = start("e-1", SHARED, 7);
+      RunId another = start("e-1", SHARED, 8);
+      advance(60);
+      breakOff(lost);
+      advance(600);
+      complete(other);
+      complete(another);
+    }
+    assertThat(verdicts).isEmpty();
+    assertThat(blame.isSuspect(List.of(SOUND, 9L))).isFalse();
+  }
+
+  @Test
+  void loneRunThatBreaksOffIsNoCrashOnceItsEngineAnswersAgain() {
+    for (int i = 0; i < 5; i++) {
+      crash("e-1", SHARED, SOUND);
+      assertThat(blame.isSuspect(List.of(SOUND, 9L))).isTrue();
+      seeSound("e-1", SHARED, 7);
+      assertThat(blame.isSuspect(List.of(SOUND, 9L))).isFalse();
+    }
+    assertThat(verdicts).isEmpty();
+  }
+
+  @Test
+  void crashIsFoundAlthoughOneEndIsMissing() {
+    seeSound("e-0", SHARED);
+    for (String engine : List.of("e-1", "e-2")) {
+      RunId crashing = start(engine, SHARED, CRASHING);
+      RunId sound = start(OTHER_HOST, engine, SHARED, SOUND);
+      start(OTHER_HOST, engine, SHARED, 8);
+      advance(60);
+      breakOff(crashing);
+      advance(100);
+      breakOffWithEvent(sound);
+      advance(400);
+    }
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void runsOfALostHostDoNotHideACrash() {
+    seeSound("e-0", SHARED);
+    for (String engine : List.of("e-1", "e-2")) {
+      RunId crashing = start(engine, SHARED, CRASHING);
+      start(OTHER_HOST, engine, SHARED, SOUND);
+      start(OTHER_HOST, engine, SHARED, 8);
+      advance(60);
+      blame.removeHost(OTHER_HOST);
+      breakOff(crashing);
+      advance(400);
+    }
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
+  @Test
+  void partThatWasSeenSoundTakesMoreCrashes() {
+    seeSound("e-0", SHARED, SOUND);
+    for (int i = 1; i <= 3; i++) {
+      crash("e-" + i, SHARED, SOUND);
+    }
+    assertThat(verdicts).isEmpty();
+    crash("e-4", SHARED, SOUND);
+    assertThat(verdicts).containsExactly(Set.of(SHARED, SOUND));
+  }
+
+  @Test
+  void eventAcquits() {
+    crash("e-1", SHARED, SOUND);
+    assertThat(blame.isSuspect(List.of(SOUND, 9L))).isTrue();
+    seeSound("e-2", SHARED, SOUND);
+    assertThat(blame.isSuspect(List.of(SOUND, 9L))).isFalse();
+    crash("e-3", SHARED, SOUND);
+    assertThat(verdicts).isEmpty();
+  }
+
+  @Test
+  void lastPartIsNeverBlamed() {
+    for (int i = 0; i < 8; i++) {
+      RunId run = new RunId(HOST, ++lastNumber);
+      blame.recordStart(run, UpstreamId.of("e-" + i), List.of(CRASHING), now);
+      advance(60);
+      breakOff(run);
+      advance(400);
+    }
+    assertThat(verdicts).isEmpty();
+    assertThat(blame.isSuspect(List.of(CRASHING))).isFalse();
+  }
+
+  @Test
+  void floodOfPartsDoesNotGrowTheState() {
+    for (int i = 0; i < 100_000; i++) {
+      RunId run = start("e-" + i % 500, 10_000 + i, 1_000_000 + i);
+      if (i % 3 == 0) {
+        breakOff(run);
+      } else if (i % 3 == 1) {
+        complete(run);
+      }
+    }
+    assertThat(blame.size()).isLessThan(80_000);
+  }
+}
