An item that crashes each engine is tried more and more rarely

The quarantine of prompts does not cover it if the fault lies in what is the item's own. An item that goes on with each run is not delayed.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -55,6 +55,14 @@
   /** Delay before an item is tried again on whose prompt engines crash. */
   private static final Duration QUARANTINE_RETRY_DELAY = Duration.ofSeconds(3);
 
+  /**
+   * Delay before an item is tried again whose last two runs broke off before an event; it doubles
+   * with each further one, since the item itself may crash the engines.
+   */
+  private static final Duration CRASH_RETRY_DELAY = Duration.ofSeconds(1);
+
+  private static final int MAX_DOUBLINGS = 4;
+
   private static final int UNPROCESSABLE = 422;
   private static final int SERVER_ERROR = 500;
 
@@ -77,6 +85,7 @@
   private int failures;
   private int yields;
   private int moves;
+  private int breaksWithoutEvent;
   private Duration waited = Duration.ZERO;
   private boolean done;
 
@@ -319,8 +328,15 @@
           Event.ITEM_MOVED, item.getId(), job.id(), engine, reason, lastEventId.getOrElse(0L));
       failedOn.add(engine);
       moves++;
+      boolean brokeOff = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF;
+      breaksWithoutEvent = brokeOff && firstEventAt == null ? breaksWithoutEvent + 1 : 0;
       cancelAttempt(outcomeKind);
-      requestSlot();
+      if (breaksWithoutEvent < 2) {
+        requestSlot();
+      } else {
+        int doublings = Math.min(breaksWithoutEvent - 2, MAX_DOUBLINGS);
+        scheduleRetry(CRASH_RETRY_DELAY.multipliedBy(1L << doublings));
+      }
     }
 
     @Override
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ManualTimer.java
@@ -0,0 +1,55 @@
+package org.waxwingcourse.fleet.job;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.concurrent.Future;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.model.time.ManualClock;
+
+/** A timer that runs its tasks in the calling thread as its clock is advanced. */
+final class ManualTimer extends ScheduledThreadPoolExecutor {
+  private final ManualClock clock;
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparing(Task::dueAt).thenComparing(Task::order));
+  private long lastOrder;
+
+  private record Task(Instant dueAt, long order, Runnable action, Future<?> handle) {}
+
+  ManualTimer(ManualClock clock) {
+    super(1);
+    this.clock = clock;
+  }
+
+  @Override
+  public ScheduledFuture<?> schedule(Runnable action, long delay, TimeUnit unit) {
+    ScheduledFuture<?> handle = super.schedule(() -> {}, Long.MAX_VALUE, TimeUnit.NANOSECONDS);
+    Instant dueAt = clock.instant().plusNanos(unit.toNanos(delay));
+    tasks.add(new Task(dueAt, ++lastOrder, action, handle));
+    return handle;
+  }
+
+  @Override
+  public void execute(Runnable action) {
+    Future<?> handle = new FutureTask<>(() -> null);
+    tasks.add(new Task(clock.instant(), ++lastOrder, action, handle));
+  }
+
+  void advance(Duration span) {
+    Instant end = clock.instant().plus(span);
+    while (!tasks.isEmpty() && !tasks.peek().dueAt.isAfter(end)) {
+      Task task = tasks.poll();
+      if (task.dueAt.isAfter(clock.instant())) {
+        clock.advance(Duration.between(clock.instant(), task.dueAt));
+      }
+      if (!task.handle.isCancelled()) {
+        task.action.run();
+      }
+    }
+    clock.advance(Duration.between(clock.instant(), end));
+  }
+}
