Waiting for answers about jobs ends by the injected timer

Cause: JobForwardingTest.jobIsAcceptedByTheCoordinatorWithinTheObjectiveWhenTheStoreIsSilent failed once (10:02, beside seven other jobs on eight cores, load 20): 'the host to which the job was forwarded did not answer'. JobIntake and PendingAnswers took their limits (160 ms of a 400 ms objective) from the real clock while the test's other host had to load its classes within them, so the verdict depended on the speed of the machine. Change: limits run by the injected timer, and the two tests advance a simulated clock; their bounds are the same (390 of 400 ms, 350 ms).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BiConsumer;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
@@ -31,11 +32,12 @@
   private static final long MAX_ITEM_BYTES = 1 << 20;
 
   private final BiConsumer<HostId, FleetMessage.Builder> sender;
-  private final PendingAnswers<JobAnswer> pending = new PendingAnswers<>();
+  private final PendingAnswers<JobAnswer> pending;
 
   /** Creates a forwarder that sends its messages with {@code sender}. */
-  JobForwarder(BiConsumer<HostId, FleetMessage.Builder> sender) {
+  JobForwarder(BiConsumer<HostId, FleetMessage.Builder> sender, ScheduledExecutorService timer) {
     this.sender = sender;
+    this.pending = new PendingAnswers<>(timer);
   }
 
   /** Returns whether the job is small enough to be forwarded. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.JobTerms;
 import org.waxwingcourse.fleet.view.StoreKeys;
@@ -59,6 +59,7 @@
   private final JobStore store;
   private final JobRunner runner;
   private final RunnerName self;
+  private final ScheduledExecutorService timer;
   private final InstantSource clock;
   private final Supplier<Duration> storeResponseTime;
   private final Supplier<Duration> storeRetryDelay;
@@ -78,9 +79,11 @@
       JobRunner runner,
       RunnerName self,
       InstantSource clock,
+      ScheduledExecutorService timer,
       Supplier<Duration> storeResponseTime,
       Supplier<Duration> storeRetryDelay) {
     this.clock = clock;
+    this.timer = timer;
     this.storeResponseTime = storeResponseTime;
     this.storeRetryDelay = storeRetryDelay;
     this.store = store;
@@ -130,9 +133,7 @@
       return answer;
     }
     Duration limit = patience.patience(job.route().objective(), usual);
-    return answer
-        .copy()
-        .completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS)
+    return Timeouts.completeAfter(limit, null, answer.copy(), timer)
         .thenApply(a -> a == null ? answerWithoutStore(job, limit) : a);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -86,7 +86,7 @@
   private final JobStore store;
   private final JobRunner runner;
   private final JobIntake intake;
-  private final JobForwarder forwarder = new JobForwarder(this::send);
+  private final JobForwarder forwarder;
   private final Map<JobId, CachedJob> cachedJobs =
       Collections.synchronizedMap(
           new LinkedHashMap<>(16, 0.75f, true) {
@@ -97,7 +97,7 @@
               return size() > MAX_CACHED_JOBS;
             }
           });
-  private final PendingAnswers<JobPage> pendingReads = new PendingAnswers<>();
+  private final PendingAnswers<JobPage> pendingReads;
   private final Map<Long, JobId> unconfirmedCloses = new ConcurrentHashMap<>();
   private final AtomicLong lastNumber = new AtomicLong();
 
@@ -136,6 +136,8 @@
     this.ports = ports;
     this.self = new RunnerName(host, boot);
     this.store = new JobStore(ports.store());
+    this.forwarder = new JobForwarder(this::send, ports.timer());
+    this.pendingReads = new PendingAnswers<>(ports.timer());
     this.runner =
         new JobRunner(
             new JobRunner.Ports(
@@ -160,6 +162,7 @@
             runner,
             self,
             ports.clock(),
+            ports.timer(),
             ports.registration()::storeResponseTime,
             this::storeRetryDelay);
   }
@@ -311,8 +314,7 @@
     if (!page.results().isEmpty() || patience.isZero()) {
       return completed(page);
     }
-    return job.whenResultsAfter(after)
-        .completeOnTimeout(null, patience.toMillis(), TimeUnit.MILLISECONDS)
+    return Timeouts.completeAfter(patience, null, job.whenResultsAfter(after), ports.timer())
         .thenApply(nothing -> job.page(after));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/PendingAnswers.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/PendingAnswers.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongConsumer;
 
@@ -17,6 +17,11 @@
 final class PendingAnswers<T> {
   private final Map<Long, CompletableFuture<Option<T>>> pending = new ConcurrentHashMap<>();
   private final AtomicLong lastNumber = new AtomicLong();
+  private final ScheduledExecutorService timer;
+
+  PendingAnswers(ScheduledExecutorService timer) {
+    this.timer = timer;
+  }
 
   /**
    * Asks a question and returns the answer, none if there is none within {@code limit}.
@@ -28,8 +33,7 @@
     CompletableFuture<Option<T>> waiting = new CompletableFuture<>();
     pending.put(number, waiting);
     question.accept(number);
-    return waiting
-        .completeOnTimeout(Option.none(), limit.toMillis(), TimeUnit.MILLISECONDS)
+    return Timeouts.completeAfter(limit, Option.none(), waiting, timer)
         .whenComplete((answer, error) -> pending.remove(number));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
@@ -14,9 +14,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -48,11 +45,12 @@
   private static final HostId CUT_OFF = HostId.of("cut-off");
   private static final HostId COORDINATOR = HostId.of("coordinator");
   private static final JobId JOB = JobId.of("job-1");
+  private static final Duration OBJECTIVE = Duration.ofMillis(400);
   private static final OrganisationId PARISH = OrganisationId.of("parish");
 
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final Clocks clocks = new Clocks(clock, clock);
-  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+  private final ManualTimer timer = new ManualTimer(clock);
   private final MemoryStore store = MemoryStore.of(clock);
   private final MemoryStore storeOfCutOff = MemoryStore.of(clock);
   private final Map<HostId, JobService> hosts = new HashMap<>();
@@ -121,7 +119,10 @@
   }
 
   private CompletableFuture<JobAnswer> submit(JobSubmission job) {
-    return hosts.get(CUT_OFF).submitJob(job).orTimeout(390, TimeUnit.MILLISECONDS);
+    CompletableFuture<JobAnswer> answer = hosts.get(CUT_OFF).submitJob(job);
+    timer.advance(OBJECTIVE.minusMillis(10));
+    assertThat(answer).isDone();
+    return answer;
   }
 
   private boolean isStored() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -11,9 +11,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
@@ -37,7 +34,7 @@
 
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final Clocks clocks = new Clocks(clock, clock);
-  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final ManualTimer timer = new ManualTimer(clock);
   private final StoreView storeView = StoreView.of(document -> Either.left("none"), clocks);
   private final MemoryStore store = MemoryStore.of(clock);
   private final JobService jobs = new JobService(SELF, 1, ports());
@@ -73,6 +70,12 @@
         List.of(JobItem.newBuilder().setId("item-1").build()));
   }
 
+  private JobAnswer answerWithin(Duration limit, CompletableFuture<JobAnswer> answer) {
+    timer.advance(limit);
+    assertThat(answer).isDone();
+    return answer.join();
+  }
+
   private Duration retryDelayAfterRefusal() {
     JobSubmission job = job("job-1");
     store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
@@ -97,8 +100,8 @@
   @Test
   void callerIsSentElsewhereWithinItsObjectiveWhenTheStoreIsSilent() {
     store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.SILENT));
-    JobAnswer answer = jobs.submitJob(job("job-1")).orTimeout(350, TimeUnit.MILLISECONDS).join();
-    assertThat(answer).isInstanceOf(JobAnswer.Unknown.class);
+    assertThat(answerWithin(Duration.ofMillis(350), jobs.submitJob(job("job-1"))))
+        .isInstanceOf(JobAnswer.Unknown.class);
     assertThat(jobs.submitJob(job("job-2")).getNow(null)).isInstanceOf(JobAnswer.Refused.class);
     clock.advance(Duration.ofMillis(1100));
     store.setFaults(StoreFaults.NONE);
@@ -137,11 +140,11 @@
                     null)),
             new RunnerName(SELF, 1),
             clock,
+            timer,
             () -> Duration.ofMillis(4),
             () -> Duration.ofMillis(20));
-    JobAnswer answer =
-        intake.submit(job("job-1"), clock.instant()).orTimeout(350, TimeUnit.MILLISECONDS).join();
-    assertThat(answer).isInstanceOf(JobAnswer.Unknown.class);
+    CompletableFuture<JobAnswer> answer = intake.submit(job("job-1"), clock.instant());
+    assertThat(answerWithin(Duration.ofMillis(350), answer)).isInstanceOf(JobAnswer.Unknown.class);
   }
 
   @Test
