--- /dev/null
+++ b/http/src/main/java/org/waxwingcourse/http/HeadSyntax.java
@@ -0,0 +1,33 @@
+package org.waxwingcourse.http;
+
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+
+/**
+ * The syntax of the parts of a request's head (RFC 9110). Text outside it may be understood by
+ * another server as the end of a line, as another header or as another request.
+ */
+public final class HeadSyntax {
+  private static final char DELETE = 0x7f;
+
+  private HeadSyntax() {}
+
+  /** Returns whether a header can be written without changing the meaning of the head. */
+  public static boolean isHeader(CharSequence name, CharSequence value) {
+    return isToken(name) && isHeaderValue(value);
+  }
+
+  /** Returns whether the text can be the value of a header. */
+  public static boolean isHeaderValue(CharSequence value) {
+    return HttpHeaderValidationUtil.validateValidHeaderValue(value) < 0;
+  }
+
+  /** Returns whether the text can be a method or the name of a header. */
+  public static boolean isToken(CharSequence text) {
+    return text.length() > 0 && HttpHeaderValidationUtil.validateToken(text) < 0;
+  }
+
+  /** Returns whether the text can be the path and query of a request. */
+  public static boolean isTarget(CharSequence text) {
+    return text.length() > 0 && text.chars().allMatch(c -> c > ' ' && c != DELETE);
+  }
+}
