The head of an item's request holds no second request

Cause: id, path and headers of an item are text in JSON and may hold line ends. They were written to the engine without validation, so an item could set another id, or carry a request of its own that the engine ran under an id that no caller had sent. A Host header of an item went out beside that of its route. Ruled out: an item's body, and its headers named like those that the host sets.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -51,6 +51,7 @@
   /** Delay before an item is tried again after a failed or refused attempt. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
+  private static final String HOST = "Host";
   private static final int UNPROCESSABLE = 422;
   private static final int SERVER_ERROR = 500;
 
@@ -164,8 +165,10 @@
 
   private List<Header> headers() {
     List<Header> headers = new ArrayList<>();
-    headers.add(Header.of("Host", job.hostHeader()));
-    item.getHeadersList().forEach(h -> headers.add(Header.of(h.getName(), h.getValue())));
+    headers.add(Header.of(HOST, job.hostHeader()));
+    item.getHeadersList().stream()
+        .filter(h -> !h.getName().equalsIgnoreCase(HOST))
+        .forEach(h -> headers.add(Header.of(h.getName(), h.getValue())));
     return headers;
   }
 
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.waxwingcourse.http.BufferedHttpResponse;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.HeadSyntax;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.http.StreamListener;
@@ -56,7 +57,7 @@
   /** An action delayed by this time runs after the event loop has read what was received before. */
   private static final Duration INPUT_DELAY = Duration.ofMillis(5);
 
-  /** Skips validation, because the headers come from a decoder that has validated them. */
+  /** Skips validation, because {@link #hasValidHead} has validated the headers. */
   private static final HttpHeadersFactory UNVALIDATED_HEADERS =
       DefaultHttpHeadersFactory.headersFactory().withValidation(false);
 
@@ -98,11 +99,23 @@
       fail(CallFailure.Kind.LOST, "connection closed before the request was written");
       return;
     }
+    if (!hasValidHead()) {
+      channel.close();
+      fail(CallFailure.Kind.NOT_SENT, "the head of the request is malformed");
+      return;
+    }
     sentAt = clock.instant();
     channel.pipeline().get(ExchangeHandler.class).bind(this);
     channel.writeAndFlush(requestMessage());
   }
 
+  /** Returns whether the upstream reads from the head just this request. */
+  private boolean hasValidHead() {
+    return HeadSyntax.isToken(request.method())
+        && HeadSyntax.isTarget(request.target())
+        && request.headers().stream().allMatch(h -> HeadSyntax.isHeader(h.name(), h.value()));
+  }
+
   private FullHttpRequest requestMessage() {
     HttpHeaders headers = UNVALIDATED_HEADERS.newHeaders();
     request.headers().forEach(h -> headers.add(h.name(), h.value()));
