Pipelined requests are answered in their order

What callers could see: the answer to another request. Cause: Ratpack starts each request of a connection as it is read and sends each response as soon as it is there, so a short answer overtook a longer one before it. Change: ConnectionOrder; a request of a connection is handled once the one before it has its response. Ruled out: ids and bodies of pipelined requests, which reached engines unchanged before too.

--- a/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
@@ -91,6 +91,7 @@
   }
 
   private void addRoutes(Chain chain) throws Exception {
+    chain.all(ConnectionOrder::await);
     for (Routes routeGroup : routes) {
       routeGroup.addTo(chain);
     }
