The log tells an engine's id of a run from its kind, connection and configuration

Change: W802 names the route's kind and for each engine the connection and the number of the request on it; W626, one line for each run of an item, names its job, engine, connection and the version of the configuration. Not covered: a host that is killed writes no line for what it has in flight.

--- a/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
@@ -25,7 +25,8 @@
    * its inputs is more specific than the closing line that repeats it.
    */
   private static final List<Integer> OUTCOME_EVENTS =
-      List.of(801, 505, 800, 803, 802, 624, 611, 612, 623, 618, 616, 615, 620, 622, 617, 613, 610);
+      List.of(
+          801, 505, 800, 803, 802, 624, 611, 612, 623, 618, 616, 615, 620, 622, 617, 613, 626, 610);
 
   /** The end of the closing line of a request that succeeded. */
   private static final Pattern SUCCESS_STATUS = Pattern.compile(": status 2\\d\\d$");
--- a/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
@@ -53,6 +53,28 @@
         .matches(l -> l.event() == 624);
   }
 
+  /** An engine's id of a run is that of an item: its line names the job and the connection. */
+  @Test
+  void runOfAnItemIsExplainedByItsJob() {
+    String run =
+        "W626 item i1 of job \"j1\": run on engine \"e1\" ends, WHOLE; connection 12.3, 900 ms,"
+            + " 36 events, version 4";
+    String accepted = "W610 job \"j1\" of \"o\" is accepted: 10 items, 5000 tokens";
+    assertThat(explainLines("i1", logLine(1, accepted), logLine(2, run)).decidingLine().get())
+        .matches(l -> l.event() == 626 && l.text().contains("job \"j1\""));
+  }
+
+  /** A job that ran as an online request has lines of both kinds under one id. */
+  @Test
+  void jobThatRanAsARequestHasTheLinesOfBoth() {
+    String accepted = "W610 job \"a1\" of \"o\" is accepted: 10 items, 5000 tokens";
+    assertThat(
+            explainLines("a1", logLine(1, SUCCESSFUL_END), logLine(2, accepted))
+                .ownLines()
+                .map(LogLine::event))
+        .containsExactly(802, 610);
+  }
+
   /** The coordinator says why it refused; a request in a restart meets W436 or W430 before it. */
   @Test
   void refusalInARestartNamesTheReasonAndTheChangeOfCoordinator() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -16,10 +16,12 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.event.Event;
@@ -71,6 +73,7 @@
   private Option<Long> lastEventId = Option.none();
   private Attempt attempt;
   private long slotNumber;
+  private long planVersion;
   private int failures;
   private int yields;
   private int moves;
@@ -98,7 +101,9 @@
     if (done) {
       return;
     }
-    Option<Route> route = job.route();
+    Option<Plan> plan = ports.storeView().plan();
+    Option<Route> route = plan.flatMap(job::route);
+    planVersion = plan.map(Plan::version).getOrElse(0L);
     if (route.isEmpty()) {
       finish(false, "");
       return;
@@ -142,7 +147,7 @@
       return;
     }
     Deadline until = Deadline.after(ports.clock(), RUN_LIMIT).earlier(job.giveUpAt());
-    attempt = new Attempt(pendingSlot.requestNumber);
+    attempt = new Attempt(pendingSlot.requestNumber, engine);
     Attempt sent = attempt;
     sent.call =
         ports
@@ -159,7 +164,6 @@
                     lastEventId,
                     until),
                 sent);
-    sent.engine = engine;
     sent.silenceWatch.start(SILENCE_LIMIT);
   }
 
@@ -264,7 +268,7 @@
     private final long requestNumber;
     private final Instant sentAt = ports.clock().instant();
     private final ServerSentEventParser parser = new ServerSentEventParser();
-    private UpstreamId engine;
+    private final UpstreamId engine;
     private StreamCall call;
     private EngineAnswer head;
     private Instant firstEventAt;
@@ -278,8 +282,9 @@
             action -> call.afterPendingInput(action),
             this::onSilence);
 
-    Attempt(long requestNumber) {
+    Attempt(long requestNumber, UpstreamId engine) {
       this.requestNumber = requestNumber;
+      this.engine = engine;
     }
 
     void releaseSlot(RunEnd.How outcomeKind) {
@@ -288,6 +293,16 @@
       }
       slotReleased = true;
       silenceWatch.stop();
+      LOG.write(
+          Event.ITEM_RUN_ENDED,
+          item.getId(),
+          job.id(),
+          engine,
+          outcomeKind,
+          call.connection().map(ConnectionUse::toString).getOrElse("none"),
+          Duration.between(sentAt, ports.clock().instant()).toMillis(),
+          receivedEvents,
+          planVersion);
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
       ports
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.event.Event;
@@ -156,13 +157,13 @@
     return stored.record().getHostHeader();
   }
 
-  /** Returns the job's route in the present configuration, none if it has been removed. */
-  Option<Route> route() {
+  /** Returns the job's route in a configuration, none if that does not contain it. */
+  Option<Route> route(Plan plan) {
     String name;
     synchronized (this) {
       name = stored.record().getRoute();
     }
-    return ports.storeView().plan().flatMap(p -> p.routes().findJobRoute(name));
+    return plan.routes().findJobRoute(name);
   }
 
   /** Returns the results from a position on. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -21,6 +21,7 @@
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -70,6 +71,7 @@
   private final RunLimits limits;
   private final Set<UpstreamId> triedEngines = new HashSet<>();
   private final StringBuilder engineSequence = new StringBuilder();
+  private final StringBuilder connectionSequence = new StringBuilder();
   private Option<Long> lastEventId;
   private ScheduledFuture<?> answerTimeout;
   private Attempt attempt;
@@ -265,7 +267,9 @@
         request.id(),
         admitted.organisation().map(o -> o.id().value()).getOrElse("none"),
         route.name(),
+        route.kind(),
         engineSequence,
+        connectionSequence,
         totalWait.toMillis(),
         firstEventAt == null
             ? "none"
@@ -336,6 +340,9 @@
       }
       slotReleased = true;
       silenceWatch.stop();
+      connectionSequence
+          .append(connectionSequence.isEmpty() ? "" : ",")
+          .append(call.connection().map(ConnectionUse::toString).getOrElse("none"));
       Duration first =
           firstEventReceivedAt == null
               ? Duration.ZERO
--- a/http/src/main/java/org/waxwingcourse/http/StreamCall.java
+++ b/http/src/main/java/org/waxwingcourse/http/StreamCall.java
@@ -1,5 +1,7 @@
 package org.waxwingcourse.http;
 
+import io.vavr.control.Option;
+
 /** A streamed call in progress. */
 public interface StreamCall {
   /**
@@ -9,6 +11,11 @@
    */
   void cancel();
 
+  /** Returns the connection that the call uses, none if it has not been sent. */
+  default Option<ConnectionUse> connection() {
+    return Option.none();
+  }
+
   /** Runs an action once the input of this call that has arrived by now has been read. */
   default void afterPendingInput(Runnable action) {
     action.run();
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -103,6 +103,11 @@
       "item {} of job \"{}\" ended {} ms after it was due; waited {} ms for slots,"
           + " yielded {}, moved {}, failed {} times"),
   JOB_FORWARDED(625, Level.INFO, "job \"{}\" is forwarded to host \"{}\": {}"),
+  ITEM_RUN_ENDED(
+      626,
+      Level.INFO,
+      "item {} of job \"{}\": run on engine \"{}\" ends, {}; connection {}, {} ms, {} events,"
+          + " version {}"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
@@ -117,8 +122,8 @@
   REQUEST_ENDED(
       802,
       Level.INFO,
-      "request {} of {} on {}: engines {}, waited {} ms, first {} ms, total {} ms, {} events,"
-          + " version {}, coordinator {}: {}"),
+      "request {} of {} on {} ({}): engines {}, connections {}, waited {} ms, first {} ms,"
+          + " total {} ms, {} events, version {}, coordinator {}: {}"),
   REQUEST_MOVED(
       803, Level.INFO, "request {} goes on elsewhere or ends: {}; last event {}, run {} of {}"),
   // 900: stand-ins
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.waxwingcourse.http.BufferedHttpResponse;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.HeadSyntax;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
@@ -68,6 +69,7 @@
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile boolean cancelled;
   private volatile Channel connection;
+  private volatile ConnectionUse connectionUse;
   private volatile Instant sentAt;
   private volatile boolean hasReceivedHead;
   private Duration keepAlive = Duration.ZERO;
@@ -105,7 +107,9 @@
       return;
     }
     sentAt = clock.instant();
-    channel.pipeline().get(ExchangeHandler.class).bind(this);
+    ExchangeHandler handler = channel.pipeline().get(ExchangeHandler.class);
+    connectionUse = handler.countRequest();
+    handler.bind(this);
     channel.writeAndFlush(requestMessage());
   }
 
@@ -149,6 +153,11 @@
     listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.CANCELLED, "cancelled")));
   }
 
+  @Override
+  public Option<ConnectionUse> connection() {
+    return Option.of(connectionUse);
+  }
+
   @Override
   public void afterPendingInput(Runnable action) {
     Channel channel = connection;
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
@@ -7,12 +7,26 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.ConnectionUse;
 
 /** Passes the messages that arrive on a connection to the exchange that is bound to it, if any. */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
+  private final long number;
+  private int sentRequests;
   private Exchange exchange;
   private Exchange previous;
 
+  /** Creates the handler of the connection with a number that is unique within the process. */
+  ExchangeHandler(long number) {
+    this.number = number;
+  }
+
+  /** Counts the next request that is sent on the connection. */
+  ConnectionUse countRequest() {
+    sentRequests++;
+    return new ConnectionUse(number, sentRequests);
+  }
+
   /** Returns the exchange that the connection has served last, null before the first has ended. */
   Exchange previous() {
     return previous;
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.http.StreamListener;
@@ -40,6 +41,7 @@
   private final EventLoopGroup group;
   private final InstantSource clock;
   private final IdleConnectionPool idleConnections;
+  private final AtomicLong lastConnection = new AtomicLong();
 
   private UpstreamHttpClient(EventLoopGroup group, InstantSource clock) {
     this.group = group;
@@ -96,7 +98,7 @@
                 connection
                     .pipeline()
                     .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                    .addLast(new ExchangeHandler());
+                    .addLast(new ExchangeHandler(lastConnection.incrementAndGet()));
               }
             })
         .connect(address)
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClientTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -155,6 +156,25 @@
     assertThat(connections).hasValue(2);
   }
 
+  /** The log of an exchange names its connection, so that it can be told from a damaged one. */
+  @Test
+  void exchangeNamesItsConnectionAndItsPlaceThere() throws Exception {
+    serve((n, id) -> response(id, "body " + id));
+    List<String> uses = new ArrayList<>();
+    for (String id : List.of("a", "b")) {
+      Received received = new Received();
+      StreamCall call = send(id, received);
+      received.await();
+      uses.add(call.connection().get().toString());
+    }
+    clock.advance(Duration.ofMillis(4400));
+    Received received = new Received();
+    StreamCall call = send("c", received);
+    received.await();
+    uses.add(call.connection().get().toString());
+    assertThat(uses).containsExactly("1.1", "1.2", "2.1");
+  }
+
   @Test
   void repeatedResponseToThePreviousRequestIsDropped() throws Exception {
     serve((n, id) -> (n == 2 ? response("a", "body a") : "") + response(id, "body " + id));
