An item is not given up because its host has no configuration yet

What callers could see: items listed as errored though nothing had failed. Cause: an item looks its route up by name in the present configuration, and none at all was taken for "the route was removed". A host that has just started and takes a job over may be in that state. Change: without a configuration the item asks again after its retry delay. Ruled out: a route that changes its kind (the look-up takes routes for jobs only). Figures: ItemDecisionTest.itemIsNotGivenUpForWantOfAConfiguration failed before, passes after. Open: a configuration that is older than the one by which the job was accepted, and lacks its route.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -102,8 +102,12 @@
       return;
     }
     Option<Plan> plan = ports.storeView().plan();
-    Option<Route> route = plan.flatMap(job::route);
-    planVersion = plan.map(Plan::version).getOrElse(0L);
+    if (plan.isEmpty()) {
+      scheduleRetry();
+      return;
+    }
+    Option<Route> route = job.route(plan.get());
+    planVersion = plan.get().version();
     if (route.isEmpty()) {
       finish(false, "");
       return;
