--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -16,10 +16,12 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.event.Event;
@@ -63,6 +65,7 @@
 
   private static final int MAX_DOUBLINGS = 4;
 
+  private static final String HOST = "Host";
   private static final int UNPROCESSABLE = 422;
   private static final int SERVER_ERROR = 500;
 
@@ -82,6 +85,7 @@
   private Option<Long> lastEventId = Option.none();
   private Attempt attempt;
   private long slotNumber;
+  private long planVersion;
   private int failures;
   private int yields;
   private int moves;
@@ -110,7 +114,13 @@
     if (done) {
       return;
     }
-    Option<Route> route = job.route();
+    Option<Plan> plan = ports.storeView().plan();
+    if (plan.isEmpty()) {
+      scheduleRetry();
+      return;
+    }
+    Option<Route> route = job.route(plan.get());
+    planVersion = plan.get().version();
     if (route.isEmpty()) {
       finish(false, "");
       return;
@@ -154,7 +164,7 @@
       return;
     }
     Deadline until = Deadline.after(ports.clock(), RUN_LIMIT).earlier(job.giveUpAt());
-    attempt = new Attempt(pendingSlot.requestNumber);
+    attempt = new Attempt(pendingSlot.requestNumber, engine);
     Attempt sent = attempt;
     sent.call =
         ports
@@ -171,14 +181,15 @@
                     lastEventId,
                     until),
                 sent);
-    sent.engine = engine;
     sent.silenceWatch.start(SILENCE_LIMIT);
   }
 
   private List<Header> headers() {
     List<Header> headers = new ArrayList<>();
-    headers.add(Header.of("Host", job.hostHeader()));
-    item.getHeadersList().forEach(h -> headers.add(Header.of(h.getName(), h.getValue())));
+    headers.add(Header.of(HOST, job.hostHeader()));
+    item.getHeadersList().stream()
+        .filter(h -> !h.getName().equalsIgnoreCase(HOST))
+        .forEach(h -> headers.add(Header.of(h.getName(), h.getValue())));
     return headers;
   }
 
@@ -278,7 +289,7 @@
     private final long requestNumber;
     private final Instant sentAt = ports.clock().instant();
     private final ServerSentEventParser parser = new ServerSentEventParser();
-    private UpstreamId engine;
+    private final UpstreamId engine;
     private StreamCall call;
     private EngineAnswer head;
     private Instant firstEventAt;
@@ -292,8 +303,9 @@
             action -> call.afterPendingInput(action),
             this::onSilence);
 
-    Attempt(long requestNumber) {
+    Attempt(long requestNumber, UpstreamId engine) {
       this.requestNumber = requestNumber;
+      this.engine = engine;
     }
 
     void releaseSlot(RunEnd.How outcomeKind) {
@@ -302,6 +314,16 @@
       }
       slotReleased = true;
       silenceWatch.stop();
+      LOG.write(
+          Event.ITEM_RUN_ENDED,
+          item.getId(),
+          job.id(),
+          engine,
+          outcomeKind,
+          call.connection().map(ConnectionUse::toString).getOrElse("none"),
+          Duration.between(sentAt, ports.clock().instant()).toMillis(),
+          receivedEvents,
+          planVersion);
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
       ports
