A stream that ends inside an event is broken off, not complete

Callers of streams got the first part of an event as the end of a complete answer; items were listed as completed without the event that was cut and those after it.

Cause: a response that ends by its own framing (last chunk, length) ended the stream, whatever had come of its last event: OnlineRun passed the unparsed bytes on, ItemRun dropped them.

Change: StreamEnd decides from the head and the parser whether a stream is complete. One that ends inside an event, or that has no framing and no event, is broken off: reported to the coordinator as such, continued at another engine where the request may be repeated, else ended as incomplete. Further empty lines after an event begin none and are passed on as before.

What can and cannot be known: no event says that it is the last. A cut exactly between two events is told from the end by the last chunk or the length; with neither, only the close is left, and an orderly close between two events is taken for the end. A framed empty stream is complete: it is what a resumed request gets when nothing is left. An empty stream without framing cannot be told from a crash before the first event; it counts as broken off, also after Last-Event-Id, so that a stream never looks complete when it may not be.

Ruled out: asking another engine with Last-Event-Id whether more follows each unframed stream; it would double the runs of sound ones.

Tests: AnswerCutAtAnyByteTest (sockets; four kinds, each byte of two events), ItemStreamEndTest.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineAnswer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineAnswer.java
@@ -9,8 +9,10 @@
  * @param status HTTP status
  * @param headers headers for the caller
  * @param verdict what the answer says about the request
+ * @param closeDelimited whether nothing but the end of the connection marks the end of the body
  */
-public record EngineAnswer(int status, List<Header> headers, Verdict verdict) {
+public record EngineAnswer(
+    int status, List<Header> headers, Verdict verdict, boolean closeDelimited) {
   /** What an answer says about whether the request ran. */
   public enum Verdict {
     /** The engine runs or has run the request. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/ServerSentEventParser.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/ServerSentEventParser.java
@@ -18,6 +18,7 @@
   private static final String DATA = "data:";
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private int eventCount;
 
   /**
    * One complete event.
@@ -42,6 +43,7 @@
       start = end;
       end = endOfEvent(buffered, start);
     }
+    eventCount += events.size();
     if (start > 0) {
       pending.reset();
       pending.write(buffered, start, buffered.length - start);
@@ -49,6 +51,21 @@
     return events;
   }
 
+  /** Returns the number of complete events received. */
+  int eventCount() {
+    return eventCount;
+  }
+
+  /** Returns whether an event has begun and is not complete; further empty lines begin none. */
+  public boolean isInsideEvent() {
+    for (byte b : pending.toByteArray()) {
+      if (b != '\n' && b != '\r') {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the bytes received after the last complete event. */
   public byte[] unparsedBytes() {
     return pending.toByteArray();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.engine.StreamEnd;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
@@ -380,9 +381,14 @@
               failure.get().message());
           return;
         }
+        boolean success = head.isSuccess();
+        Option<String> streamBreak = success ? StreamEnd.findBreak(head, parser) : Option.none();
+        if (streamBreak.isDefined()) {
+          moveToAnotherEngine(RunEnd.How.ENGINE_BROKE_OFF, streamBreak.get());
+          return;
+        }
         attempt = null;
         slotNumber = 0;
-        boolean success = head.isSuccess();
         releaseSlot(success ? RunEnd.How.WHOLE : RunEnd.How.ENGINE_FAILED);
         if (success) {
           ports.times().recordCompleted(eventData.size(), meanGap());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.engine.StreamEnd;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
@@ -477,7 +478,14 @@
         if (failure.isDefined()) {
           onFailure(failure.get());
         } else {
-          onComplete();
+          Option<String> streamBreak =
+              isEventStream() ? StreamEnd.findBreak(head, parser) : Option.none();
+          if (streamBreak.isDefined()) {
+            retryAfterLoss(
+                RunEnd.How.ENGINE_BROKE_OFF, "engine " + engine.id() + ": " + streamBreak.get());
+          } else {
+            onComplete();
+          }
         }
       }
     }
--- a/http/src/main/java/org/waxwingcourse/http/BufferedHttpResponse.java
+++ b/http/src/main/java/org/waxwingcourse/http/BufferedHttpResponse.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -12,6 +13,9 @@
  * @param body the body
  */
 public record BufferedHttpResponse(int status, List<Header> headers, byte[] body) {
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
   /** Copies the headers. */
   public BufferedHttpResponse {
     headers = List.copyOf(headers);
@@ -34,4 +38,21 @@
   public boolean isSuccess() {
     return status >= 200 && status < 300;
   }
+
+  /**
+   * Returns whether the response states neither a length nor chunks, so that its body ends where
+   * the connection is closed. The response to a HEAD request is no such response, whatever this
+   * returns.
+   */
+  public boolean isCloseDelimited() {
+    return status != NO_CONTENT
+        && status != NOT_MODIFIED
+        && header("Content-Length").isEmpty()
+        && headers.stream().noneMatch(BufferedHttpResponse::isChunkedCoding);
+  }
+
+  private static boolean isChunkedCoding(Header header) {
+    return header.name().equalsIgnoreCase("Transfer-Encoding")
+        && header.value().toLowerCase(Locale.ROOT).contains("chunked");
+  }
 }
