A whole response with neither a length nor chunks is complete

Callers of requests that may run once got a failure for an answer that the engine had sent whole; other requests ran again.

Cause: Exchange took the end of the connection of a response without framing for a loss, since the channel closed in the same way for an orderly close, a reset and a close by this side.

Change: connections allow half closure, so that the upstream's orderly close is an event of its own and comes while the channel is still active. Only this event ends a response without framing. A reset fails the read first; a failed write, a cancelled exchange or any other close by this side ends the channel first. The connection goes back to no pool; the client closes its side too, so an upstream that shuts its output only is not left half open. An idle connection that is half closed is closed at once.

Ruled out: telling the cases apart by the exception alone; a reset that a write of the request sees first is not reported to the next read.

--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -29,8 +29,9 @@
 import org.waxwingcourse.http.StreamListener;
 
 /**
- * One request and its response. A response that has no length and ends when its connection closes
- * is treated as incomplete, since nothing shows whether all of it was received.
+ * One request and its response. A response with neither a length nor chunks is complete when the
+ * upstream closes its side of the connection in order, and incomplete when the connection is reset
+ * or is closed by this side.
  */
 final class Exchange implements StreamCall {
   /**
@@ -70,7 +71,7 @@
   private volatile Instant sentAt;
   private volatile boolean hasReceivedHead;
   private Duration keepAlive = Duration.ZERO;
-  private boolean framed;
+  private boolean closeDelimited;
   private boolean interim;
   private boolean foreign;
   private int foreignResponses;
@@ -159,16 +160,12 @@
     if (interim || ended.get()) {
       return;
     }
-    framed =
-        HttpUtil.isTransferEncodingChunked(head)
-            || HttpUtil.isContentLengthSet(head)
-            || head.status().code() == 204
-            || head.status().code() == 304;
-    keepAlive = HttpUtil.isKeepAlive(head) && framed ? idleTimeout(head) : Duration.ZERO;
     List<Header> headers = new ArrayList<>();
     head.headers().forEach(e -> headers.add(Header.of(e.getKey(), e.getValue())));
     BufferedHttpResponse response =
         new BufferedHttpResponse(head.status().code(), headers, new byte[0]);
+    closeDelimited = response.isCloseDelimited() && !"HEAD".equals(request.method());
+    keepAlive = HttpUtil.isKeepAlive(head) && !closeDelimited ? idleTimeout(head) : Duration.ZERO;
     foreign = foreignResponses < MAX_FOREIGN_RESPONSES && belongsToPrevious(response);
     if (foreign) {
       foreignResponses++;
@@ -198,9 +195,8 @@
       connection.pipeline().get(ExchangeHandler.class).bind(this);
       return;
     }
-    if (!framed) {
-      connection.close();
-      fail(CallFailure.Kind.LOST, "the response had no length and its connection closed");
+    if (closeDelimited && !connection.isActive()) {
+      fail(CallFailure.Kind.LOST, "connection closed before the upstream ended the response");
       return;
     }
     if (!ended.compareAndSet(false, true)) {
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -49,6 +50,18 @@
     }
   }
 
+  /**
+   * Handles the end of what the upstream sends. The decoder has seen it before and has ended a
+   * response that it delimits.
+   */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      closeAndFail(context, "connection closed before the response was complete");
+    }
+    context.fireUserEventTriggered(event);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     closeAndFail(context, "connection closed before the response was complete");
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -88,6 +88,8 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        // Tells an orderly close by the upstream, an event, from any other end of the connection.
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
         .handler(
             new ChannelInitializer<SocketChannel>() {
