--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.engine.StreamEnd;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
@@ -484,21 +485,32 @@
         if (failure.isDefined()) {
           onFailure(failure.get());
         } else {
-          onComplete();
+          Option<String> streamBreak =
+              isEventStream() ? StreamEnd.findBreak(head, parser) : Option.none();
+          if (streamBreak.isDefined()) {
+            retryAfterLoss(
+                RunEnd.How.ENGINE_BROKE_OFF, "engine " + engine.id() + ": " + streamBreak.get());
+          } else {
+            onComplete();
+          }
         }
       }
     }
 
     private void onFailure(CallFailure failure) {
       String reason = "engine " + engine.id() + ": " + failure.message();
+      RunEnd.How lost =
+          failure.kind() == CallFailure.Kind.MALFORMED
+              ? RunEnd.How.ENGINE_LOST
+              : RunEnd.How.ENGINE_BROKE_OFF;
       if (failure.kind() == CallFailure.Kind.NOT_SENT) {
         retryAfterNoRun(RunEnd.How.ENGINE_LOST, reason);
       } else if (headForwarded && !isStream()) {
         runCount++;
-        cancelAttempt(RunEnd.How.ENGINE_BROKE_OFF);
+        cancelAttempt(lost);
         fail(new Outcome.Unknown(reason));
       } else {
-        retryAfterLoss(RunEnd.How.ENGINE_BROKE_OFF, reason);
+        retryAfterLoss(lost, reason);
       }
     }
 
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -32,12 +32,6 @@
    */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-  /** The maximum size of a response header in bytes, equal to that of a caller's request header. */
-  private static final int MAX_HEADER_BYTES = 16 * 1024;
-
-  private static final int MAX_LINE_BYTES = 4096;
-  private static final int MAX_CHUNK_BYTES = 64 * 1024;
-
   private final EventLoopGroup group;
   private final InstantSource clock;
   private final IdleConnectionPool idleConnections;
@@ -90,15 +84,19 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        // Tells an orderly close by the upstream, an event, from any other end of the connection.
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel connection) {
+                ExchangeHandler exchanges = new ExchangeHandler(lastConnection.incrementAndGet());
                 connection
                     .pipeline()
-                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                    .addLast(new ExchangeHandler(lastConnection.incrementAndGet()));
+                    .addLast(new ResponseDecoder(exchanges))
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(exchanges);
               }
             })
         .connect(address)
