A run uses only a granted engine of its own service

What callers could see: a request run by a service to which no configuration lets it go. Cause: the coordinator decides by the service in the request for a slot, the host sent to whatever engine the grant named. The two differ if the engine's entry has changed in between, or if the grant answers a request of the process before on this host: each process numbers its requests from 1. Whether the latter can pass the coordinator's handling of a host's new process was not shown. Change: EngineDirectory.findUsable; the grant is given back and another slot requested.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -27,6 +27,7 @@
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
@@ -112,10 +113,11 @@
       finish(false, "");
       return;
     }
+    ServiceName service = route.get().selectService(ports.random().nextDouble());
     SlotRequirements slotRequirements =
         new SlotRequirements(
             RequestId.of(item.getId()),
-            route.get().selectService(ports.random().nextDouble()),
+            service,
             WorkClass.BATCH,
             route.get().rank(),
             Option.none(),
@@ -124,7 +126,7 @@
             ports.promptParts().apply(item.getHeadersList()),
             failedOn,
             Option.some(new BatchWork(job.due(), eventData.size())));
-    PendingSlot pendingSlot = new PendingSlot();
+    PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
   }
@@ -142,7 +144,7 @@
   private synchronized void handleGrant(
       PendingSlot pendingSlot, UpstreamId engine, Duration slotWait) {
     waited = waited.plus(slotWait);
-    Option<EngineEntry> entry = ports.engines().findEngine(engine).filter(e -> !e.leaving());
+    Option<EngineEntry> entry = ports.engines().findUsable(engine, pendingSlot.service);
     if (done || entry.isEmpty()) {
       ports.slots().endRun(pendingSlot.requestNumber, RunEnd.of(RunEnd.How.CANCELLED));
       if (!done) {
@@ -249,8 +251,13 @@
 
   /** Receives the decision about one request for a slot. */
   private final class PendingSlot implements SlotListener {
+    private final ServiceName service;
     private volatile long requestNumber;
 
+    PendingSlot(ServiceName service) {
+      this.service = service;
+    }
+
     @Override
     public void onGrant(UpstreamId engine, Duration slotWait) {
       handleGrant(this, engine, slotWait);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -148,12 +148,12 @@
     rateCharged = true;
     pendingSlotNumber = 0;
     totalWait = totalWait.plus(coordinatorWait);
-    Option<EngineEntry> entry = ports.engines().findEngine(engine).filter(e -> !e.leaving());
+    Option<EngineEntry> entry = ports.engines().findUsable(engine, service);
     if (entry.isEmpty()) {
       sendCount++;
       triedEngines.add(engine);
       ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.CANCELLED));
-      retryOrEnd("engine " + engine + " is not listed on this host");
+      retryOrEnd("engine " + engine + " is not listed for " + service + " on this host");
       return;
     }
     if (!ports.gate().isStillAdmitted(admitted, request.key())) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.store.Entry;
 
@@ -39,6 +40,11 @@
     return Option.of(engines.get(id));
   }
 
+  /** Returns a listed engine if it provides the service and is not leaving. */
+  public Option<EngineEntry> findUsable(UpstreamId id, ServiceName service) {
+    return findEngine(id).filter(e -> e.service().equals(service) && !e.leaving());
+  }
+
   /**
    * Adds an engine that another host has seen listed. It is known until the next change of the
    * table, which then contains it.
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
@@ -4,6 +4,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
 import java.time.Instant;
@@ -18,7 +19,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -27,11 +30,14 @@
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.JobItem;
 import org.waxwingcourse.wire.fleet.JobRecord;
+import org.waxwingcourse.wire.fleet.SlotGrant;
 
 /** Tests what an item does when the states by which it is decided differ. */
 class ItemDecisionTest {
@@ -50,7 +56,12 @@
           clock,
           FleetFixtures.DATA_CENTRE,
           List::of);
+  private final EngineDirectory engines =
+      new EngineDirectory(storeView.engineTable(), e -> Option.none());
+  private final List<String> runs = new CopyOnWriteArrayList<>();
   private final List<Boolean> results = new CopyOnWriteArrayList<>();
+  private final FleetMessageRouter channel =
+      new FleetMessageRouter(null, null, slots, (from, m) -> {});
 
   @AfterEach
   void stop() {
@@ -88,8 +99,11 @@
             timer,
             new Random(1),
             storeView,
-            new EngineDirectory(storeView.engineTable(), e -> Option.none()),
-            (request, listener) -> () -> {},
+            engines,
+            (request, listener) -> {
+              runs.add(request.engine().id().value());
+              return () -> {};
+            },
             slots,
             new BatchRunTimes(),
             started -> {},
@@ -108,6 +122,31 @@
     return new ItemRun(0, item, job, ports, (run, completed, text) -> results.add(completed));
   }
 
+  private long lastAskNumber() {
+    return sent.stream()
+        .filter(FleetMessage::hasAsk)
+        .mapToLong(m -> m.getAsk().getNumber())
+        .max()
+        .orElse(0);
+  }
+
+  private void grant(long number, String engine) {
+    SlotGrant.Builder grant = SlotGrant.newBuilder().setNumber(number).setEngine(engine);
+    channel.onMessage(COORDINATOR, FleetMessage.newBuilder().setGrant(grant).build().toByteArray());
+  }
+
+  private void learnEngine(String id, String service) {
+    engines.learn(
+        new EngineEntry(
+            UpstreamId.of(id),
+            ServiceName.of(service),
+            new InetSocketAddress("127.0.0.1", 1),
+            FleetFixtures.DATA_CENTRE,
+            8,
+            false,
+            1));
+  }
+
   /** A host that has just started and takes a job over may not have its configuration yet. */
   @Test
   void itemIsNotGivenUpForWantOfAConfiguration() throws Exception {
@@ -123,4 +162,25 @@
     assertThat(ask).isNotNull();
     assertThat(results).isEmpty();
   }
+
+  /** The numbers of a process that was killed start anew in the next one on its host. */
+  @Test
+  void grantOfAnEngineOfAnotherServiceIsNotUsed() {
+    applyPlan();
+    slots.attachTo(COORDINATOR);
+    learnEngine("other-1", "other");
+    item().requestSlot();
+    grant(lastAskNumber(), "other-1");
+    assertThat(runs).isEmpty();
+  }
+
+  @Test
+  void grantOfAnEngineOfItsServiceIsUsed() {
+    applyPlan();
+    slots.attachTo(COORDINATOR);
+    learnEngine("engine-1", "s");
+    item().requestSlot();
+    grant(lastAskNumber(), "engine-1");
+    assertThat(runs).containsExactly("engine-1");
+  }
 }
