A crash is known once most runs have broken off

Cause: CrashBlame waited for the end of every run or 300 ms, so one late or missing end let further engines end meanwhile. Ruled out: counting crashes of runs that overlap as independent (a wave of ends with another cause shortly after a start would blame the first part of all prompts). Change: two ends that are more than half of an engine's runs suffice. Verdicts are looked for only if a part has reached its threshold.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -161,9 +161,7 @@
     } else if (engine.crash != null && ended.startedAt.isBefore(engine.crash.noticedAt)) {
       engine.crash.notBrokenOff += end.lostEngine() ? 0 : 1;
     }
-    if (engine.crash != null
-        && !engine.crash.confirmed
-        && engine.presentAt(engine.crash.noticedAt) == 0) {
+    if (engine.crash != null && !engine.crash.confirmed && isDecided(engine)) {
       changedCrash = close(engine);
     }
     removeIfIdle(ended.engine, engine);
@@ -280,10 +278,20 @@
     return null;
   }
 
+  private static boolean isDecided(EngineRuns engine) {
+    return engine.presentAt(engine.crash.noticedAt) == 0
+        || engine.crash.brokenOff > 1 && isMostBrokenOff(engine);
+  }
+
+  private static boolean isMostBrokenOff(EngineRuns engine) {
+    Crash crash = engine.crash;
+    return crash.brokenOff > crash.notBrokenOff + engine.presentAt(crash.noticedAt);
+  }
+
   /** Decides whether the engine has crashed; returns the crash if it has, else null. */
   private Crash close(EngineRuns engine) {
     Crash crash = engine.crash;
-    if (crash.brokenOff <= crash.notBrokenOff + engine.presentAt(crash.noticedAt)) {
+    if (!isMostBrokenOff(engine)) {
       engine.crash = null;
       return null;
     }
@@ -367,10 +375,6 @@
 
   /** Returns by how many crashes a part exceeds its threshold, negative if it falls short. */
   private int excess(Long part) {
-    Suspicion suspicion = suspicions.get(part);
-    if (suspicion == null || suspicion.startedAt.size() < CRASHES_FOR_VERDICT) {
-      return -1;
-    }
     Map<Crash, Instant> own = crashesOf(part);
     if (own.size() < CRASHES_FOR_VERDICT) {
       return -1;
@@ -396,14 +400,15 @@
   /** Returns the new verdicts, and the known ones that the given crash confirms. */
   private List<Set<Long>> findVerdicts(Crash latest) {
     verdicts.removeIf(v -> !suspicions.keySet().containsAll(v));
+    Map<Long, Integer> excesses = findExcesses();
+    if (excesses.isEmpty()) {
+      return List.of();
+    }
     Map<Set<Long>, Integer> candidates = new LinkedHashMap<>();
-    Map<Long, Integer> excesses = new HashMap<>();
     for (Crash crash : crashes) {
       for (Run run : crash.suspects) {
-        Set<Long> over =
-            run.parts.stream()
-                .filter(p -> excesses.computeIfAbsent(p, this::excess) >= 0)
-                .collect(Collectors.toCollection(LinkedHashSet::new));
+        Set<Long> over = new LinkedHashSet<>(run.parts);
+        over.retainAll(excesses.keySet());
         if (!over.isEmpty()) {
           int least = over.stream().mapToInt(excesses::get).min().orElseThrow();
           candidates.put(Set.copyOf(over), least);
@@ -419,6 +424,19 @@
     return reached;
   }
 
+  /** Returns the parts that have reached their threshold, with the crashes beyond it. */
+  private Map<Long, Integer> findExcesses() {
+    Map<Long, Integer> excesses = new HashMap<>();
+    suspicions.forEach(
+        (part, suspicion) -> {
+          int excess = suspicion.startedAt.size() < CRASHES_FOR_VERDICT ? -1 : excess(part);
+          if (excess >= 0) {
+            excesses.put(part, excess);
+          }
+        });
+    return excesses;
+  }
+
   /** Returns whether another candidate explains the crashes of this one better. */
   private boolean isOutdone(Set<Long> candidate, Map<Set<Long>, Integer> candidates) {
     Set<Crash> own = crashesWith(candidate);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
@@ -225,6 +225,20 @@
     assertThat(verdicts).containsExactly(Set.of(CRASHING));
   }
 
+  @Test
+  void crashIsKnownWithoutWaitingForTheLastEnds() {
+    seeSound("e-0", SHARED);
+    for (String engine : List.of("e-1", "e-2")) {
+      RunId crashing = start(engine, SHARED, CRASHING);
+      RunId sound = start(OTHER_HOST, engine, SHARED, SOUND);
+      start(OTHER_HOST, engine, SHARED, 8);
+      advance(60);
+      breakOffWithEvent(sound);
+      breakOff(crashing);
+    }
+    assertThat(verdicts).containsExactly(Set.of(CRASHING));
+  }
+
   @Test
   void runsOfALostHostDoNotHideACrash() {
     seeSound("e-0", SHARED);
