Bytes in a body that are no events, or do not end, break the answer off

A stream whose engine went on with noise kept its connection, and the host kept every byte of it, until the request's time was up; noise between empty lines reached the caller as events. A plain answer without end went on until then. An error of more than 1 MiB in place of a stream was passed on in part and, if it broke off, events of another engine could follow it.

Cause: the parser collected what followed the last event without bound (and copied all of it for each read); no body had a bound.

OnlineRun bounds a body that is no stream to 64 MiB and an error in place of a stream to 1 MiB. Beyond, the host closes the connection; the run ends as ENGINE_LOST, once; the request is continued, run again or left incomplete as after any loss. An item goes on at another engine.

What remains: noise that has the form of events cannot be told from events.

EventSplitProperties: 1,000 tries, none failed. ItemStreamEndTest, ServerSentEventParserTest: none failed.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -348,6 +348,9 @@
       synchronized (ItemRun.this) {
         if (!slotReleased && head != null && head.isSuccess()) {
           parser.parse(bytes).forEach(this::onEvent);
+          parser
+              .malformation()
+              .forEach(sent -> moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "it sent " + sent));
         }
       }
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -61,6 +61,9 @@
    */
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+  /** Largest answer in bytes that is no stream; the engine is taken to send without end. */
+  private static final long MAX_BODY_BYTES = 64L << 20;
+
   private final OnlineRequest request;
   private final AdmissionGate.Admitted admitted;
   private final OnlineService.Ports ports;
@@ -317,6 +320,7 @@
     private Instant firstEventReceivedAt;
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
+    private long bodyBytes;
     private boolean slotReleased;
     private final SilenceWatch silenceWatch =
         new SilenceWatch(
@@ -415,15 +419,38 @@
         }
         if (isEventStream()) {
           parser.parse(bytes).forEach(this::onEvent);
+          parser.malformation().forEach(this::breakOff);
         } else {
-          buffered.writeBytes(bytes);
-          if (buffered.size() > MAX_BUFFERED_BYTES) {
-            forwardBuffered();
-          }
+          onBodyBytes(bytes);
         }
       }
     }
 
+    private void onBodyBytes(byte[] bytes) {
+      bodyBytes += bytes.length;
+      if (bodyBytes > MAX_BODY_BYTES) {
+        breakOff("a body of more than " + MAX_BODY_BYTES + " bytes");
+        return;
+      }
+      buffered.writeBytes(bytes);
+      if (buffered.size() <= MAX_BUFFERED_BYTES) {
+        return;
+      }
+      if (isStream()) {
+        // Forwarded in part, it could be followed by events of another engine.
+        breakOff("an error of more than " + MAX_BUFFERED_BYTES + " bytes");
+      } else {
+        forwardBuffered();
+      }
+    }
+
+    /** Closes the connection of an answer that this host does not read any further. */
+    private void breakOff(String sent) {
+      if (!slotReleased && !done) {
+        onFailure(new CallFailure(CallFailure.Kind.MALFORMED, "it sent " + sent));
+      }
+    }
+
     private boolean isStream() {
       return route.kind() == RequestKind.STREAM;
     }
