Runs on leaving engines are no slots that become free

Cause: the scheduler counted the slots of remaining engines only, but the runs of all engines: a request waited for the end of a run on an engine that is leaving, whose slot is never granted again, instead of being refused at once; such runs took from the share of a coordinator; and a lost grant on an engine that had begun to leave was repeated.

Ruled out: dropping the runs with the engine; they end there undisturbed and their ends still count for run times.

Change: waiting times, shares, the backlog of batch work and the reported load count engines that are not leaving; a grant is not repeated on one that is.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -113,15 +114,16 @@
   /**
    * Submits a request: it starts, waits or is refused. A request that is waiting already is not
    * submitted again; for one that is running the grant is repeated, since the first may have been
-   * lost.
+   * lost, unless the engine is leaving.
    */
   public synchronized List<SlotDecision> submit(SlotRequest request, Instant now) {
     List<SlotDecision> decisions = new ArrayList<>();
-    Option<UpstreamId> runningOn = findEngineOfRun(request.id());
-    if (runningOn.isDefined()) {
-      decisions.add(new SlotDecision.Grant(request, runningOn.get()));
+    Option<EngineSlots> runningOn = findEngineOfRun(request.id());
+    if (runningOn.exists(e -> !e.entry().leaving())) {
+      decisions.add(new SlotDecision.Grant(request, runningOn.get().entry().id()));
       return decisions;
     }
+    runningOn.forEach(e -> e.runs().remove(request.id()));
     if (isWaiting(request.id())) {
       return decisions;
     }
@@ -277,12 +279,12 @@
     return startWaitingRequests(now, decisions);
   }
 
-  /** Returns the present load. */
+  /** Returns the present load, without engines that are leaving and the runs that end there. */
   public synchronized SlotLoad load(Instant now) {
     int slots = 0;
     int onlineRuns = 0;
     int batchRuns = 0;
-    for (EngineSlots engine : engines.values()) {
+    for (EngineSlots engine : remainingEngines().toList()) {
       slots += isUsable(engine, now) ? engine.slots() : 0;
       for (EngineSlots.Run run : engine.runs().values()) {
         onlineRuns += run.online() ? 1 : 0;
@@ -314,12 +316,14 @@
     }
   }
 
-  private Option<UpstreamId> findEngineOfRun(RunId id) {
+  private Option<EngineSlots> findEngineOfRun(RunId id) {
     return Option.ofOptional(
-        engines.values().stream()
-            .filter(e -> e.runs().containsKey(id))
-            .map(e -> e.entry().id())
-            .findFirst());
+        engines.values().stream().filter(e -> e.runs().containsKey(id)).findFirst());
+  }
+
+  /** Returns the engines that are not leaving; a slot that becomes free on one can be granted. */
+  private Stream<EngineSlots> remainingEngines() {
+    return engines.values().stream().filter(e -> !e.entry().leaving());
   }
 
   private boolean isWaiting(RunId id) {
@@ -362,7 +366,7 @@
 
   private BatchOrder.BatchLoad batchLoad(Instant now) {
     Duration backlog =
-        engines.values().stream()
+        remainingEngines()
             .flatMap(e -> e.runs().values().stream())
             .filter(r -> !r.online())
             .map(r -> Duration.between(now, r.expectedEnd(batchRunTimes)))
@@ -455,7 +459,7 @@
     if (fleetShare >= 1) {
       return true;
     }
-    int running = engines.values().stream().mapToInt(e -> e.runs().size()).sum();
+    int running = remainingEngines().mapToInt(e -> e.runs().size()).sum();
     return running < Math.max(1, Math.floor(fleetShare * usableSlots(now)));
   }
 
@@ -476,7 +480,7 @@
   }
 
   private boolean isUsablePartTooSmall(Instant now) {
-    long listed = engines.values().stream().filter(e -> !e.entry().leaving()).count();
+    long listed = remainingEngines().count();
     long usable = engines.values().stream().filter(e -> e.isUsable(now)).count();
     return usable < MIN_USABLE_PART * listed;
   }
@@ -502,7 +506,7 @@
   private Instant estimateFreeAt(int count, Instant now) {
     Duration run = Duration.ofNanos((long) (meanRunMillis * 1e6));
     List<Instant> ends =
-        engines.values().stream()
+        remainingEngines()
             .flatMap(e -> e.runs().values().stream())
             .filter(EngineSlots.Run::online)
             .map(r -> r.startedAt().plus(run))
