An engine that says in an answer that it leaves gets nothing more

Cause: the header by which an engine says so was not read. Until the store said the same, or for ever if its entry did not, requests and items went to it from hosts that had passed the word on.

Ruled out: a message of its own between hosts (older hosts log it as unreadable, a lost one has to be sent again); the mark with the end of a run (a stream tells it late); marks by address (they would hold the next engine there); marks that go with the entry (an entry that expired while the store was away comes back without the word).

Change: platform reads the header into EngineAnswer; LeavingEngineWatch sees the head of each answer before it is passed on and marks the boot in EngineDirectory, which shows it as leaving whatever entries say. A host pings its coordinator at once; pings and pongs carry the marks that entries do not confirm (new fields 40, ignored by older hosts). Events W520 and W521. Listeners of the directory get the present state under one lock, so that of two changes the later arrives last. A grant that brings the entry of a later boot replaces the known one.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -31,6 +31,7 @@
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
+import org.waxwingcourse.fleet.view.LeavingEngineWatch;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -141,18 +142,20 @@
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader());
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
+    EngineSender calls = new LeavingEngineWatch(outside.calls(), engines);
     Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
     follower =
         new StoreFollower(
             outside.store(), storeView, clocks, timer, outside.sources(), evacuations::onOrders);
     coordinator = new Coordinator(peers, clocks.steady());
     SlotClient slots =
-        new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(outside.calls()));
+        new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(calls));
     coordinatorLink =
         new CoordinatorLink(
             self,
             peers,
             storeView,
+            engines,
             clocks,
             follower,
             coordinator,
@@ -170,10 +173,10 @@
                 gate,
                 storeView,
                 engines,
-                outside.calls(),
+                calls,
                 slots,
                 metrics));
-    jobs = createJobService(self, outside, slots);
+    jobs = createJobService(self, outside, calls, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
     expiredJobRemover =
@@ -181,6 +184,7 @@
     registration.setNewTermListener(jobs::onNewTerm);
     storeView.addPlanListener(coordinator::setPlan);
     engines.addListener(coordinator::setEngines);
+    engines.addLeavingListener(coordinatorLink::reportLeavingEngines);
     registerMetrics(metrics);
   }
 
@@ -367,7 +371,8 @@
         Revision.NONE);
   }
 
-  private JobService createJobService(FleetHost self, Dependencies outside, SlotClient slots) {
+  private JobService createJobService(
+      FleetHost self, Dependencies outside, EngineSender calls, SlotClient slots) {
     return new JobService(
         settings.host(),
         self.boot(),
@@ -381,7 +386,7 @@
             RandomGenerator.getDefault(),
             storeView,
             engines,
-            outside.calls(),
+            calls,
             slots,
             outside.promptParts()));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -78,6 +79,7 @@
   private final FleetHost self;
   private final PeerTransport peers;
   private final StoreView storeView;
+  private final EngineDirectory engines;
   private final Clocks clocks;
   private final StoreFollower follower;
   private final Coordinator coordinator;
@@ -106,6 +108,7 @@
       FleetHost self,
       PeerTransport peers,
       StoreView storeView,
+      EngineDirectory engines,
       Clocks clocks,
       StoreFollower follower,
       Coordinator coordinator,
@@ -114,6 +117,7 @@
     this.self = self;
     this.peers = peers;
     this.storeView = storeView;
+    this.engines = engines;
     this.clocks = clocks;
     this.candidates = new Candidates(self.id(), storeView, ownRegistration);
     this.views = new ViewExchange(storeView, clocks);
@@ -173,6 +177,17 @@
     return !candidates.isJoining(chooseAmong(order, now), order, now, answerTimeout());
   }
 
+  /** Tells the coordinator at once which engines have said that they are leaving. */
+  public void reportLeavingEngines() {
+    HostId receiver;
+    synchronized (this) {
+      receiver = coordinatorId;
+    }
+    if (receiver != null && !receiver.equals(self.id())) {
+      ping(receiver, false);
+    }
+  }
+
   /** Returns the hosts that callers may be sent to. */
   public List<FleetHost> callerHosts() {
     Instant now = clocks.instant();
@@ -210,6 +225,7 @@
   }
 
   void onPing(HostId from, Ping ping) {
+    engines.learnLeaving(FleetMessageConverter.toBoots(ping.getLeavingList()), from);
     if (ping.getAttached()) {
       AttachedHost attachedHost = new AttachedHost(clocks.instant(), ping.getTakesCallers());
       boolean isNew;
@@ -226,7 +242,8 @@
             .setSentMillis(ping.getSentMillis())
             .setBoot(self.boot())
             .setRegistered(candidates.ownRegistration().value())
-            .setInContact(candidates.isInContact(self.id()));
+            .setInContact(candidates.isInContact(self.id()))
+            .addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
     views.addTo(pong, ping);
     if (ping.getAttached()) {
       if (isCollecting(clocks.instant())) {
@@ -244,6 +261,7 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
+    engines.learnLeaving(FleetMessageConverter.toBoots(pong.getLeavingList()), from);
     candidates.recordPong(from, pong, now);
     synchronized (this) {
       if (from.equals(coordinatorId)) {
@@ -417,7 +435,8 @@
         Ping.newBuilder()
             .setBoot(self.boot())
             .setAttached(host.equals(coordinatorId))
-            .setTakesCallers(self.takesCallers());
+            .setTakesCallers(self.takesCallers())
+            .addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
     views.addTo(ping, asksForViews);
     send(host, FleetMessage.newBuilder().setPing(ping));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
@@ -5,8 +5,10 @@
 import io.vavr.control.Option;
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.StoreTable;
@@ -21,6 +23,7 @@
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.GrantedEngine;
+import org.waxwingcourse.wire.fleet.LeavingEngine;
 import org.waxwingcourse.wire.fleet.SlotGrant;
 import org.waxwingcourse.wire.fleet.Table;
 import org.waxwingcourse.wire.fleet.TableEntry;
@@ -82,6 +85,23 @@
     table.replaceFromPeer(revision, entries);
   }
 
+  static List<LeavingEngine> encodeBoots(Collection<EngineBoot> boots) {
+    return boots.stream()
+        .map(
+            b ->
+                LeavingEngine.newBuilder()
+                    .setEngine(b.id().value())
+                    .setStartedMillis(b.startedAtMillis())
+                    .build())
+        .toList();
+  }
+
+  static List<EngineBoot> toBoots(Collection<LeavingEngine> engines) {
+    return engines.stream()
+        .map(e -> new EngineBoot(UpstreamId.of(e.getEngine()), e.getStartedMillis()))
+        .toList();
+  }
+
   static GrantedEngine encodeEngine(EngineEntry engine) {
     return GrantedEngine.newBuilder()
         .setService(engine.service().value())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineAnswer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineAnswer.java
@@ -9,8 +9,9 @@
  * @param status HTTP status
  * @param headers headers for the caller
  * @param verdict what the answer says about the request
+ * @param leaving whether the engine says that it accepts no new requests
  */
-public record EngineAnswer(int status, List<Header> headers, Verdict verdict) {
+public record EngineAnswer(int status, List<Header> headers, Verdict verdict, boolean leaving) {
   /** What an answer says about whether the request ran. */
   public enum Verdict {
     /** The engine runs or has run the request. */
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineBoot.java
@@ -0,0 +1,11 @@
+package org.waxwingcourse.fleet.engine;
+
+import org.waxwingcourse.model.id.UpstreamId;
+
+/**
+ * One process of an engine, which may keep its id when it restarts.
+ *
+ * @param id the engine
+ * @param startedAtMillis Unix time of its start in milliseconds, zero if not stated
+ */
+public record EngineBoot(UpstreamId id, long startedAtMillis) {}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
@@ -23,4 +23,14 @@
     DataCentreId dataCentre,
     int slots,
     boolean leaving,
-    long startedAtMillis) {}
+    long startedAtMillis) {
+  /** Returns the process that wrote the entry. */
+  public EngineBoot boot() {
+    return new EngineBoot(id, startedAtMillis);
+  }
+
+  /** Returns this entry as that of an engine that accepts no new requests. */
+  public EngineEntry asLeaving() {
+    return new EngineEntry(id, service, address, dataCentre, slots, true, startedAtMillis);
+  }
+}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -8,20 +8,34 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.store.Entry;
 
-/** The engines listed in the store. */
+/**
+ * The engines listed in the store. An engine is leaving if its entry says so or if the same boot of
+ * it has said so in an answer, to this host or another. No entry takes back what an answer said.
+ */
 public final class EngineDirectory {
   private static final EventLog LOG = EventLog.of(EngineDirectory.class);
 
   private final StoreTable table;
   private final EngineEntryReader reader;
   private final List<Consumer<Collection<EngineEntry>>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Runnable> leavingListeners = new CopyOnWriteArrayList<>();
+  private final LeavingMarks marks = new LeavingMarks();
+  private final Object notification = new Object();
+
+  /** The entries as they were written. */
+  private Map<UpstreamId, EngineEntry> entries = Map.of();
+
+  /** The entries with all that is known of leaving engines. */
   private volatile Map<UpstreamId, EngineEntry> engines = Map.of();
 
   /**
@@ -40,17 +54,45 @@
   }
 
   /**
-   * Adds an engine that another host has seen listed. It is known until the next change of the
-   * table, which then contains it.
+   * Adds an engine, or a later boot of it, that another host has seen listed. It is known until the
+   * next change of the table, which then contains it.
    */
   public synchronized void learn(EngineEntry entry) {
-    if (!engines.containsKey(entry.id())) {
-      Map<UpstreamId, EngineEntry> extended = new HashMap<>(engines);
+    EngineEntry known = entries.get(entry.id());
+    if (known == null || entry.startedAtMillis() > known.startedAtMillis()) {
+      Map<UpstreamId, EngineEntry> extended = new HashMap<>(entries);
       extended.put(entry.id(), entry);
-      engines = extended;
+      setEntries(extended);
+    }
+  }
+
+  /** Records that an engine has said in its answer to a request of this host that it is leaving. */
+  public void markLeaving(EngineBoot boot, RequestId request) {
+    if (mark(boot)) {
+      LOG.write(Event.ENGINE_SAYS_LEAVING, boot.id(), boot.startedAtMillis(), request);
+      notifyListeners();
+      leavingListeners.forEach(Runnable::run);
     }
   }
 
+  /** Records that engines have said in answers to other hosts that they are leaving. */
+  public void learnLeaving(Collection<EngineBoot> boots, HostId reporter) {
+    List<EngineBoot> added = boots.stream().filter(this::mark).toList();
+    added.forEach(
+        b -> LOG.write(Event.ENGINE_REPORTED_LEAVING, b.id(), b.startedAtMillis(), reporter));
+    if (!added.isEmpty()) {
+      notifyListeners();
+    }
+  }
+
+  /**
+   * Returns the engines that have said in answers that they are leaving, while their entries do
+   * not.
+   */
+  public synchronized List<EngineBoot> leavingByAnswer() {
+    return marks.missingIn(entries);
+  }
+
   /** Returns all listed engines, including those that are leaving. */
   public Collection<EngineEntry> all() {
     return engines.values();
@@ -61,30 +103,57 @@
     listeners.add(listener);
   }
 
+  /** Adds a listener that is called after an engine has told this host that it is leaving. */
+  public void addLeavingListener(Runnable listener) {
+    leavingListeners.add(listener);
+  }
+
   private void refresh() {
-    List<EngineEntry> snapshot;
     synchronized (this) {
       Map<UpstreamId, EngineEntry> current = new HashMap<>();
       for (Entry entry : table.entries()) {
         reader.read(entry).forEach(e -> current.put(e.id(), e));
       }
+      marks.removeSuperseded(current);
       logChanges(current);
-      engines = current;
-      snapshot = new ArrayList<>(current.values());
+      setEntries(current);
+    }
+    notifyListeners();
+  }
+
+  private synchronized boolean mark(EngineBoot boot) {
+    boolean added = marks.add(boot, entries);
+    if (added) {
+      setEntries(entries);
+    }
+    return added;
+  }
+
+  private void setEntries(Map<UpstreamId, EngineEntry> next) {
+    Map<UpstreamId, EngineEntry> marked = new HashMap<>();
+    next.forEach((id, entry) -> marked.put(id, marks.applyTo(entry)));
+    entries = next;
+    engines = marked;
+  }
+
+  /** Passes on the present state, so that of two changes the later is passed on last. */
+  private void notifyListeners() {
+    synchronized (notification) {
+      List<EngineEntry> snapshot = new ArrayList<>(engines.values());
+      listeners.forEach(l -> l.accept(snapshot));
     }
-    listeners.forEach(l -> l.accept(snapshot));
   }
 
   private void logChanges(Map<UpstreamId, EngineEntry> current) {
     long revision = table.revision().value();
     current.forEach(
         (id, entry) -> {
-          EngineEntry previous = engines.get(id);
+          EngineEntry previous = entries.get(id);
           if (previous == null || previous.leaving() != entry.leaving()) {
             LOG.write(Event.ENGINE_LISTED, id, entry.address(), entry.leaving(), revision);
           }
         });
-    engines.keySet().stream()
+    entries.keySet().stream()
         .filter(id -> !current.containsKey(id))
         .forEach(id -> LOG.write(Event.ENGINE_UNLISTED, id, revision));
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -3,10 +3,12 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.vavr.control.Option;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.plan.CallerLimits;
 import org.waxwingcourse.fleet.plan.JobTerms;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
@@ -20,9 +22,12 @@
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.peer.PeerChannel;
 import org.waxwingcourse.peer.PeerHandler;
 import org.waxwingcourse.peer.PeerTransport;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 
 /** Hosts, peers and routes that are shared by several tests. */
@@ -94,13 +99,62 @@
         Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)));
   }
 
-  /** Returns a configuration whose only route is {@link #jobRoute()}. */
-  public static Plan jobPlan() {
+  /** Returns a keyless route for requests of the given kind to service {@code s}. */
+  public static Route onlineRoute(RequestKind kind) {
+    return new Route(
+        "online",
+        "h",
+        "/q/",
+        kind,
+        Duration.ofSeconds(15),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(5),
+        0,
+        List.of(new WeightedService(ServiceName.of("s"), 1)),
+        2,
+        true,
+        true,
+        Option.none());
+  }
+
+  /** Returns a configuration with a single route. */
+  public static Plan planOf(Route route) {
     return new Plan(
         1,
-        RouteTable.of(List.of(jobRoute())),
+        RouteTable.of(List.of(route)),
         Map.of(),
         CallerLimits.DEFAULT,
         OrganisationTable.of(List.of()));
   }
+
+  /** Returns the store's entry of an engine of service {@code s}, for {@link #readEngine}. */
+  public static Entry engineEntry(
+      String id, int port, int slots, boolean leaving, long startedAt, long revision) {
+    String value = "%d %d %b %d".formatted(port, slots, leaving, startedAt);
+    return new Entry(
+        "e/" + id,
+        value.getBytes(StandardCharsets.UTF_8),
+        Revision.of(revision),
+        Revision.of(revision),
+        LeaseId.NONE);
+  }
+
+  /** Reads an entry made by {@link #engineEntry}. */
+  public static Option<EngineEntry> readEngine(Entry entry) {
+    String[] fields = new String(entry.value(), StandardCharsets.UTF_8).split(" ");
+    return Option.some(
+        new EngineEntry(
+            UpstreamId.of(entry.key().substring(2)),
+            ServiceName.of("s"),
+            new InetSocketAddress("127.0.0.1", Integer.parseInt(fields[0])),
+            DATA_CENTRE,
+            Integer.parseInt(fields[1]),
+            Boolean.parseBoolean(fields[2]),
+            Long.parseLong(fields[3])));
+  }
+
+  /** Returns a configuration whose only route is {@link #jobRoute()}. */
+  public static Plan jobPlan() {
+    return planOf(jobRoute());
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreKeys;
@@ -48,6 +50,7 @@
           SELF,
           SILENT,
           storeView,
+          new EngineDirectory(storeView.engineTable(), e -> Option.none()),
           clocks,
           new StoreFollower(
               MemoryStore.of(InstantSource.system()),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -24,6 +25,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreKeys;
@@ -96,7 +98,15 @@
       follower = new StoreFollower(store, storeView, clocks, timer, sources, orders -> {});
       link =
           new CoordinatorLink(
-              self, peers, storeView, clocks, follower, coordinator, slots, () -> registered);
+              self,
+              peers,
+              storeView,
+              new EngineDirectory(storeView.engineTable(), e -> Option.none()),
+              clocks,
+              follower,
+              coordinator,
+              slots,
+              () -> registered);
       router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
     }
   }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -75,6 +75,12 @@
       507,
       Level.INFO,
       "engine \"{}\" broke off request {} of host \"{}\"; first event {}, prompt parts {}"),
+  ENGINE_SAYS_LEAVING(
+      520,
+      Level.INFO,
+      "engine \"{}\" started at {} says in its answer to request {} that it is leaving"),
+  ENGINE_REPORTED_LEAVING(
+      521, Level.INFO, "engine \"{}\" started at {} is leaving, as host \"{}\" reports"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
