A slot on a leaving engine that is given back counts as no attempt

Cause: a host that knew that an engine was leaving gave the slot back, but counted it as sent. A request whose coordinator did not know yet could use up its sends without reaching any engine, and was refused.

Ruled out: a bound on slots given back (they follow each other within milliseconds until the coordinator has heard, and the request would be refused for that).

Change: such a slot is given back and another requested with the engine avoided, at first at once, then every 30 ms within the limits of the request.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -54,6 +54,9 @@
   /** Time after which a caller may retry if every engine that was tried was full. */
   private static final Duration FULL_RETRY_DELAY = Duration.ofMillis(300);
 
+  /** Delay before a slot is requested again after a second one on a leaving engine was granted. */
+  private static final Duration GRANT_RETURN_DELAY = Duration.ofMillis(30);
+
   /**
    * Largest answer in bytes that is buffered until it is complete; larger answers are forwarded as
    * they arrive.
@@ -80,6 +83,7 @@
   private boolean headForwarded;
   private boolean done;
   private boolean rateCharged;
+  private boolean grantReturned;
   private Instant firstEventAt;
   private Duration totalWait = Duration.ZERO;
 
@@ -146,7 +150,11 @@
     rateCharged = true;
     pendingSlotNumber = 0;
     totalWait = totalWait.plus(coordinatorWait);
-    Option<EngineEntry> entry = ports.engines().findEngine(engine).filter(e -> !e.leaving());
+    Option<EngineEntry> entry = ports.engines().findEngine(engine);
+    if (entry.exists(EngineEntry::leaving)) {
+      returnGrant(pendingSlot, engine);
+      return;
+    }
     if (entry.isEmpty()) {
       sendCount++;
       triedEngines.add(engine);
@@ -163,6 +171,29 @@
     send(pendingSlot.number, entry.get());
   }
 
+  /** Returns the slot on an engine that is leaving and requests another one. */
+  private void returnGrant(PendingSlot pendingSlot, UpstreamId engine) {
+    boolean first = !grantReturned;
+    grantReturned = true;
+    triedEngines.add(engine);
+    ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.CANCELLED));
+    logMove("engine " + engine + " is leaving");
+    if (first) {
+      requestNextSlot();
+    } else {
+      // The coordinator does not know yet that the engine is leaving.
+      ports
+          .timer()
+          .schedule(this::requestSlotAgain, GRANT_RETURN_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private synchronized void requestSlotAgain() {
+    if (!done) {
+      requestNextSlot();
+    }
+  }
+
   private void send(long slot, EngineEntry engine) {
     sendCount++;
     triedEngines.add(engine.id());
@@ -239,13 +270,7 @@
 
   /** Sends the request again if that is allowed, else ends it with the outcome that is known. */
   private void retryOrEnd(String reason) {
-    LOG.write(
-        Event.REQUEST_MOVED,
-        request.id(),
-        reason,
-        lastEventId.map(Object::toString).getOrElse("none"),
-        runCount,
-        route.maxAttempts());
+    logMove(reason);
     boolean attemptsExhausted = runCount >= route.maxAttempts() || sendCount >= MAX_SENDS;
     if (runCount > 0 && (!route.isRepeatable() || attemptsExhausted)) {
       fail(new Outcome.Unknown(reason));
@@ -256,6 +281,16 @@
     }
   }
 
+  private void logMove(String reason) {
+    LOG.write(
+        Event.REQUEST_MOVED,
+        request.id(),
+        reason,
+        lastEventId.map(Object::toString).getOrElse("none"),
+        runCount,
+        route.maxAttempts());
+  }
+
   private void finish(String outcome) {
     done = true;
     answerTimeout.cancel(false);
