--- a/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
@@ -70,6 +70,32 @@
     assertThat(explanation.relatedLines().map(LogLine::event)).contains(436);
   }
 
+  /**
+   * A slot was given back, as the engine had said in the answer to another request that it left.
+   */
+  @Test
+  void requestThatLeftALeavingEngineNamesWhoseAnswerSaidSo() {
+    String said =
+        "W520 engine \"e1\" started at 77 says in its answer to request b7 that it is leaving";
+    String reported = "W521 engine \"e1\" started at 77 is leaving, as host \"edge-9\" reports";
+    String saidOfAnother =
+        "W520 engine \"e9\" started at 78 says in its answer to request b8 that it is leaving";
+    String returned =
+        "W803 request a1 goes on elsewhere or ends: engine e1 is leaving; last event none,"
+            + " run 0 of 2";
+    Explanation explanation =
+        explainLines(
+            "a1",
+            logLine(1, said),
+            logLine(2, saidOfAnother),
+            logLine(3, reported),
+            logLine(4, returned),
+            logLine(5, SUCCESSFUL_END.replace("e1,e2", "e2")));
+    assertThat(explanation.relatedLines().map(LogLine::event)).containsExactly(520, 521);
+    assertThat(explanation.relatedLines().head().text()).contains("b7");
+    assertThat(explainLines("b7", logLine(1, said)).ownLines()).hasSize(1);
+  }
+
   @Test
   void ordersLinesByTimeAndOmitsOtherRequests() {
     Explanation explanation =
