--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -32,6 +32,7 @@
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
+import org.waxwingcourse.fleet.view.LeavingEngineWatch;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -146,6 +147,7 @@
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader());
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
+    EngineSender calls = new LeavingEngineWatch(outside.calls(), engines);
     Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
     follower =
         new StoreFollower(
@@ -153,12 +155,13 @@
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper = new QuarantineKeeper(outside.store(), coordinator.quarantine(), clocks);
     SlotClient slots =
-        new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(outside.calls()));
+        new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(calls));
     coordinatorLink =
         new CoordinatorLink(
             self,
             peers,
             storeView,
+            engines,
             clocks,
             follower,
             coordinator,
@@ -176,10 +179,10 @@
                 gate,
                 storeView,
                 engines,
-                outside.calls(),
+                calls,
                 slots,
                 metrics));
-    jobs = createJobService(self, outside, slots);
+    jobs = createJobService(self, outside, calls, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
     expiredJobRemover =
@@ -188,6 +191,7 @@
     registration.setFleetEntriesListener(quarantineKeeper::restore);
     storeView.addPlanListener(coordinator::setPlan);
     engines.addListener(coordinator::setEngines);
+    engines.addLeavingListener(coordinatorLink::reportLeavingEngines);
     registerMetrics(metrics);
   }
 
@@ -375,7 +379,8 @@
         Revision.NONE);
   }
 
-  private JobService createJobService(FleetHost self, Dependencies outside, SlotClient slots) {
+  private JobService createJobService(
+      FleetHost self, Dependencies outside, EngineSender calls, SlotClient slots) {
     return new JobService(
         settings.host(),
         self.boot(),
@@ -389,7 +394,7 @@
             RandomGenerator.getDefault(),
             storeView,
             engines,
-            outside.calls(),
+            calls,
             slots,
             outside.promptParts()));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -78,6 +79,7 @@
   private final FleetHost self;
   private final PeerTransport peers;
   private final StoreView storeView;
+  private final EngineDirectory engines;
   private final Clocks clocks;
   private final StoreFollower follower;
   private final Coordinator coordinator;
@@ -107,6 +109,7 @@
       FleetHost self,
       PeerTransport peers,
       StoreView storeView,
+      EngineDirectory engines,
       Clocks clocks,
       StoreFollower follower,
       Coordinator coordinator,
@@ -115,6 +118,7 @@
     this.self = self;
     this.peers = peers;
     this.storeView = storeView;
+    this.engines = engines;
     this.clocks = clocks;
     this.candidates = new Candidates(self.id(), storeView, ownRegistration);
     this.views = new ViewExchange(storeView, clocks);
@@ -175,6 +179,17 @@
     return !candidates.isJoining(chooseAmong(order, now), order, now, answerTimeout());
   }
 
+  /** Tells the coordinator at once which engines have said that they are leaving. */
+  public void reportLeavingEngines() {
+    HostId receiver;
+    synchronized (this) {
+      receiver = coordinatorId;
+    }
+    if (receiver != null && !receiver.equals(self.id())) {
+      ping(receiver, false);
+    }
+  }
+
   /** Returns the hosts that callers may be sent to. */
   public List<FleetHost> callerHosts() {
     Instant now = clocks.instant();
@@ -213,6 +228,7 @@
 
   void onPing(HostId from, Ping ping) {
     quarantine.apply(from, ping);
+    engines.learnLeaving(FleetMessageConverter.toBoots(ping.getLeavingList()), from);
     if (ping.getAttached()) {
       AttachedHost attachedHost = new AttachedHost(clocks.instant(), ping.getTakesCallers());
       boolean isNew;
@@ -229,7 +245,8 @@
             .setSentMillis(ping.getSentMillis())
             .setBoot(self.boot())
             .setRegistered(candidates.ownRegistration().value())
-            .setInContact(candidates.isInContact(self.id()));
+            .setInContact(candidates.isInContact(self.id()))
+            .addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
     views.addTo(pong, ping);
     quarantine.addTo(pong, ping);
     if (ping.getAttached()) {
@@ -248,6 +265,7 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
+    engines.learnLeaving(FleetMessageConverter.toBoots(pong.getLeavingList()), from);
     candidates.recordPong(from, pong, now);
     quarantine.apply(from, pong);
     synchronized (this) {
@@ -422,7 +440,8 @@
         Ping.newBuilder()
             .setBoot(self.boot())
             .setAttached(host.equals(coordinatorId))
-            .setTakesCallers(self.takesCallers());
+            .setTakesCallers(self.takesCallers())
+            .addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
     views.addTo(ping, asksForViews);
     quarantine.addTo(ping, host);
     send(host, FleetMessage.newBuilder().setPing(ping));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/engine/EventSplitProperties.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/engine/EventSplitProperties.java
@@ -15,7 +15,7 @@
 /** A stream has the same events and the same end in whichever pieces its bytes arrive. */
 class EventSplitProperties {
   private static final EngineAnswer CLOSE_DELIMITED =
-      new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, true);
+      new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, true, false);
 
   /** What a stream was read as. */
   private record Reading(String events, byte[] bytes, String end) {}
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
@@ -104,7 +104,7 @@
     Runnable end =
         () -> {
           long after = request.resumeAfter().getOrElse(0L);
-          listener.onHead(new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN));
+          listener.onHead(new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, false, false));
           for (long n = after + 1; n <= after + eventsOfEachRun; n++) {
             String event = "id: " + n + "\ndata: word\n\n";
             listener.onBytes(event.getBytes(StandardCharsets.UTF_8));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
@@ -171,7 +171,8 @@
 
   private static void answer(EngineListener listener, String body, Ending ending) {
     listener.onHead(
-        new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, ending.isCloseDelimited()));
+        new EngineAnswer(
+            200, List.of(), EngineAnswer.Verdict.RUN, ending.isCloseDelimited(), false));
     if (!body.isEmpty()) {
       listener.onBytes(body.getBytes(StandardCharsets.US_ASCII));
     }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -86,6 +86,12 @@
   QUARANTINE_LEARNED(513, Level.INFO, "prompts with parts {} quarantined, lifted: {}, from {}"),
   QUARANTINE_WRITE_WAITS(514, Level.WARN, "the quarantine was not written to the store: {}"),
   QUARANTINE_UNREADABLE(515, Level.ERROR, "the stored quarantine cannot be read: {}"),
+  ENGINE_SAYS_LEAVING(
+      520,
+      Level.INFO,
+      "engine \"{}\" started at {} says in its answer to request {} that it is leaving"),
+  ENGINE_REPORTED_LEAVING(
+      521, Level.INFO, "engine \"{}\" started at {} is leaving, as host \"{}\" reports"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
