--- a/fleet/src/test/java/org/waxwingcourse/fleet/engine/EventSplitProperties.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/engine/EventSplitPropertyTest.java
@@ -13,7 +13,7 @@
 import net.jqwik.api.Provide;
 
 /** A stream has the same events and the same end in whichever pieces its bytes arrive. */
-class EventSplitProperties {
+class EventSplitPropertyTest {
   private static final EngineAnswer CLOSE_DELIMITED =
       new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, true);
 
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/ResponseSplitProperties.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/ResponseSplitPropertyTest.java
@@ -25,7 +25,7 @@
 import org.waxwingcourse.http.StreamListener;
 
 /** A response is the same in whichever pieces its bytes arrive. */
-class ResponseSplitProperties {
+class ResponseSplitPropertyTest {
   private static final String OK = "HTTP/1.1 200 OK\r\nid: a\r\n";
 
   /** How the upstream ends the connection. */
