A restarted host numbers its requests for slots differently from its last process

A request of the new process could then get the repeated grant of a run of the old one, on the engine of another request. Numbers now begin at random. SlotClientTest. restartedHostDoesNotUseTheNumbersOfItsLastProcess failed before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
@@ -38,6 +39,8 @@
   /** Interval at which a request for a slot that is not decided is sent again. */
   private static final Duration RESEND_INTERVAL = Duration.ofMillis(300);
 
+  private static final long MAX_FIRST_NUMBER = 1L << 62;
+
   /** Maximum number of engines that a request names for their idle connections. */
   private static final int MAX_CONNECTED_ENGINES = 24;
 
@@ -51,7 +54,14 @@
   private final InstantSource clock;
   private final DataCentreId dataCentre;
   private final HostEngines engines;
-  private final AtomicLong lastNumber = new AtomicLong();
+
+  /**
+   * Starts at a random number, so that a request has no number that the process before on this host
+   * has used: the coordinator may still know its runs.
+   */
+  private final AtomicLong lastNumber =
+      new AtomicLong(ThreadLocalRandom.current().nextLong(MAX_FIRST_NUMBER));
+
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
   private volatile Option<HostId> coordinator = Option.none();
   private volatile Instant runsReportedAt = Instant.MIN;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -93,6 +93,14 @@
     return SlotGrant.newBuilder().setNumber(number).setEngine(engine).build();
   }
 
+  @Test
+  void restartedHostDoesNotUseTheNumbersOfItsLastProcess() {
+    long before = requestSlot();
+    SlotClient restarted = new SlotClient(peers(), clock, DataCentreId.of("dc"), List::of);
+    restarted.attachTo(A);
+    assertThat(requestSlot(restarted)).isNotEqualTo(before);
+  }
+
   @Test
   void undecidedRequestIsResentAndChargedOnce() {
     requestSlot();
