--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -91,7 +91,13 @@
   private int failures;
   private int yields;
   private int moves;
-  private int breaksWithoutEvent;
+
+  /** Runs in a row that lost their engine before an event. */
+  private int losses;
+
+  /** Those of them that the engine broke off. */
+  private int breaks;
+
   private Duration waited = Duration.ZERO;
   private boolean done;
 
@@ -359,13 +365,16 @@
       failedOn.add(engine);
       moves++;
       boolean brokeOff = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF;
-      breaksWithoutEvent = brokeOff && firstEventAt == null ? breaksWithoutEvent + 1 : 0;
+      losses = firstEventAt == null ? losses + 1 : 0;
+      breaks = firstEventAt == null ? breaks + (brokeOff ? 1 : 0) : 0;
       cancelAttempt(outcomeKind);
-      if (breaksWithoutEvent < 2) {
-        requestSlot();
-      } else {
-        int doublings = Math.min(breaksWithoutEvent - 2, MAX_DOUBLINGS);
+      if (brokeOff && breaks >= 2) {
+        int doublings = Math.min(breaks - 2, MAX_DOUBLINGS);
         scheduleRetry(CRASH_RETRY_DELAY.multipliedBy(1L << doublings));
+      } else if (losses >= 2) {
+        scheduleRetry();
+      } else {
+        requestSlot();
       }
     }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
@@ -70,6 +70,8 @@
       new FleetMessageRouter(null, null, slots, (from, m) -> {});
   private final List<Instant> runs = new ArrayList<>();
   private int eventsOfEachRun;
+  private CallFailure.Kind failure = CallFailure.Kind.LOST;
+  private boolean alternates;
 
   @BeforeEach
   void listEngine() {
@@ -103,13 +105,17 @@
     runs.add(clock.instant());
     Runnable end =
         () -> {
+          if (alternates && runs.size() % 2 == 0) {
+            listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.NOT_SENT, "refused")));
+            return;
+          }
           long after = request.resumeAfter().getOrElse(0L);
           listener.onHead(new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, false, false));
           for (long n = after + 1; n <= after + eventsOfEachRun; n++) {
             String event = "id: " + n + "\ndata: word\n\n";
             listener.onBytes(event.getBytes(StandardCharsets.UTF_8));
           }
-          listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.LOST, "closed")));
+          listener.onEnd(Option.some(new CallFailure(failure, "closed")));
         };
     timer.schedule(end, 40, TimeUnit.MILLISECONDS);
     return () -> {};
@@ -170,6 +176,22 @@
     assertThat(Duration.between(runs.get(0), runs.get(1))).isLessThan(Duration.ofMillis(200));
   }
 
+  @Test
+  void crashesCountInARowAlthoughCrashedEnginesAreTriedBetween() {
+    alternates = true;
+    runJob();
+    timer.advance(GIVE_UP_AFTER);
+    assertThat(runs).hasSizeBetween(2, 2 * MAX_RUNS);
+  }
+
+  @Test
+  void itemWhoseEnginesCannotBeReachedIsTriedAFewTimesASecond() {
+    failure = CallFailure.Kind.NOT_SENT;
+    runJob();
+    timer.advance(Duration.ofSeconds(10));
+    assertThat(runs).hasSizeBetween(20, 100);
+  }
+
   @Test
   void itemThatGoesOnWithEachRunIsNotDelayed() {
     eventsOfEachRun = 3;
