--- a/http/src/main/java/org/waxwingcourse/http/HeadSyntax.java
+++ b/http/src/main/java/org/waxwingcourse/http/HeadSyntax.java
@@ -4,10 +4,12 @@
 
 /**
  * The syntax of the parts of a request's head (RFC 9110). Text outside it may be understood by
- * another server as the end of a line, as another header or as another request.
+ * another server as the end of a line, as another header or as another request; characters beyond
+ * Latin-1 cannot be written to a head.
  */
 public final class HeadSyntax {
   private static final char DELETE = 0x7f;
+  private static final char LAST_LATIN_1 = 0xff;
 
   private HeadSyntax() {}
 
@@ -18,7 +20,13 @@
 
   /** Returns whether the text can be the value of a header. */
   public static boolean isHeaderValue(CharSequence value) {
-    return HttpHeaderValidationUtil.validateValidHeaderValue(value) < 0;
+    return HttpHeaderValidationUtil.validateValidHeaderValue(value) < 0
+        && value.chars().allMatch(c -> c <= LAST_LATIN_1);
+  }
+
+  /** Returns whether the text consists of visible ASCII characters, at least one. */
+  public static boolean isVisibleAscii(CharSequence text) {
+    return text.length() > 0 && text.chars().allMatch(c -> c > ' ' && c < DELETE);
   }
 
   /** Returns whether the text can be a method or the name of a header. */
@@ -28,6 +36,6 @@
 
   /** Returns whether the text can be the path and query of a request. */
   public static boolean isTarget(CharSequence text) {
-    return text.length() > 0 && text.chars().allMatch(c -> c > ' ' && c != DELETE);
+    return isVisibleAscii(text);
   }
 }
--- a/http/src/test/java/org/waxwingcourse/http/HeadSyntaxTest.java
+++ b/http/src/test/java/org/waxwingcourse/http/HeadSyntaxTest.java
@@ -26,6 +26,14 @@
     assertThat(HeadSyntax.isTarget(target)).isFalse();
   }
 
+  @Test
+  void textThatAHeadCannotHoldIsInvalid() {
+    assertThat(HeadSyntax.isHeader("X-A", "\u65e5")).isFalse();
+    assertThat(HeadSyntax.isTarget("/\u65e5")).isFalse();
+    assertThat(HeadSyntax.isTarget("/\u00e9")).isFalse();
+    assertThat(HeadSyntax.isVisibleAscii("\u00e9")).isFalse();
+  }
+
   @Test
   void usualHeadsAreValid() {
     assertThat(HeadSyntax.isHeader("X-Prompt_Parts.1", "5c1e:800, \"q\"; a=b\tc \u00e9")).isTrue();
