Statements of engines: one type and one exchange for what boots say of themselves in answers

What the fleet reads from engines' answers travelled as marks of leaving engines only. A second such fact, the limit an engine names, needs the same way. LeavingMarks becomes EngineStatements, LeavingEngineWatch becomes EngineAnswerWatch, and the parts of pings and pongs move from CoordinatorLink to EngineStatementExchange. Behaviour is unchanged; the tests of leaving engines pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -32,7 +32,7 @@
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
-import org.waxwingcourse.fleet.view.LeavingEngineWatch;
+import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -147,7 +147,7 @@
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader());
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
-    EngineSender calls = new LeavingEngineWatch(outside.calls(), engines);
+    EngineSender calls = new EngineAnswerWatch(outside.calls(), engines);
     Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
     follower =
         new StoreFollower(
@@ -191,7 +191,7 @@
     registration.setFleetEntriesListener(quarantineKeeper::restore);
     storeView.addPlanListener(coordinator::setPlan);
     engines.addListener(coordinator::setEngines);
-    engines.addLeavingListener(coordinatorLink::reportLeavingEngines);
+    engines.addStatementListener(coordinatorLink::reportStatements);
     registerMetrics(metrics);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -79,7 +79,6 @@
   private final FleetHost self;
   private final PeerTransport peers;
   private final StoreView storeView;
-  private final EngineDirectory engines;
   private final Clocks clocks;
   private final StoreFollower follower;
   private final Coordinator coordinator;
@@ -89,6 +88,7 @@
   private final Candidates candidates;
   private final ViewExchange views;
   private final QuarantineExchange quarantine;
+  private final EngineStatementExchange statements;
   private final CollectedHosts collectedHosts = new CollectedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
@@ -118,13 +118,13 @@
     this.self = self;
     this.peers = peers;
     this.storeView = storeView;
-    this.engines = engines;
     this.clocks = clocks;
     this.candidates = new Candidates(self.id(), storeView, ownRegistration);
     this.views = new ViewExchange(storeView, clocks);
     this.follower = follower;
     this.coordinator = coordinator;
     this.quarantine = new QuarantineExchange(coordinator.quarantine(), clocks);
+    this.statements = new EngineStatementExchange(engines);
     this.slots = slots;
     this.lastContactAt = clocks.instant();
   }
@@ -179,8 +179,8 @@
     return !candidates.isJoining(chooseAmong(order, now), order, now, answerTimeout());
   }
 
-  /** Tells the coordinator at once which engines have said that they are leaving. */
-  public void reportLeavingEngines() {
+  /** Tells the coordinator at once what engines have said of themselves. */
+  public void reportStatements() {
     HostId receiver;
     synchronized (this) {
       receiver = coordinatorId;
@@ -228,7 +228,7 @@
 
   void onPing(HostId from, Ping ping) {
     quarantine.apply(from, ping);
-    engines.learnLeaving(FleetMessageConverter.toBoots(ping.getLeavingList()), from);
+    statements.apply(from, ping);
     if (ping.getAttached()) {
       AttachedHost attachedHost = new AttachedHost(clocks.instant(), ping.getTakesCallers());
       boolean isNew;
@@ -245,8 +245,8 @@
             .setSentMillis(ping.getSentMillis())
             .setBoot(self.boot())
             .setRegistered(candidates.ownRegistration().value())
-            .setInContact(candidates.isInContact(self.id()))
-            .addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
+            .setInContact(candidates.isInContact(self.id()));
+    statements.addTo(pong);
     views.addTo(pong, ping);
     quarantine.addTo(pong, ping);
     if (ping.getAttached()) {
@@ -265,7 +265,7 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
-    engines.learnLeaving(FleetMessageConverter.toBoots(pong.getLeavingList()), from);
+    statements.apply(from, pong);
     candidates.recordPong(from, pong, now);
     quarantine.apply(from, pong);
     synchronized (this) {
@@ -440,8 +440,8 @@
         Ping.newBuilder()
             .setBoot(self.boot())
             .setAttached(host.equals(coordinatorId))
-            .setTakesCallers(self.takesCallers())
-            .addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
+            .setTakesCallers(self.takesCallers());
+    statements.addTo(ping);
     views.addTo(ping, asksForViews);
     quarantine.addTo(ping, host);
     send(host, FleetMessage.newBuilder().setPing(ping));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/LeavingEngineWatch.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineAnswerWatch.java
@@ -11,13 +11,13 @@
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.id.UpstreamId;
 
-/** Sends requests to engines and records in a directory which engines answer that they leave. */
-public final class LeavingEngineWatch implements EngineSender {
+/** Sends requests to engines and records in a directory what they say of themselves in answers. */
+public final class EngineAnswerWatch implements EngineSender {
   private final EngineSender calls;
   private final EngineDirectory engines;
 
   /** Creates a watch over the answers to requests that are sent through {@code calls}. */
-  public LeavingEngineWatch(EngineSender calls, EngineDirectory engines) {
+  public EngineAnswerWatch(EngineSender calls, EngineDirectory engines) {
     this.calls = calls;
     this.engines = engines;
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -29,8 +29,8 @@
   private final StoreTable table;
   private final EngineEntryReader reader;
   private final List<Consumer<Collection<EngineEntry>>> listeners = new CopyOnWriteArrayList<>();
-  private final List<Runnable> leavingListeners = new CopyOnWriteArrayList<>();
-  private final LeavingMarks marks = new LeavingMarks();
+  private final List<Runnable> statementListeners = new CopyOnWriteArrayList<>();
+  private final EngineStatements statements = new EngineStatements();
   private final Object notification = new Object();
 
   /** The entries as they were written. */
@@ -77,7 +77,7 @@
     if (mark(boot)) {
       LOG.write(Event.ENGINE_SAYS_LEAVING, boot.id(), boot.startedAtMillis(), request);
       notifyListeners();
-      leavingListeners.forEach(Runnable::run);
+      statementListeners.forEach(Runnable::run);
     }
   }
 
@@ -96,7 +96,7 @@
    * not.
    */
   public synchronized List<EngineBoot> leavingByAnswer() {
-    return marks.missingIn(entries);
+    return statements.leavingMissingIn(entries);
   }
 
   /** Returns all listed engines, including those that are leaving. */
@@ -109,9 +109,9 @@
     listeners.add(listener);
   }
 
-  /** Adds a listener that is called after an engine has told this host that it is leaving. */
-  public void addLeavingListener(Runnable listener) {
-    leavingListeners.add(listener);
+  /** Adds a listener that is called after an engine has told this host something new of itself. */
+  public void addStatementListener(Runnable listener) {
+    statementListeners.add(listener);
   }
 
   private void refresh() {
@@ -120,7 +120,7 @@
       for (Entry entry : table.entries()) {
         reader.read(entry).forEach(e -> current.put(e.id(), e));
       }
-      marks.removeSuperseded(current);
+      statements.removeSuperseded(current);
       logChanges(current);
       setEntries(current);
     }
@@ -128,7 +128,7 @@
   }
 
   private synchronized boolean mark(EngineBoot boot) {
-    boolean added = marks.add(boot, entries);
+    boolean added = statements.addLeaving(boot, entries);
     if (added) {
       setEntries(entries);
     }
@@ -137,7 +137,7 @@
 
   private void setEntries(Map<UpstreamId, EngineEntry> next) {
     Map<UpstreamId, EngineEntry> marked = new HashMap<>();
-    next.forEach((id, entry) -> marked.put(id, marks.applyTo(entry)));
+    next.forEach((id, entry) -> marked.put(id, statements.applyTo(entry)));
     entries = next;
     engines = marked;
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LeavingEngineGrantTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LeavingEngineGrantTest.java
@@ -109,7 +109,7 @@
               () -> Revision.of(rank));
       router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
       engines.addListener(coordinator::setEngines);
-      engines.addLeavingListener(link::reportLeavingEngines);
+      engines.addStatementListener(link::reportStatements);
     }
 
     boolean knowsLeaving() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
@@ -28,7 +28,7 @@
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
-import org.waxwingcourse.fleet.view.LeavingEngineWatch;
+import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
@@ -123,7 +123,7 @@
             new Random(1),
             storeView,
             engines,
-            new LeavingEngineWatch(
+            new EngineAnswerWatch(
                 (request, listener) -> {
                   received.add(request);
                   answers.add(listener);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/LeavingEngineRunTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/LeavingEngineRunTest.java
@@ -32,7 +32,7 @@
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
-import org.waxwingcourse.fleet.view.LeavingEngineWatch;
+import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.model.id.HostId;
@@ -126,7 +126,7 @@
                 gate,
                 storeView,
                 engines,
-                new LeavingEngineWatch(
+                new EngineAnswerWatch(
                     (request, listener) -> {
                       received.add(request);
                       answers.add(listener);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/LeavingEngineDirectoryTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/LeavingEngineDirectoryTest.java
@@ -127,13 +127,13 @@
 
   @Test
   void marksOfUnlistedEnginesAreBoundedAndThoseOfListedOnesStay() {
-    LeavingMarks marks = new LeavingMarks();
+    EngineStatements statements = new EngineStatements();
     EngineEntry listed = directory.findEngine(ENGINE).get();
     Map<UpstreamId, EngineEntry> entries = Map.of(ENGINE, listed);
-    marks.add(BOOT, entries);
-    IntStream.range(0, 3 * LeavingMarks.MAX_UNLISTED)
-        .forEach(i -> marks.add(new EngineBoot(UpstreamId.of("gone-" + i), i), entries));
-    assertThat(marks.size()).isEqualTo(LeavingMarks.MAX_UNLISTED + 1);
-    assertThat(marks.applyTo(listed).leaving()).isTrue();
+    statements.addLeaving(BOOT, entries);
+    IntStream.range(0, 3 * EngineStatements.MAX_UNLISTED)
+        .forEach(i -> statements.addLeaving(new EngineBoot(UpstreamId.of("gone-" + i), i), entries));
+    assertThat(statements.size()).isEqualTo(EngineStatements.MAX_UNLISTED + 1);
+    assertThat(statements.applyTo(listed).leaving()).isTrue();
   }
 }
