Log which engine names a limit, changes it and ends it, with the request whose answer said so

The header is decoded in platform/ (EngineLimitHeader), kept with the other statements of the boot and logged: W522, W523, W525 (W524 follows with the exchange between hosts). Nothing acts on it yet. Readings are ordered by when their requests were sent (SendOrder), so that an answer that arrives late does not undo a newer one.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -29,10 +29,10 @@
 import org.waxwingcourse.fleet.plan.PlanReader;
 import org.waxwingcourse.fleet.quarantine.QuarantineKeeper;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
-import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -147,7 +147,7 @@
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader());
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
-    EngineSender calls = new EngineAnswerWatch(outside.calls(), engines);
+    EngineSender calls = new EngineAnswerWatch(outside.calls(), engines, clocks.wall());
     Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
     follower =
         new StoreFollower(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineAnswer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineAnswer.java
@@ -11,9 +11,15 @@
  * @param verdict what the answer says about the request
  * @param closeDelimited whether nothing but the end of the connection marks the end of the body
  * @param leaving whether the engine says that it accepts no new requests
+ * @param limit what the engine says about how many requests it takes
  */
 public record EngineAnswer(
-    int status, List<Header> headers, Verdict verdict, boolean closeDelimited, boolean leaving) {
+    int status,
+    List<Header> headers,
+    Verdict verdict,
+    boolean closeDelimited,
+    boolean leaving,
+    StatedLimit limit) {
   /** What an answer says about whether the request ran. */
   public enum Verdict {
     /** The engine runs or has run the request. */
@@ -33,6 +39,12 @@
     headers = List.copyOf(headers);
   }
 
+  /** Creates an answer that names no limit. */
+  public EngineAnswer(
+      int status, List<Header> headers, Verdict verdict, boolean closeDelimited, boolean leaving) {
+    this(status, headers, verdict, closeDelimited, leaving, StatedLimit.NONE);
+  }
+
   /** Returns whether the status is 2xx. */
   public boolean isSuccess() {
     return status >= 200 && status < 300;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.fleet.view;
 
 import io.vavr.control.Option;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -11,6 +12,7 @@
 import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
+import org.waxwingcourse.fleet.engine.RequestRate;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
@@ -31,6 +33,7 @@
   private final List<Consumer<Collection<EngineEntry>>> listeners = new CopyOnWriteArrayList<>();
   private final List<Runnable> statementListeners = new CopyOnWriteArrayList<>();
   private final EngineStatements statements = new EngineStatements();
+  private final SendOrder sendOrder = new SendOrder();
   private final Object notification = new Object();
 
   /** The entries as they were written. */
@@ -99,6 +102,50 @@
     return statements.leavingMissingIn(entries);
   }
 
+  /** Returns the position of a request that this host sends at {@code wall}. */
+  public synchronized long nextSendOrder(Instant wall) {
+    return sendOrder.next(wall);
+  }
+
+  /** Records what an engine has said of its limit in its answer to a request of this host. */
+  public void recordLimit(EngineBoot boot, LimitReading reading, RequestId request) {
+    Option<RequestRate> before = limit(boot);
+    if (addLimit(boot, reading)) {
+      Object change = before.<Object>map(r -> r).getOrElse("none");
+      reading
+          .limit()
+          .peek(
+              l ->
+                  LOG.write(
+                      Event.ENGINE_NAMES_LIMIT,
+                      boot.id(),
+                      boot.startedAtMillis(),
+                      l,
+                      request,
+                      change))
+          .onEmpty(
+              () ->
+                  LOG.write(
+                      Event.ENGINE_ENDS_LIMIT, boot.id(), boot.startedAtMillis(), request, change));
+    }
+  }
+
+  /** Logs that an engine has named a limit that cannot be read, once for each boot. */
+  public synchronized void recordUnreadableLimit(EngineBoot boot, String text, RequestId request) {
+    if (statements.addUnreadable(boot, entries)) {
+      LOG.write(Event.ENGINE_LIMIT_UNREADABLE, boot.id(), boot.startedAtMillis(), text, request);
+    }
+  }
+
+  /** Returns the limit that a boot has named last, none if it names none. */
+  public synchronized Option<RequestRate> limit(EngineBoot boot) {
+    return statements.statement(boot).limit().limit();
+  }
+
+  private synchronized boolean addLimit(EngineBoot boot, LimitReading reading) {
+    return statements.addLimit(boot, reading, entries);
+  }
+
   /** Returns all listed engines, including those that are leaving. */
   public Collection<EngineEntry> all() {
     return engines.values();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineStatement.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineStatement.java
@@ -4,13 +4,25 @@
  * What a boot of an engine has said of itself in its answers.
  *
  * @param leaving whether it has said that it is leaving; never taken back
+ * @param limit the latest reading of its limit
+ * @param unreadable whether it has named a limit that could not be read
  */
-record EngineStatement(boolean leaving) {
+record EngineStatement(boolean leaving, LimitReading limit, boolean unreadable) {
   /** The statement of a boot that has said nothing. */
-  static final EngineStatement EMPTY = new EngineStatement(false);
+  static final EngineStatement EMPTY = new EngineStatement(false, LimitReading.NONE, false);
 
   /** Returns this statement with that of a leaving engine. */
   EngineStatement withLeaving() {
-    return new EngineStatement(true);
+    return new EngineStatement(true, limit, unreadable);
+  }
+
+  /** Returns this statement with another reading of the limit. */
+  EngineStatement withLimit(LimitReading reading) {
+    return new EngineStatement(leaving, reading, unreadable);
+  }
+
+  /** Returns this statement with that of an engine whose limit could not be read. */
+  EngineStatement withUnreadable() {
+    return new EngineStatement(leaving, limit, true);
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineStatements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineStatements.java
@@ -24,16 +24,43 @@
 
   /** Records that a boot is leaving; returns false if that is known already. */
   boolean addLeaving(EngineBoot boot, Map<UpstreamId, EngineEntry> listed) {
-    EngineStatement known = statements.getOrDefault(boot, EngineStatement.EMPTY);
+    EngineStatement known = statement(boot);
     statements.put(boot, known.withLeaving());
     removeOldestUnlisted(listed);
     return !known.leaving();
   }
 
+  /** Returns what a boot has said. */
+  EngineStatement statement(EngineBoot boot) {
+    return statements.getOrDefault(boot, EngineStatement.EMPTY);
+  }
+
+  /**
+   * Records a reading of a boot's limit; returns whether the limit changed. Of a boot that has
+   * never named one, the lack of a limit is not recorded.
+   */
+  boolean addLimit(EngineBoot boot, LimitReading reading, Map<UpstreamId, EngineEntry> listed) {
+    EngineStatement known = statement(boot);
+    LimitReading latest = known.limit().latest(reading);
+    if (latest.equals(known.limit()) || known.limit().order() == 0 && reading.limit().isEmpty()) {
+      return false;
+    }
+    statements.put(boot, known.withLimit(latest));
+    removeOldestUnlisted(listed);
+    return !latest.limit().equals(known.limit().limit());
+  }
+
+  /** Records that a boot has named a limit that cannot be read; returns false if it has before. */
+  boolean addUnreadable(EngineBoot boot, Map<UpstreamId, EngineEntry> listed) {
+    EngineStatement known = statement(boot);
+    statements.put(boot, known.withUnreadable());
+    removeOldestUnlisted(listed);
+    return !known.unreadable();
+  }
+
   /** Returns the entry with what its boot has said. */
   EngineEntry applyTo(EngineEntry entry) {
-    EngineStatement statement = statements.getOrDefault(entry.boot(), EngineStatement.EMPTY);
-    return statement.leaving() ? entry.asLeaving() : entry;
+    return statement(entry.boot()).leaving() ? entry.asLeaving() : entry;
   }
 
   /** Removes the statements that the entries in the store have made needless. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
@@ -26,9 +26,9 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
-import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
@@ -129,7 +129,8 @@
                   answers.add(listener);
                   return () -> {};
                 },
-                engines),
+                engines,
+                clock),
             slots,
             new BatchRunTimes(),
             started -> {},
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/LeavingEngineRunTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/LeavingEngineRunTest.java
@@ -31,8 +31,8 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.view.Clocks;
-import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
+import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.model.id.HostId;
@@ -132,7 +132,8 @@
                       answers.add(listener);
                       return () -> {};
                     },
-                    engines),
+                    engines,
+                    clock),
                 slots,
                 new MetricRegistry()));
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/LeavingEngineDirectoryTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/LeavingEngineDirectoryTest.java
@@ -132,7 +132,8 @@
     Map<UpstreamId, EngineEntry> entries = Map.of(ENGINE, listed);
     statements.addLeaving(BOOT, entries);
     IntStream.range(0, 3 * EngineStatements.MAX_UNLISTED)
-        .forEach(i -> statements.addLeaving(new EngineBoot(UpstreamId.of("gone-" + i), i), entries));
+        .forEach(
+            i -> statements.addLeaving(new EngineBoot(UpstreamId.of("gone-" + i), i), entries));
     assertThat(statements.size()).isEqualTo(EngineStatements.MAX_UNLISTED + 1);
     assertThat(statements.applyTo(listed).leaving()).isTrue();
   }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -92,6 +92,21 @@
       "engine \"{}\" started at {} says in its answer to request {} that it is leaving"),
   ENGINE_REPORTED_LEAVING(
       521, Level.INFO, "engine \"{}\" started at {} is leaving, as host \"{}\" reports"),
+  ENGINE_NAMES_LIMIT(
+      522,
+      Level.INFO,
+      "engine \"{}\" started at {} names a limit of {} in its answer to request {}, before: {}"),
+  ENGINE_ENDS_LIMIT(
+      523,
+      Level.INFO,
+      "engine \"{}\" started at {} names no limit in its answer to request {}, before: {}"),
+  ENGINE_LIMIT_REPORTED(
+      524, Level.INFO, "engine \"{}\" started at {} has limit {}, as host \"{}\" reports"),
+  ENGINE_LIMIT_UNREADABLE(
+      525,
+      Level.WARN,
+      "engine \"{}\" started at {} names a limit that cannot be read in its answer to request {}:"
+          + " \"{}\""),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
