Requests start on an engine only as fast as the limit that it names allows

Seen: an engine that names a limit of 3 requests a second gets 37 to 56 in 4 s. Cause: the coordinator places requests by free slots, and nobody read the limit. Ruled out: repeats (first sends alone exceed it) and hosts that know different things (W522).

A limit is one more statement of a boot of an engine. Hosts pass on the changes of limits with pings and pongs, each until the other has confirmed it, so that the next coordinator knows them before its first grant. SlotScheduler starts a request on an engine only if its StartLimiter has a token: a bucket that fills at the coordinator's share of the limit, empty at first; a slot given back without a request returns its token (RunEnd NOT_SENT). Estimates and refusals count the starts that limits allow (StartEstimate).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -424,6 +424,9 @@
     metrics.register(
         "hosts.known", (Gauge<Integer>) () -> storeView.fleetHosts().inRegistrationOrder().size());
     metrics.register("engines.known", (Gauge<Integer>) () -> engines.all().size());
+    metrics.register(
+        "engines.limited",
+        (Gauge<Long>) () -> engines.all().stream().filter(e -> e.limit().isDefined()).count());
   }
 
   private static void sleepPollInterval() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -140,7 +140,7 @@
     }
     fleetShare = newFleetShare;
     plan.forEach(p -> rates.update(p.organisations(), newFleetShare, clock.instant()));
-    services.values().forEach(s -> s.setFleetShare(newFleetShare));
+    services.values().forEach(s -> s.setFleetShare(newFleetShare, clock.instant()));
   }
 
   /** Restores the levels of the token buckets that the previous coordinator reported. */
@@ -260,9 +260,7 @@
   void onEnd(HostId from, SlotEnd end) {
     RunEnd runEnd =
         new RunEnd(
-            end.getBrokenOff()
-                ? RunEnd.How.ENGINE_BROKE_OFF
-                : RunEnd.How.valueOf(end.getHow().name()),
+            howOf(end),
             Duration.ofNanos(end.getFirstEventNanos()),
             Duration.ofNanos(end.getGapNanos()),
             end.getEvents());
@@ -271,6 +269,13 @@
     services.values().forEach(s -> execute(s.endRun(id, runEnd, clock.instant())));
   }
 
+  private static RunEnd.How howOf(SlotEnd end) {
+    if (end.getBrokenOff()) {
+      return RunEnd.How.ENGINE_BROKE_OFF;
+    }
+    return end.getUnsent() ? RunEnd.How.NOT_SENT : RunEnd.How.valueOf(end.getHow().name());
+  }
+
   /** Draws conclusions about prompts from the end of a run. */
   private void judgePrompt(RunId id, GrantedRun run, RunEnd end) {
     Instant now = clock.instant();
@@ -367,7 +372,7 @@
         service,
         name -> {
           SlotScheduler slots = new SlotScheduler();
-          slots.setFleetShare(fleetShare);
+          slots.setFleetShare(fleetShare, clock.instant());
           slots.setEngines(enginesOf(name), defaultSlots(name), clock.instant());
           return slots;
         });
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -124,7 +124,7 @@
     this.follower = follower;
     this.coordinator = coordinator;
     this.quarantine = new QuarantineExchange(coordinator.quarantine(), clocks);
-    this.statements = new EngineStatementExchange(engines);
+    this.statements = new EngineStatementExchange(self.boot(), engines);
     this.slots = slots;
     this.lastContactAt = clocks.instant();
   }
@@ -246,7 +246,7 @@
             .setBoot(self.boot())
             .setRegistered(candidates.ownRegistration().value())
             .setInContact(candidates.isInContact(self.id()));
-    statements.addTo(pong);
+    statements.addTo(pong, from);
     views.addTo(pong, ping);
     quarantine.addTo(pong, ping);
     if (ping.getAttached()) {
@@ -441,7 +441,7 @@
             .setBoot(self.boot())
             .setAttached(host.equals(coordinatorId))
             .setTakesCallers(self.takesCallers());
-    statements.addTo(ping);
+    statements.addTo(ping, host);
     views.addTo(ping, asksForViews);
     quarantine.addTo(ping, host);
     send(host, FleetMessage.newBuilder().setPing(ping));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -116,15 +116,18 @@
                     .setNumber(number)
                     .setHow(toWire(end.how()))
                     .setBrokenOff(end.how() == RunEnd.How.ENGINE_BROKE_OFF)
+                    .setUnsent(end.how() == RunEnd.How.NOT_SENT)
                     .setFirstEventNanos(end.firstEventDelay().toNanos())
                     .setGapNanos(end.meanGap().toNanos())
                     .setEvents(end.events())));
   }
 
   private static SlotEnd.How toWire(RunEnd.How how) {
-    return how == RunEnd.How.ENGINE_BROKE_OFF
-        ? SlotEnd.How.ENGINE_LOST
-        : SlotEnd.How.valueOf(how.name());
+    return switch (how) {
+      case ENGINE_BROKE_OFF -> SlotEnd.How.ENGINE_LOST;
+      case NOT_SENT -> SlotEnd.How.CANCELLED;
+      default -> SlotEnd.How.valueOf(how.name());
+    };
   }
 
   /** Withdraws a request that has not been granted. */
@@ -226,7 +229,10 @@
       return;
     }
     SlotEnd.Builder end =
-        SlotEnd.newBuilder().setNumber(grant.getNumber()).setHow(SlotEnd.How.CANCELLED);
+        SlotEnd.newBuilder()
+            .setNumber(grant.getNumber())
+            .setHow(SlotEnd.How.CANCELLED)
+            .setUnsent(true);
     peers.send(
         from, PeerChannel.FLEET, FleetMessage.newBuilder().setEnd(end).build().toByteArray());
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
@@ -1,12 +1,13 @@
 package org.waxwingcourse.fleet.engine;
 
+import io.vavr.control.Option;
 import java.net.InetSocketAddress;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
 
 /**
- * An engine's entry in the store.
+ * An engine's entry in the store, with what the engine has said of itself in answers.
  *
  * @param id the engine; it may keep its id when it restarts
  * @param service the service that it provides
@@ -15,6 +16,7 @@
  * @param slots number of requests that it runs at once, zero if not stated
  * @param leaving whether it accepts no new requests
  * @param startedAtMillis Unix time of its start in milliseconds, zero if not stated
+ * @param limit the requests per second that it takes from all hosts together, none if it names none
  */
 public record EngineEntry(
     UpstreamId id,
@@ -23,7 +25,20 @@
     DataCentreId dataCentre,
     int slots,
     boolean leaving,
-    long startedAtMillis) {
+    long startedAtMillis,
+    Option<RequestRate> limit) {
+  /** Creates the entry of an engine that names no limit. */
+  public EngineEntry(
+      UpstreamId id,
+      ServiceName service,
+      InetSocketAddress address,
+      DataCentreId dataCentre,
+      int slots,
+      boolean leaving,
+      long startedAtMillis) {
+    this(id, service, address, dataCentre, slots, leaving, startedAtMillis, Option.none());
+  }
+
   /** Returns the process that wrote the entry. */
   public EngineBoot boot() {
     return new EngineBoot(id, startedAtMillis);
@@ -31,6 +46,12 @@
 
   /** Returns this entry as that of an engine that accepts no new requests. */
   public EngineEntry asLeaving() {
-    return new EngineEntry(id, service, address, dataCentre, slots, true, startedAtMillis);
+    return new EngineEntry(id, service, address, dataCentre, slots, true, startedAtMillis, limit);
+  }
+
+  /** Returns this entry as that of an engine that names the given limit, or none. */
+  public EngineEntry withLimit(Option<RequestRate> named) {
+    return new EngineEntry(
+        id, service, address, dataCentre, slots, leaving, startedAtMillis, named);
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -166,7 +166,7 @@
     waited = waited.plus(slotWait);
     Option<EngineEntry> entry = ports.engines().findUsable(engine, pendingSlot.service);
     if (done || entry.isEmpty()) {
-      ports.slots().endRun(pendingSlot.requestNumber, RunEnd.of(RunEnd.How.CANCELLED));
+      ports.slots().endRun(pendingSlot.requestNumber, RunEnd.of(RunEnd.How.NOT_SENT));
       if (!done) {
         scheduleRetry();
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -150,7 +150,7 @@
   private synchronized void handleGrant(
       PendingSlot pendingSlot, UpstreamId engine, Duration coordinatorWait) {
     if (done) {
-      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.CANCELLED));
+      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
       return;
     }
     rateCharged = true;
@@ -164,12 +164,12 @@
     if (entry.isEmpty()) {
       sendCount++;
       triedEngines.add(engine);
-      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.CANCELLED));
+      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
       retryOrEnd("engine " + engine + " is not listed for " + service + " on this host");
       return;
     }
     if (!ports.gate().isStillAdmitted(admitted, request.key())) {
-      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.CANCELLED));
+      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
       refuse(
           RefusalCode.UNAVAILABLE, "the key could not be confirmed", now().plus(FULL_RETRY_DELAY));
       return;
@@ -182,7 +182,7 @@
     boolean first = !grantReturned;
     grantReturned = true;
     triedEngines.add(engine);
-    ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.CANCELLED));
+    ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
     logMove("engine " + engine + " is leaving");
     if (first) {
       requestNextSlot();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -29,12 +29,15 @@
         }
       };
   private final EngineHealthTracker health = new EngineHealthTracker();
+  private final StartLimiter starts;
   private EngineEntry entry;
   private int slots;
 
-  EngineSlots(EngineEntry entry, int slots) {
+  EngineSlots(EngineEntry entry, int slots, double fleetShare, Instant now) {
     this.entry = entry;
     this.slots = slots;
+    this.starts = new StartLimiter(fleetShare);
+    starts.setLimit(entry.limit(), now);
   }
 
   /**
@@ -77,9 +80,14 @@
     return entry;
   }
 
-  void update(EngineEntry newEntry, int newSlots) {
+  void update(EngineEntry newEntry, int newSlots, Instant now) {
     entry = newEntry;
     slots = newSlots;
+    starts.setLimit(newEntry.limit(), now);
+  }
+
+  StartLimiter starts() {
+    return starts;
   }
 
   EngineHealthTracker health() {
@@ -102,6 +110,21 @@
     return runs.size() < (health.isProbing() ? 1 : slots);
   }
 
+  /** Returns how many requests may start in free slots now. */
+  int possibleStarts(Instant now) {
+    return hasFreeSlot() ? Math.min(slots - runs.size(), starts.availableStarts(now)) : 0;
+  }
+
+  /** Returns when runs of callers end that take as long as {@code run}, in order. */
+  List<Instant> onlineRunEnds(Duration run, Instant now) {
+    return runs.values().stream()
+        .filter(Run::online)
+        .map(r -> r.startedAt().plus(run))
+        .map(end -> end.isBefore(now) ? now : end)
+        .sorted()
+        .toList();
+  }
+
   /**
    * Returns the batch run to preempt. A run that ends late anyway loses least, of several the one
    * that needs longest; else the one that can best wait, since events received so far are kept.
@@ -124,6 +147,7 @@
   }
 
   void startRun(SlotRequest request, Instant now) {
+    starts.recordStart(now);
     runs.put(
         request.id(),
         new Run(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
@@ -13,13 +13,15 @@
 public record RunEnd(How how, Duration firstEventDelay, Duration meanGap, int events) {
   /**
    * Outcomes of a run, as far as they say something about its engine. The names equal those of
-   * {@code SlotEnd.How} in fleet.proto, except for {@link #ENGINE_BROKE_OFF}.
+   * {@code SlotEnd.How} in fleet.proto, except for {@link #ENGINE_BROKE_OFF} and {@link #NOT_SENT}.
    */
   public enum How {
     /** The complete answer was received. */
     WHOLE,
     /** This host cancelled the run. */
     CANCELLED,
+    /** This host gave the slot back without sending the request. */
+    NOT_SENT,
     /** The engine reported that it is full and did not run the request. */
     ENGINE_FULL,
     /** The engine could not be reached or stopped sending. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -96,6 +96,7 @@
   private final BatchRunTimes batchRunTimes = new BatchRunTimes();
   private final BatchSlotAverage batchSlots = new BatchSlotAverage();
   private final FreeSlotReserve freeSlotReserve;
+  private final LimitedPlacement limitedPlacement;
   private final SilenceReports silenceReports = new SilenceReports();
   private double meanRunMillis = INITIAL_RUN_TIME.toMillis();
   private double fleetShare = 1;
@@ -108,7 +109,13 @@
   }
 
   SlotScheduler(FreeSlotReserve freeSlotReserve, BatchOrder batchOrder) {
+    this(freeSlotReserve, batchOrder, LimitedPlacement.createDefault());
+  }
+
+  SlotScheduler(
+      FreeSlotReserve freeSlotReserve, BatchOrder batchOrder, LimitedPlacement limitedPlacement) {
     this.freeSlotReserve = freeSlotReserve;
+    this.limitedPlacement = limitedPlacement;
     this.batchQueue = new BatchQueue(batchOrder);
   }
 
@@ -153,6 +160,9 @@
       EngineSlots.Run run = engine.runs().remove(id);
       if (run != null) {
         updateRunTimes(run, end, now);
+        if (end.how() == RunEnd.How.NOT_SENT) {
+          engine.starts().returnStart(now);
+        }
         if (!end.lostEngine() || isCredible(id.host(), engine, now)) {
           engine.health().recordEnd(end, now);
         }
@@ -267,18 +277,21 @@
       int slots = entry.slots() > 0 ? entry.slots() : defaultSlots;
       EngineSlots present = engines.get(entry.id());
       if (present == null || present.entry().startedAtMillis() != entry.startedAtMillis()) {
-        engines.put(entry.id(), new EngineSlots(entry, slots));
+        engines.put(entry.id(), new EngineSlots(entry, slots, fleetShare, now));
       } else {
-        present.update(entry, slots);
+        present.update(entry, slots, now);
       }
     }
     engines.keySet().retainAll(listedIds);
     return startWaitingRequests(now, new ArrayList<>());
   }
 
-  /** Sets the share of all slots that this scheduler may fill, in (0, 1]. */
-  public synchronized void setFleetShare(double newFleetShare) {
+  /**
+   * Sets the share of all slots, and of engines' limits, that this scheduler may use, in [0, 1].
+   */
+  public synchronized void setFleetShare(double newFleetShare, Instant now) {
     fleetShare = newFleetShare;
+    engines.values().forEach(e -> e.starts().setShare(newFleetShare, now));
   }
 
   /** Starts waiting requests that a slot is free for and refuses those that have expired. */
@@ -320,13 +333,26 @@
     boolean free = requestsAhead == 0 && selectEngine(request, now).isDefined();
     Instant start = free ? now : estimateFreeAt(requestsAhead + 1, now);
     if (!free && request.startBy().isPast(start)) {
-      String reason = requestsAhead + " requests wait before it for " + usableSlots(now) + " slots";
-      decisions.add(refusal(request, start, reason));
+      decisions.add(refusal(request, start, describeLoad(requestsAhead, now)));
     } else {
       onlineQueue.add(request);
     }
   }
 
+  private String describeLoad(int requestsAhead, Instant now) {
+    String load = requestsAhead + " requests wait before it for " + usableSlots(now) + " slots";
+    List<EngineSlots> limited = engines.values().stream().filter(e -> isLimiting(e, now)).toList();
+    double rate = limited.stream().mapToDouble(e -> e.starts().rate(now)).sum();
+    return limited.isEmpty()
+        ? load
+        : "%s, %d of %d engines take %.1f requests/s"
+            .formatted(load, limited.size(), engines.size(), rate);
+  }
+
+  private static boolean isLimiting(EngineSlots engine, Instant now) {
+    return engine.starts().isLimiting(now);
+  }
+
   private Option<EngineSlots> findEngineOfRun(RunId id) {
     return Option.ofOptional(
         engines.values().stream().filter(e -> e.runs().containsKey(id)).findFirst());
@@ -431,7 +457,9 @@
   private Option<EngineSlots> selectCheapest(
       SlotRequest request, Instant now, Predicate<EngineSlots> fits) {
     List<EngineSlots> usable =
-        engines.values().stream().filter(e -> isUsable(e, now) && fits.test(e)).toList();
+        engines.values().stream()
+            .filter(e -> isUsable(e, now) && fits.test(e) && e.starts().allowsStart(now))
+            .toList();
     List<EngineSlots> notAvoided =
         usable.stream().filter(e -> !request.avoidedEngines().contains(e.entry().id())).toList();
     List<EngineSlots> candidates = notAvoided.isEmpty() ? usable : notAvoided;
@@ -444,10 +472,16 @@
     return Option.ofOptional(
         candidates.stream()
             .min(
-                Comparator.comparingDouble((EngineSlots e) -> placementCost(e, request, fastest))
+                Comparator.comparingDouble(
+                        (EngineSlots e) ->
+                            placementCost(e, request, fastest) + limitedCost(e, request, now))
                     .thenComparing(e -> e.entry().id())));
   }
 
+  private double limitedCost(EngineSlots engine, SlotRequest request, Instant now) {
+    return isLimiting(engine, now) ? limitedPlacement.cost(request, engine.starts(), now) : 0;
+  }
+
   private static double placementCost(EngineSlots engine, SlotRequest request, double fastest) {
     double gap = engine.health().meanGapMillis();
     double slowness = gap > 0 && fastest > 0 ? gap / fastest : 1;
@@ -498,8 +532,8 @@
 
   private int freeSlots(Instant now) {
     return engines.values().stream()
-        .filter(e -> isUsable(e, now) && e.hasFreeSlot())
-        .mapToInt(e -> e.slots() - e.runs().size())
+        .filter(e -> isUsable(e, now))
+        .mapToInt(e -> e.possibleStarts(now))
         .sum();
   }
 
@@ -510,27 +544,14 @@
         .sum();
   }
 
-  /**
-   * Estimates when the given number of slots will have become free, from the mean run time and the
-   * start times of the present runs, since runs that started together end together.
-   */
+  /** Estimates when the given number of waiting online requests can have started. */
   private Instant estimateFreeAt(int count, Instant now) {
     Duration run = Duration.ofNanos((long) (meanRunMillis * 1e6));
-    List<Instant> ends =
-        remainingEngines()
-            .flatMap(e -> e.runs().values().stream())
-            .filter(EngineSlots.Run::online)
-            .map(r -> r.startedAt().plus(run))
-            .map(end -> end.isBefore(now) ? now : end)
-            .sorted()
-            .toList();
-    if (ends.isEmpty()) {
-      return now.plus(run);
-    }
-    int rounds = (count - 1) / ends.size();
-    Instant freeAt = ends.get((count - 1) % ends.size()).plus(run.multipliedBy(rounds));
+    StartEstimate estimate = new StartEstimate(run, now);
+    remainingEngines().forEach(estimate::add);
     Instant earliest = now.plus(MIN_RETRY_DELAY);
-    return freeAt.isBefore(earliest) ? earliest : freeAt;
+    Instant start = estimate.startTime(count);
+    return start.isBefore(earliest) ? earliest : start;
   }
 
   private void updateRunTimes(EngineSlots.Run run, RunEnd end, Instant now) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -111,25 +111,40 @@
   public void recordLimit(EngineBoot boot, LimitReading reading, RequestId request) {
     Option<RequestRate> before = limit(boot);
     if (addLimit(boot, reading)) {
-      Object change = before.<Object>map(r -> r).getOrElse("none");
-      reading
-          .limit()
-          .peek(
-              l ->
-                  LOG.write(
-                      Event.ENGINE_NAMES_LIMIT,
-                      boot.id(),
-                      boot.startedAtMillis(),
-                      l,
-                      request,
-                      change))
-          .onEmpty(
-              () ->
-                  LOG.write(
-                      Event.ENGINE_ENDS_LIMIT, boot.id(), boot.startedAtMillis(), request, change));
+      Event event =
+          reading.limit().isDefined() ? Event.ENGINE_NAMES_LIMIT : Event.ENGINE_ENDS_LIMIT;
+      Object named = describe(reading.limit());
+      LOG.write(event, boot.id(), boot.startedAtMillis(), named, request, describe(before));
+      notifyListeners();
+      statementListeners.forEach(Runnable::run);
+    }
+  }
+
+  /** Records what engines have said of their limits in answers to other hosts. */
+  public void learnLimits(Collection<LimitChange> changes, HostId reporter) {
+    List<LimitChange> news = changes.stream().filter(c -> addLimit(c.boot(), c.reading())).toList();
+    for (LimitChange change : news) {
+      LOG.write(
+          Event.ENGINE_LIMIT_REPORTED,
+          change.boot().id(),
+          change.boot().startedAtMillis(),
+          describe(change.reading().limit()),
+          reporter);
+    }
+    if (!news.isEmpty()) {
+      notifyListeners();
     }
   }
 
+  /** Returns the first changes of limits after the given one that this host knows of, in order. */
+  public synchronized List<LimitChange> limitChangesAfter(long version, int max) {
+    return statements.limitChangesAfter(version, max);
+  }
+
+  private static Object describe(Option<RequestRate> limit) {
+    return limit.<Object>map(l -> l).getOrElse("none");
+  }
+
   /** Logs that an engine has named a limit that cannot be read, once for each boot. */
   public synchronized void recordUnreadableLimit(EngineBoot boot, String text, RequestId request) {
     if (statements.addUnreadable(boot, entries)) {
@@ -143,7 +158,12 @@
   }
 
   private synchronized boolean addLimit(EngineBoot boot, LimitReading reading) {
-    return statements.addLimit(boot, reading, entries);
+    sendOrder.record(reading.order());
+    boolean changed = statements.addLimit(boot, reading, entries);
+    if (changed) {
+      setEntries(entries);
+    }
+    return changed;
   }
 
   /** Returns all listed engines, including those that are leaving. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineStatements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineStatements.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.fleet.view;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,8 @@
   /** In the order in which the boots made their first statement. */
   private final Map<EngineBoot, EngineStatement> statements = new LinkedHashMap<>();
 
+  private long lastVersion;
+
   /** Records that a boot is leaving; returns false if that is known already. */
   boolean addLeaving(EngineBoot boot, Map<UpstreamId, EngineEntry> listed) {
     EngineStatement known = statement(boot);
@@ -37,19 +40,35 @@
 
   /**
    * Records a reading of a boot's limit; returns whether the limit changed. Of a boot that has
-   * never named one, the lack of a limit is not recorded.
+   * never named one, the lack of a limit is not recorded. A reading that is outdated counts as a
+   * change of what other hosts have to be told, since the host that it comes from does not know
+   * better.
    */
   boolean addLimit(EngineBoot boot, LimitReading reading, Map<UpstreamId, EngineEntry> listed) {
     EngineStatement known = statement(boot);
-    LimitReading latest = known.limit().latest(reading);
-    if (latest.equals(known.limit()) || known.limit().order() == 0 && reading.limit().isEmpty()) {
+    if (known.limit().order() == 0 && reading.limit().isEmpty()) {
       return false;
     }
-    statements.put(boot, known.withLimit(latest));
+    LimitReading latest = known.limit().latest(reading);
+    boolean agrees = known.limit().limit().equals(reading.limit());
+    statements.put(boot, known.withLimit(latest, agrees ? known.limitVersion() : ++lastVersion));
     removeOldestUnlisted(listed);
     return !latest.limit().equals(known.limit().limit());
   }
 
+  /** Returns the first changes of limits after the given one, in order. */
+  List<LimitChange> limitChangesAfter(long version, int max) {
+    if (version >= lastVersion) {
+      return List.of();
+    }
+    return statements.entrySet().stream()
+        .filter(e -> e.getValue().limitVersion() > version)
+        .sorted(Comparator.comparingLong(e -> e.getValue().limitVersion()))
+        .limit(max)
+        .map(e -> new LimitChange(e.getKey(), e.getValue().limit(), e.getValue().limitVersion()))
+        .toList();
+  }
+
   /** Records that a boot has named a limit that cannot be read; returns false if it has before. */
   boolean addUnreadable(EngineBoot boot, Map<UpstreamId, EngineEntry> listed) {
     EngineStatement known = statement(boot);
@@ -60,7 +79,9 @@
 
   /** Returns the entry with what its boot has said. */
   EngineEntry applyTo(EngineEntry entry) {
-    return statement(entry.boot()).leaving() ? entry.asLeaving() : entry;
+    EngineStatement statement = statement(entry.boot());
+    EngineEntry limited = entry.withLimit(statement.limit().limit());
+    return statement.leaving() ? limited.asLeaving() : limited;
   }
 
   /** Removes the statements that the entries in the store have made needless. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/LeavingEngineCapacityTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/LeavingEngineCapacityTest.java
@@ -62,7 +62,7 @@
     setEngines(READY);
     fill();
     setEngines(LEAVING, OTHER);
-    scheduler.setFleetShare(1.0 / SLOTS);
+    scheduler.setFleetShare(1.0 / SLOTS, now);
     assertThat(submit()).hasSize(1).first().isInstanceOf(SlotDecision.Grant.class);
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.engine.RequestRate;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -60,7 +61,16 @@
   }
 
   SlotSimulation(int engineCount, int slotsEach, long seed, FreeSlotReserve reserve) {
-    scheduler = new SlotScheduler(reserve, new MooreHodgsonOrder());
+    this(engineCount, slotsEach, seed, reserve, LimitedPlacement.createDefault());
+  }
+
+  SlotSimulation(
+      int engineCount,
+      int slotsEach,
+      long seed,
+      FreeSlotReserve reserve,
+      LimitedPlacement limitedPlacement) {
+    scheduler = new SlotScheduler(reserve, new MooreHodgsonOrder(), limitedPlacement);
     random = new Random(seed);
     for (int i = 0; i < engineCount; i++) {
       engines.add(engine("engine-" + i, slotsEach, false));
@@ -102,6 +112,14 @@
     execute(scheduler.setEngines(engines, 8, now));
   }
 
+  /** Lets the first engines name a limit in requests per second. */
+  void limitEngines(int count, double limit) {
+    for (int i = 0; i < count; i++) {
+      engines.set(i, engines.get(i).withLimit(RequestRate.of(limit)));
+    }
+    publishEngines();
+  }
+
   void failRunsOf(int index) {
     EngineEntry lost = engines.get(index);
     List<RunId> there =
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -95,11 +95,11 @@
   ENGINE_NAMES_LIMIT(
       522,
       Level.INFO,
-      "engine \"{}\" started at {} names a limit of {} in its answer to request {}, before: {}"),
+      "engine \"{}\" started at {} names limit {} in its answer to request {}, before: {}"),
   ENGINE_ENDS_LIMIT(
       523,
       Level.INFO,
-      "engine \"{}\" started at {} names no limit in its answer to request {}, before: {}"),
+      "engine \"{}\" started at {} names limit {} in its answer to request {}, before: {}"),
   ENGINE_LIMIT_REPORTED(
       524, Level.INFO, "engine \"{}\" started at {} has limit {}, as host \"{}\" reports"),
   ENGINE_LIMIT_UNREADABLE(
