--- a/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
@@ -34,10 +34,12 @@
   /** Events that change a process's view of hosts, engines, the configuration or the store. */
   private static final Set<Integer> STATE_CHANGE_EVENTS =
       HashSet.of(
-          100, 101, 102, 203, 204, 207, 430, 431, 433, 434, 436, 500, 503, 504, 520, 521, 700);
+          100, 101, 102, 203, 204, 207, 430, 431, 433, 434, 436, 500, 503, 504, 520, 521, 522, 523,
+          524, 700);
 
   /** State change events that concern a single engine. */
-  private static final Set<Integer> ENGINE_EVENTS = HashSet.of(500, 503, 504, 520, 521);
+  private static final Set<Integer> ENGINE_EVENTS =
+      HashSet.of(500, 503, 504, 520, 521, 522, 523, 524);
 
   /**
    * The period before the first line of a request in which a state change may have caused its
--- a/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
@@ -118,6 +118,26 @@
     assertThat(explainLines("b7", logLine(1, said)).ownLines()).hasSize(1);
   }
 
+  @Test
+  void requestIsShownBesideTheLimitsOfItsEngines() {
+    String named =
+        "W522 engine \"e2\" started at 77 names limit 3.0 requests/s in its answer to request b7,"
+            + " before: none";
+    String reported = "W524 engine \"e2\" started at 77 has limit 3.0 requests/s, as host \"h\"";
+    String ended =
+        "W523 engine \"e2\" started at 77 names limit none in its answer to request b8,"
+            + " before: 3.0 requests/s";
+    Explanation explanation =
+        explainLines(
+            "a1",
+            logLine(2, named),
+            logLine(3, named.replace("e2", "e9")),
+            logLine(3, reported),
+            logLine(4, ended),
+            logLine(5, SUCCESSFUL_END));
+    assertThat(explanation.relatedLines().map(LogLine::event)).containsExactly(522, 524, 523);
+  }
+
   @Test
   void ordersLinesByTimeAndOmitsOtherRequests() {
     Explanation explanation =
