--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -97,6 +97,7 @@
   private final BatchSlotAverage batchSlots = new BatchSlotAverage();
   private final FreeSlotReserve freeSlotReserve;
   private final LimitedPlacement limitedPlacement;
+  private final ExpectedReturns expectedReturns = new ExpectedReturns();
   private final SilenceReports silenceReports = new SilenceReports();
   private double meanRunMillis = INITIAL_RUN_TIME.toMillis();
   private double fleetShare = 1;
@@ -323,8 +324,8 @@
     List<SlotRequest> expired = waiting.stream().filter(r -> r.giveUpAt().isPast(now)).toList();
     for (SlotRequest request : expired) {
       waiting.remove(request);
-      Instant freeAt = estimateFreeAt(onlineQueue.size() + 1, now);
-      decisions.add(refusal(request, freeAt, "no slot became free in time"));
+      Instant retryAt = reserveReturn(onlineQueue.size(), now);
+      decisions.add(refusal(request, retryAt, "no slot became free in time"));
     }
   }
 
@@ -333,12 +334,20 @@
     boolean free = requestsAhead == 0 && selectEngine(request, now).isDefined();
     Instant start = free ? now : estimateFreeAt(requestsAhead + 1, now);
     if (!free && request.startBy().isPast(start)) {
-      decisions.add(refusal(request, start, describeLoad(requestsAhead, now)));
+      Instant retryAt = reserveReturn(requestsAhead, now);
+      decisions.add(refusal(request, retryAt, describeLoad(requestsAhead, now)));
     } else {
       onlineQueue.add(request);
     }
   }
 
+  /** Returns when a refused caller is to come back, behind those who were refused before it. */
+  private Instant reserveReturn(int requestsAhead, Instant now) {
+    Instant retryAt = estimateFreeAt(requestsAhead + expectedReturns.count(now) + 1, now);
+    expectedReturns.add(retryAt);
+    return retryAt;
+  }
+
   private String describeLoad(int requestsAhead, Instant now) {
     String load = requestsAhead + " requests wait before it for " + usableSlots(now) + " slots";
     List<EngineSlots> limited = engines.values().stream().filter(e -> isLimiting(e, now)).toList();
