--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -141,10 +141,6 @@
     return statements.limitChangesAfter(version, max);
   }
 
-  private static Object describe(Option<RequestRate> limit) {
-    return limit.<Object>map(l -> l).getOrElse("none");
-  }
-
   /** Logs that an engine has named a limit that cannot be read, once for each boot. */
   public synchronized void recordUnreadableLimit(EngineBoot boot, String text, RequestId request) {
     if (statements.addUnreadable(boot, entries)) {
@@ -152,20 +148,6 @@
     }
   }
 
-  /** Returns the limit that a boot has named last, none if it names none. */
-  public synchronized Option<RequestRate> limit(EngineBoot boot) {
-    return statements.statement(boot).limit().limit();
-  }
-
-  private synchronized boolean addLimit(EngineBoot boot, LimitReading reading) {
-    sendOrder.record(reading.order());
-    boolean changed = statements.addLimit(boot, reading, entries);
-    if (changed) {
-      setEntries(entries);
-    }
-    return changed;
-  }
-
   /** Returns all listed engines, including those that are leaving. */
   public Collection<EngineEntry> all() {
     return engines.values();
@@ -202,6 +184,24 @@
     return added;
   }
 
+  /** Returns the limit that a boot has named last, none if it names none. */
+  private synchronized Option<RequestRate> limit(EngineBoot boot) {
+    return statements.statement(boot).limit().limit();
+  }
+
+  private synchronized boolean addLimit(EngineBoot boot, LimitReading reading) {
+    sendOrder.record(reading.order());
+    boolean changed = statements.addLimit(boot, reading, entries);
+    if (changed) {
+      setEntries(entries);
+    }
+    return changed;
+  }
+
+  private static Object describe(Option<RequestRate> limit) {
+    return limit.<Object>map(l -> l).getOrElse("none");
+  }
+
   private void setEntries(Map<UpstreamId, EngineEntry> next) {
     Map<UpstreamId, EngineEntry> marked = new HashMap<>();
     next.forEach((id, entry) -> marked.put(id, statements.applyTo(entry)));
