--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -354,8 +355,13 @@
     double rate = limited.stream().mapToDouble(e -> e.starts().rate(now)).sum();
     return limited.isEmpty()
         ? load
-        : "%s, %d of %d engines take %.1f requests/s"
-            .formatted(load, limited.size(), engines.size(), rate);
+        : String.format(
+            Locale.ROOT,
+            "%s, %d of %d engines take %.1f requests/s",
+            load,
+            limited.size(),
+            engines.size(),
+            rate);
   }
 
   private static boolean isLimiting(EngineSlots engine, Instant now) {
