--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
@@ -30,6 +30,7 @@
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreView;
+import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.Revision;
@@ -123,14 +124,7 @@
             new Random(1),
             storeView,
             engines,
-            new EngineAnswerWatch(
-                (request, listener) -> {
-                  received.add(request);
-                  answers.add(listener);
-                  return () -> {};
-                },
-                engines,
-                clock),
+            new EngineAnswerWatch(this::receive, engines, clock),
             slots,
             new BatchRunTimes(),
             started -> {},
@@ -148,6 +142,12 @@
         () -> {});
   }
 
+  private StreamCall receive(EngineRequest request, EngineListener listener) {
+    received.add(request);
+    answers.add(listener);
+    return () -> {};
+  }
+
   private SlotAsk nextAsk() throws InterruptedException {
     SlotAsk ask = asks.poll(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
     assertThat(ask).as("request for a slot").isNotNull();
