--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/RequestRate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/RequestRate.java
@@ -7,7 +7,7 @@
  *
  * @param perSecond a finite number, zero or more
  */
-public record RequestRate(double perSecond) implements Comparable<RequestRate> {
+public record RequestRate(double perSecond) {
   /** Checks the number. */
   public RequestRate {
     if (!isValid(perSecond)) {
@@ -24,11 +24,6 @@
     return Double.isFinite(perSecond) && perSecond >= 0;
   }
 
-  @Override
-  public int compareTo(RequestRate other) {
-    return Double.compare(perSecond, other.perSecond);
-  }
-
   @Override
   public String toString() {
     return perSecond + " requests/s";
