W507 names the request's fingerprint

The logs could not tell the hypotheses of the crashing request apart: a line about a broken run named the id of the attempt, which changes with each repeat, and the prompt, not the request.

Items have none. Nothing else changes.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -300,7 +300,8 @@
         run.request(),
         id.host(),
         end.firstEventDelay().isZero() ? "none" : end.firstEventDelay().toMillis() + " ms",
-        run.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(",")));
+        run.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(",")),
+        run.fingerprint().map(Object::toString).getOrElse("none"));
   }
 
   void onWithdraw(HostId from, long number) {
@@ -330,6 +331,7 @@
           new ExistingRun(
               RequestId.of(run.getRequest()),
               run.getPromptPartsList(),
+              FleetMessageConverter.toFingerprint(run.hasFingerprint(), run.getFingerprint()),
               !run.getBatch(),
               work,
               now.minusNanos(run.getElapsedNanos()));
@@ -357,7 +359,8 @@
         ask.getConnectedList().stream().map(UpstreamId::of).collect(Collectors.toSet()),
         ask.getBatch()
             ? batchWork(ask.getDueWithinNanos(), ask.getReceivedEvents(), now)
-            : Option.none());
+            : Option.none(),
+        FleetMessageConverter.toFingerprint(ask.hasFingerprint(), ask.getFingerprint()));
   }
 
   /** Returns the work of a batch request; none from a host of a version that does not send it. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -271,6 +271,9 @@
         .limit(MAX_CONNECTED_ENGINES)
         .map(UpstreamId::value)
         .forEach(ask::addConnected);
+    requirements
+        .fingerprint()
+        .forEach(f -> ask.setFingerprint(FleetMessageConverter.encodeFingerprint(f)));
     return ask.setNumber(number)
         .setRequest(requirements.requestId().value())
         .setService(requirements.service().value())
@@ -301,6 +304,10 @@
                 running
                     .setDueWithinNanos(nanosUntilDue(w, now))
                     .setReceivedEvents(w.receivedEvents()));
+    request
+        .requirements
+        .fingerprint()
+        .forEach(f -> running.setFingerprint(FleetMessageConverter.encodeFingerprint(f)));
     return running
         .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
         .setNumber(number)
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -26,6 +27,7 @@
  * @param promptParts ids of the shared parts of its prompt, in order
  * @param avoidedEngines engines on which it has failed
  * @param batchWork its work; none for an online request
+ * @param fingerprint equal for online requests that ask for the same; none for an item
  */
 public record SlotRequirements(
     RequestId requestId,
@@ -37,7 +39,8 @@
     Deadline giveUpAt,
     List<Long> promptParts,
     Set<UpstreamId> avoidedEngines,
-    Option<BatchWork> batchWork) {
+    Option<BatchWork> batchWork,
+    Option<RequestFingerprint> fingerprint) {
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -145,7 +145,8 @@
             job.giveUpAt(),
             ports.promptParts().apply(item.getHeadersList()),
             failedOn,
-            Option.some(new BatchWork(job.due(), eventData.size())));
+            Option.some(new BatchWork(job.due(), eventData.size())),
+            Option.none());
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -27,6 +27,7 @@
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.Call;
@@ -76,6 +77,7 @@
   private final Route route;
   private final ServiceName service;
   private final RunLimits limits;
+  private final RequestFingerprint fingerprint;
   private final Set<UpstreamId> triedEngines = new HashSet<>();
   private final StringBuilder engineSequence = new StringBuilder();
   private final StringBuilder connectionSequence = new StringBuilder();
@@ -110,6 +112,11 @@
     this.limits =
         RunLimits.of(route, request.arrivedAt(), request.deadline().getOrElse(routeDeadline));
     this.lastEventId = request.resumeAfter();
+    this.fingerprint =
+        RequestFingerprint.of(
+            admitted.organisation().map(o -> o.id().value()).getOrElse(""),
+            request.target(),
+            request.body());
   }
 
   synchronized void start() {
@@ -141,7 +148,8 @@
             sendCount == 0 ? limits.giveUpAt() : limits.answerBy(),
             request.promptParts(),
             triedEngines,
-            Option.none());
+            Option.none(),
+            Option.some(fingerprint));
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
     pendingSlotNumber = pendingSlot.number;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
 
 /**
@@ -45,6 +46,7 @@
    *
    * @param request id of the caller's request or the job's item, for logs
    * @param promptParts ids of the parts of its prompt, in order
+   * @param fingerprint equal for online requests that ask for the same; none for an item
    * @param adopted whether it started under another coordinator
    * @param online whether a caller waits for the run
    * @param work the work of a batch run, none if it is not known
@@ -53,6 +55,7 @@
   record Run(
       RequestId request,
       List<Long> promptParts,
+      Option<RequestFingerprint> fingerprint,
       boolean adopted,
       boolean online,
       Option<BatchWork> work,
@@ -153,6 +156,7 @@
         new Run(
             request.requestId(),
             request.promptParts(),
+            request.fingerprint(),
             false,
             request.isOnline(),
             request.batchWork(),
@@ -163,7 +167,14 @@
   void addExistingRun(RunId id, ExistingRun run) {
     runs.putIfAbsent(
         id,
-        new Run(run.request(), run.promptParts(), true, run.online(), run.work(), run.startedAt()));
+        new Run(
+            run.request(),
+            run.promptParts(),
+            run.fingerprint(),
+            true,
+            run.online(),
+            run.work(),
+            run.startedAt()));
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ExistingRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ExistingRun.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Instant;
 import java.util.List;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
 
 /**
@@ -10,6 +11,7 @@
  *
  * @param request id of the caller's request or the job's item, for logs
  * @param promptParts ids of the parts of its prompt, in order
+ * @param fingerprint equal for online requests that ask for the same; none for an item
  * @param online whether a caller waits for it
  * @param work the work of a batch run, none if it is not known
  * @param startedAt when it started
@@ -17,6 +19,7 @@
 public record ExistingRun(
     RequestId request,
     List<Long> promptParts,
+    Option<RequestFingerprint> fingerprint,
     boolean online,
     Option<BatchWork> work,
     Instant startedAt) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -30,6 +31,7 @@
  * @param avoidedEngines engines on which it has failed
  * @param connectedEngines engines to which its host has an idle connection
  * @param batchWork its work; none for an online request
+ * @param fingerprint equal for online requests that ask for the same; none for an item
  */
 public record SlotRequest(
     RunId id,
@@ -45,7 +47,8 @@
     DataCentreId dataCentre,
     Set<UpstreamId> avoidedEngines,
     Set<UpstreamId> connectedEngines,
-    Option<BatchWork> batchWork) {
+    Option<BatchWork> batchWork,
+    Option<RequestFingerprint> fingerprint) {
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -178,7 +178,9 @@
     for (EngineSlots engine : engines.values()) {
       EngineSlots.Run run = engine.runs().get(id);
       if (run != null) {
-        return Option.some(new GrantedRun(engine.entry().id(), run.request(), run.promptParts()));
+        return Option.some(
+            new GrantedRun(
+                engine.entry().id(), run.request(), run.promptParts(), run.fingerprint()));
       }
     }
     return Option.none();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
@@ -87,6 +87,7 @@
             Deadline.after(clock, Duration.ofSeconds(2)),
             List.of(),
             Set.of(),
+            Option.none(),
             Option.none());
     client.requestSlot(
         requirements,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -125,6 +125,7 @@
               Deadline.after(clock, Duration.ofSeconds(60)),
               List.of(),
               Set.of(),
+              Option.none(),
               Option.none());
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -64,6 +64,7 @@
             Deadline.after(clock, Duration.ofSeconds(2)),
             List.of(),
             Set.of(),
+            Option.none(),
             Option.none());
     return client.requestSlot(
         requirements,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
@@ -179,7 +179,8 @@
             DataCentreId.of("a"),
             Set.of(),
             Set.of(),
-            work);
+            work,
+            Option.none());
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSchedulerTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSchedulerTest.java
@@ -143,7 +143,8 @@
       s.scheduler.addExistingRun(
           existingRun,
           UpstreamId.of("engine-0"),
-          new ExistingRun(RequestId.of("r" + n), List.of(), false, Option.none(), s.now));
+          new ExistingRun(
+              RequestId.of("r" + n), List.of(), Option.none(), false, Option.none(), s.now));
     }
     s.submit(WorkClass.ONLINE, SlotSimulation.OBJECTIVE_WAIT);
     assertThat(s.refusals).isEmpty();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -105,6 +105,7 @@
         DataCentreId.of("a"),
         Set.of(),
         connected,
+        Option.none(),
         Option.none());
   }
 
@@ -177,7 +178,8 @@
         Set.of(),
         Option.when(
             workClass == WorkClass.BATCH,
-            () -> new BatchWork(Deadline.at(now.plus(startWithin).plus(BATCH_RUN)), 0)));
+            () -> new BatchWork(Deadline.at(now.plus(startWithin).plus(BATCH_RUN)), 0)),
+        Option.none());
   }
 
   void run(Duration span) {
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -74,7 +74,8 @@
   RUN_BROKEN_OFF(
       507,
       Level.INFO,
-      "engine \"{}\" broke off request {} of host \"{}\"; first event {}, prompt parts {}"),
+      "engine \"{}\" broke off request {} of host \"{}\"; first event {}, prompt parts {},"
+          + " fingerprint {}"),
   PROMPT_QUARANTINED(
       510,
       Level.WARN,
