--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -17,9 +17,7 @@
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
 import org.waxwingcourse.fleet.quarantine.PromptQuarantine;
-import org.waxwingcourse.fleet.quarantine.QuarantinedPrompt;
 import org.waxwingcourse.fleet.slot.BatchWork;
-import org.waxwingcourse.fleet.slot.CrashBlame;
 import org.waxwingcourse.fleet.slot.ExistingRun;
 import org.waxwingcourse.fleet.slot.GrantedRun;
 import org.waxwingcourse.fleet.slot.OrganisationRateLimiter;
@@ -77,8 +75,7 @@
       new OrganisationRateLimiter(OrganisationTable.of(List.of()));
   private final Map<ServiceName, SlotScheduler> services = new ConcurrentHashMap<>();
   private final PacedRequests pacedRequests = new PacedRequests();
-  private final CrashBlame crashBlame = new CrashBlame();
-  private final PromptQuarantine quarantine = new PromptQuarantine();
+  private final CrashScreening screening = new CrashScreening();
   private volatile Option<Plan> plan = Option.none();
   private volatile double fleetShare;
   private volatile Map<UpstreamId, ListedEngine> listed = Map.of();
@@ -103,7 +100,7 @@
   public void setEngines(Collection<EngineEntry> entries) {
     Set<UpstreamId> before = listed.keySet();
     listed = listEngines(entries);
-    before.stream().filter(e -> !listed.containsKey(e)).forEach(crashBlame::removeEngine);
+    before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
     Set<ServiceName> names = entries.stream().map(EngineEntry::service).collect(Collectors.toSet());
     names.addAll(services.keySet());
     for (ServiceName name : names) {
@@ -120,7 +117,7 @@
 
   /** Returns the prompts on which engines crash, as this host knows them. */
   public PromptQuarantine quarantine() {
-    return quarantine;
+    return screening.prompts();
   }
 
   private Map<UpstreamId, ListedEngine> listEngines(Collection<EngineEntry> entries) {
@@ -167,14 +164,16 @@
   /** Removes the requests and runs of a host that has attached elsewhere or is gone. */
   public void removeHost(HostId host) {
     pacedRequests.removeIf(id -> id.host().equals(host));
-    crashBlame.removeHost(host);
+    screening.removeHost(host);
     services.values().forEach(s -> execute(s.removeHost(host, clock.instant())));
   }
 
   /** Starts or refuses waiting requests that are due. Called every few milliseconds. */
   public void processQueues() {
     Instant now = clock.instant();
-    crashBlame.update(now).forEach(this::quarantinePrompt);
+    if (screening.update(now)) {
+      refuseWaiting(now);
+    }
     pacedRequests.removeDue(now).forEach(r -> submit(r, now));
     services.values().forEach(s -> execute(s.processQueues(clock.instant())));
   }
@@ -185,7 +184,9 @@
     if (pacedRequests.contains(request.id())) {
       return;
     }
-    if (refuseIfQuarantined(request, now)) {
+    Option<SlotDecision.Refuse> screened = screening.screen(request, now);
+    if (screened.isDefined()) {
+      sendRefusal(screened.get());
       return;
     }
     Duration patience = request.startBy().remaining(now);
@@ -203,38 +204,13 @@
     }
   }
 
-  private boolean refuseIfQuarantined(SlotRequest request, Instant now) {
-    Option<Instant> retryAt = quarantine.admit(request.id(), request.promptParts(), now);
-    retryAt.forEach(at -> sendRefusal(quarantineRefusal(request, at)));
-    if (retryAt.isEmpty() && quarantine.isProbe(request.id())) {
-      LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
-    }
-    return retryAt.isDefined();
-  }
-
-  private static SlotDecision.Refuse quarantineRefusal(SlotRequest request, Instant retryAt) {
-    return new SlotDecision.Refuse(
-        request, RefusalCode.QUARANTINED, retryAt, "engines crash on its prompt");
-  }
-
-  /** Refuses prompts that contain all of the parts, waiting requests included. */
-  private void quarantinePrompt(Set<Long> parts) {
-    Instant now = clock.instant();
-    Option<QuarantinedPrompt> added = quarantine.add(parts, now);
-    if (added.isEmpty()) {
-      return;
-    }
-    Instant retryAt = added.get().probeAt().at();
-    LOG.write(
-        Event.PROMPT_QUARANTINED,
-        added.get().partsText(),
-        Duration.between(now, retryAt).toSeconds());
-    List<SlotRequest> waiting =
-        new ArrayList<>(pacedRequests.removeWaiting(quarantine::isQuarantined));
-    services.values().forEach(s -> waiting.addAll(s.removeWaiting(quarantine::isQuarantined)));
+  /** Refuses the requests that wait although engines crash under them. */
+  private void refuseWaiting(Instant now) {
+    List<SlotRequest> waiting = new ArrayList<>(pacedRequests.removeWaiting(screening::isRefused));
+    services.values().forEach(s -> waiting.addAll(s.removeWaiting(screening::isRefused)));
     for (SlotRequest request : waiting) {
       request.chargedTo().forEach(o -> rates.returnToken(o, now));
-      sendRefusal(quarantineRefusal(request, retryAt));
+      sendRefusal(screening.refuseWaiting(request, now));
     }
   }
 
@@ -265,7 +241,16 @@
             Duration.ofNanos(end.getGapNanos()),
             end.getEvents());
     RunId id = new RunId(from, end.getNumber());
-    services.values().forEach(s -> s.findRun(id).forEach(run -> judgePrompt(id, run, runEnd)));
+    Instant now = clock.instant();
+    boolean refusesMore = false;
+    for (SlotScheduler slots : services.values()) {
+      for (GrantedRun run : slots.findRun(id)) {
+        refusesMore |= screening.recordEnd(id, run, runEnd, now);
+      }
+    }
+    if (refusesMore) {
+      refuseWaiting(now);
+    }
     services.values().forEach(s -> execute(s.endRun(id, runEnd, clock.instant())));
   }
 
@@ -276,34 +261,6 @@
     return end.getUnsent() ? RunEnd.How.NOT_SENT : RunEnd.How.valueOf(end.getHow().name());
   }
 
-  /** Draws conclusions about prompts from the end of a run. */
-  private void judgePrompt(RunId id, GrantedRun run, RunEnd end) {
-    Instant now = clock.instant();
-    boolean brokeOff = end.how() == RunEnd.How.ENGINE_BROKE_OFF;
-    if (brokeOff) {
-      logBrokenOff(id, run, end);
-    }
-    if (end.hasEvent()) {
-      for (QuarantinedPrompt released : quarantine.recordSound(id, run.promptParts(), now)) {
-        LOG.write(Event.PROMPT_RELEASED, run.request(), released.partsText());
-      }
-    } else {
-      quarantine.recordEndWithoutEvent(id, brokeOff, now);
-    }
-    crashBlame.recordEnd(id, end, now).forEach(this::quarantinePrompt);
-  }
-
-  private static void logBrokenOff(RunId id, GrantedRun run, RunEnd end) {
-    LOG.write(
-        Event.RUN_BROKEN_OFF,
-        run.engine(),
-        run.request(),
-        id.host(),
-        end.firstEventDelay().isZero() ? "none" : end.firstEventDelay().toMillis() + " ms",
-        run.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(",")),
-        run.fingerprint().map(Object::toString).getOrElse("none"));
-  }
-
   void onWithdraw(HostId from, long number) {
     pacedRequests.removeIf(id -> id.equals(new RunId(from, number)));
     services.values().forEach(s -> s.withdrawRequest(new RunId(from, number)));
@@ -336,9 +293,9 @@
               work,
               now.minusNanos(run.getElapsedNanos()));
       scheduler(ServiceName.of(run.getService())).addExistingRun(id, engine, existing);
-      crashBlame.recordStart(id, engine, existing.promptParts(), existing.startedAt());
+      screening.recordExisting(id, engine, existing);
     }
-    crashBlame.retainListedRuns(from, listed, now.minus(SlotScheduler.GRANT_ROUND_TRIP));
+    screening.retainListedRuns(from, listed, now.minus(SlotScheduler.GRANT_ROUND_TRIP));
     services.values().forEach(s -> execute(s.retainListedRuns(from, listed, now)));
   }
 
@@ -394,7 +351,7 @@
         sendGrant(grant);
       } else if (decision instanceof SlotDecision.Refuse refuse) {
         refuse.request().chargedTo().forEach(o -> rates.returnToken(o, clock.instant()));
-        quarantine.recordEndWithoutEvent(refuse.request().id(), false, clock.instant());
+        screening.recordRefused(refuse.request().id(), clock.instant());
         sendRefusal(refuse);
       } else if (decision instanceof SlotDecision.Yield yield) {
         sendYield(yield);
@@ -404,7 +361,7 @@
 
   private void sendYield(SlotDecision.Yield yield) {
     RunId run = yield.run();
-    crashBlame.forgetRun(run);
+    screening.forgetRun(run);
     SlotRequest successor = yield.successor();
     SlotLoad load = load(successor.service());
     LOG.write(
@@ -421,7 +378,7 @@
 
   private void sendGrant(SlotDecision.Grant grant) {
     SlotRequest request = grant.request();
-    crashBlame.recordStart(request.id(), grant.engine(), request.promptParts(), clock.instant());
+    screening.recordGrant(request, grant.engine(), clock.instant());
     Duration waited = Duration.between(request.receivedAt(), clock.instant());
     SlotGrant.Builder message =
         SlotGrant.newBuilder()
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -0,0 +1,152 @@
+package org.waxwingcourse.fleet.coordinate;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.waxwingcourse.fleet.quarantine.PromptQuarantine;
+import org.waxwingcourse.fleet.quarantine.QuarantinedPrompt;
+import org.waxwingcourse.fleet.slot.CrashBlame;
+import org.waxwingcourse.fleet.slot.ExistingRun;
+import org.waxwingcourse.fleet.slot.GrantedRun;
+import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.slot.RunId;
+import org.waxwingcourse.fleet.slot.SlotDecision;
+import org.waxwingcourse.fleet.slot.SlotRequest;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.model.request.RefusalCode;
+
+/**
+ * Finds out from the starts and ends of runs under which requests engines crash, and refuses them.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class CrashScreening {
+  private static final EventLog LOG = EventLog.of(CrashScreening.class);
+
+  private final CrashBlame blame = new CrashBlame();
+  private final PromptQuarantine prompts = new PromptQuarantine();
+
+  /** Returns the prompts on which engines crash, as this host knows them. */
+  PromptQuarantine prompts() {
+    return prompts;
+  }
+
+  /** Returns the refusal of a request under which engines crash, none if it may run. */
+  Option<SlotDecision.Refuse> screen(SlotRequest request, Instant now) {
+    Option<Instant> retryAt = prompts.admit(request.id(), request.promptParts(), now);
+    if (retryAt.isEmpty() && prompts.isProbe(request.id())) {
+      LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
+    }
+    return retryAt.map(at -> refusal(request, at));
+  }
+
+  private static SlotDecision.Refuse refusal(SlotRequest request, Instant retryAt) {
+    return new SlotDecision.Refuse(
+        request, RefusalCode.QUARANTINED, retryAt, "engines crash on its prompt");
+  }
+
+  /** Returns whether a request that waits for a slot is to be refused. */
+  boolean isRefused(SlotRequest waiting) {
+    return prompts.isQuarantined(waiting.promptParts());
+  }
+
+  /** Returns the refusal of a request for which {@link #isRefused} holds. */
+  SlotDecision.Refuse refuseWaiting(SlotRequest waiting, Instant now) {
+    return refusal(waiting, prompts.probeAt(waiting.promptParts()).getOrElse(now));
+  }
+
+  void recordGrant(SlotRequest request, UpstreamId engine, Instant now) {
+    blame.recordStart(request.id(), engine, request.promptParts(), now);
+  }
+
+  /** Records a run that another coordinator has granted. */
+  void recordExisting(RunId id, UpstreamId engine, ExistingRun run) {
+    blame.recordStart(id, engine, run.promptParts(), run.startedAt());
+  }
+
+  /**
+   * Draws conclusions from the end of a run.
+   *
+   * @return whether requests are refused from now on that were not before
+   */
+  boolean recordEnd(RunId id, GrantedRun run, RunEnd end, Instant now) {
+    boolean brokeOff = end.how() == RunEnd.How.ENGINE_BROKE_OFF;
+    if (brokeOff) {
+      logBrokenOff(id, run, end);
+    }
+    if (end.hasEvent()) {
+      for (QuarantinedPrompt released : prompts.recordSound(id, run.promptParts(), now)) {
+        LOG.write(Event.PROMPT_RELEASED, run.request(), released.partsText());
+      }
+    } else {
+      prompts.recordEndWithoutEvent(id, brokeOff, now);
+    }
+    return quarantine(blame.recordEnd(id, end, now), now);
+  }
+
+  private static void logBrokenOff(RunId id, GrantedRun run, RunEnd end) {
+    LOG.write(
+        Event.RUN_BROKEN_OFF,
+        run.engine(),
+        run.request(),
+        id.host(),
+        end.firstEventDelay().isZero() ? "none" : end.firstEventDelay().toMillis() + " ms",
+        run.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(",")),
+        run.fingerprint().map(Object::toString).getOrElse("none"));
+  }
+
+  /**
+   * Draws conclusions from the passing of time.
+   *
+   * @return as {@link #recordEnd}
+   */
+  boolean update(Instant now) {
+    return quarantine(blame.update(now), now);
+  }
+
+  private boolean quarantine(List<Set<Long>> verdicts, Instant now) {
+    boolean added = false;
+    for (Set<Long> parts : verdicts) {
+      Option<QuarantinedPrompt> entry = prompts.add(parts, now);
+      entry.forEach(
+          e ->
+              LOG.write(
+                  Event.PROMPT_QUARANTINED,
+                  e.partsText(),
+                  Duration.between(now, e.probeAt().at()).toSeconds()));
+      added |= entry.isDefined();
+    }
+    return added;
+  }
+
+  /** Records that a request that was let through was refused for another reason. */
+  void recordRefused(RunId id, Instant now) {
+    prompts.recordEndWithoutEvent(id, false, now);
+  }
+
+  /** Removes a run that has given its slot back. */
+  void forgetRun(RunId id) {
+    blame.forgetRun(id);
+  }
+
+  /** Removes the runs of a host that is gone or has detached. */
+  void removeHost(HostId host) {
+    blame.removeHost(host);
+  }
+
+  /** Removes the runs of an engine that is no longer listed. */
+  void removeEngine(UpstreamId engine) {
+    blame.removeEngine(engine);
+  }
+
+  /** Removes the runs of a host that its list lacks, but for those that started since then. */
+  void retainListedRuns(HostId host, Set<RunId> listed, Instant knownUntil) {
+    blame.retainListedRuns(host, listed, knownUntil);
+  }
+}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/EngineStatementExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/EngineStatementExchange.java
@@ -1,9 +1,7 @@
 package org.waxwingcourse.fleet.coordinate;
 
 import io.vavr.control.Option;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.RequestRate;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -27,7 +25,7 @@
 
   private final long ownBoot;
   private final EngineDirectory engines;
-  private final Map<HostId, Peer> peers = new HashMap<>();
+  private final ChangeProgress progress = new ChangeProgress();
 
   /** Creates an exchange for the host's process that is identified by {@code ownBoot}. */
   EngineStatementExchange(long ownBoot, EngineDirectory engines) {
@@ -35,17 +33,6 @@
     this.engines = engines;
   }
 
-  /**
-   * How far the exchange with another host's process has come.
-   *
-   * @param boot identifies the process
-   * @param seen the change up to which its changes have been received
-   * @param confirmed the change up to which it has confirmed the changes of this host
-   */
-  private record Peer(long boot, long seen, long confirmed) {
-    static final Peer UNKNOWN = new Peer(0, 0, 0);
-  }
-
   void addTo(Ping.Builder ping, HostId receiver) {
     ping.addAllLeaving(FleetMessageConverter.encodeBoots(engines.leavingByAnswer()));
     ping.setLimits(limitsFor(receiver));
@@ -67,41 +54,27 @@
   }
 
   private EngineLimits.Builder limitsFor(HostId receiver) {
-    Peer peer;
-    synchronized (this) {
-      peer = peers.getOrDefault(receiver, Peer.UNKNOWN);
-    }
-    List<LimitChange> changes = engines.limitChangesAfter(peer.confirmed, MAX_LIMITS);
+    ChangeProgress.Peer peer = progress.of(receiver);
+    List<LimitChange> changes = engines.limitChangesAfter(peer.confirmed(), MAX_LIMITS);
     EngineLimits.Builder limits =
         EngineLimits.newBuilder()
             .setBoot(ownBoot)
             .setVersion(changes.isEmpty() ? 0 : changes.get(changes.size() - 1).version())
-            .setSeenBoot(peer.boot)
-            .setSeenVersion(peer.seen);
+            .setSeenBoot(peer.boot())
+            .setSeenVersion(peer.seen());
     changes.forEach(c -> limits.addChanged(encode(c)));
     return limits;
   }
 
   private void apply(HostId from, EngineLimits limits) {
-    recordProgress(from, limits);
+    long confirmed = limits.getSeenBoot() == ownBoot ? limits.getSeenVersion() : 0;
+    progress.record(from, limits.getBoot(), limits.getVersion(), confirmed);
     if (limits.getChangedCount() > 0) {
       engines.learnLimits(
           limits.getChangedList().stream().map(EngineStatementExchange::decode).toList(), from);
     }
   }
 
-  private synchronized void recordProgress(HostId from, EngineLimits limits) {
-    Peer known = peers.getOrDefault(from, Peer.UNKNOWN);
-    Peer peer = known.boot == limits.getBoot() ? known : new Peer(limits.getBoot(), 0, 0);
-    long confirmed = limits.getSeenBoot() == ownBoot ? limits.getSeenVersion() : 0;
-    peers.put(
-        from,
-        new Peer(
-            peer.boot,
-            Math.max(peer.seen, limits.getVersion()),
-            Math.max(peer.confirmed, confirmed)));
-  }
-
   private static EngineLimit encode(LimitChange change) {
     EngineLimit.Builder limit =
         EngineLimit.newBuilder()
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
@@ -53,8 +53,7 @@
       return Option.none();
     }
     matching.forEach(this::put);
-    Instant probeAt =
-        matching.stream().map(e -> e.probeAt().at()).max(Instant::compareTo).orElseThrow();
+    Instant probeAt = probeAt(promptParts).get();
     if (probeAt.isAfter(now)) {
       return Option.some(probeAt);
     }
@@ -70,6 +69,12 @@
     return !matching(promptParts).isEmpty();
   }
 
+  /** Returns when a request with this prompt may next run, none if such requests may run. */
+  public synchronized Option<Instant> probeAt(Collection<Long> promptParts) {
+    return Option.ofOptional(
+        matching(promptParts).stream().map(e -> e.probeAt().at()).max(Instant::compareTo));
+  }
+
   /** Returns whether a request was let through to find out whether engines still crash on it. */
   public synchronized boolean isProbe(RunId id) {
     return probedBy.containsKey(id);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/PacedRequests.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/PacedRequests.java
@@ -44,10 +44,9 @@
     queue.removeIf(p -> filter.test(p.request.id()));
   }
 
-  /** Removes and returns the requests whose prompt parts match. */
-  public synchronized List<SlotRequest> removeWaiting(Predicate<List<Long>> promptParts) {
-    List<SlotRequest> removed =
-        queue.stream().map(Paced::request).filter(r -> promptParts.test(r.promptParts())).toList();
+  /** Removes and returns the requests that match. */
+  public synchronized List<SlotRequest> removeWaiting(Predicate<SlotRequest> filter) {
+    List<SlotRequest> removed = queue.stream().map(Paced::request).filter(filter).toList();
     queue.removeIf(p -> removed.contains(p.request));
     return removed;
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -221,12 +221,10 @@
     batchQueue.remove(id);
   }
 
-  /** Removes and returns the waiting requests whose prompt parts match. */
-  public synchronized List<SlotRequest> removeWaiting(Predicate<List<Long>> promptParts) {
+  /** Removes and returns the waiting requests that match. */
+  public synchronized List<SlotRequest> removeWaiting(Predicate<SlotRequest> filter) {
     List<SlotRequest> removed =
-        Stream.concat(onlineQueue.stream(), batchQueue.requests().stream())
-            .filter(r -> promptParts.test(r.promptParts()))
-            .toList();
+        Stream.concat(onlineQueue.stream(), batchQueue.requests().stream()).filter(filter).toList();
     removed.forEach(r -> withdrawRequest(r.id()));
     return removed;
   }
