A request under which three engines have ended is refused on all hosts

Cause: nobody remembered a request beyond the attempt. CrashBlame looks at parts of prompts that requests share, and drops the last, which is the request's own; a request with no odd part but its own was granted an engine for each repeat, by any host.

Change: hosts count the processes of engines that closed the connection of a run of the request, by a fingerprint of organisation, path with query and body, and tell one another with pings and pongs; records of two hosts join, a whole answer ends a record. Three make a verdict: the coordinator and each host refuse the request at once, those that wait included; two are let through later, their number counts on all hosts. The store keeps records of two crashes or more. Items have no fingerprint. Bounds: 4,096 requests, 1,024 of one organisation.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -153,7 +153,9 @@
         new StoreFollower(
             outside.store(), storeView, clocks, timer, outside.sources(), evacuations::onOrders);
     coordinator = new Coordinator(peers, clocks.steady());
-    quarantineKeeper = new QuarantineKeeper(outside.store(), coordinator.quarantine(), clocks);
+    quarantineKeeper =
+        new QuarantineKeeper(
+            outside.store(), coordinator.quarantine(), coordinator.crashingRequests(), clocks);
     SlotClient slots =
         new SlotClient(peers, clocks.steady(), settings.dataCentre(), hostEngines(calls));
     coordinatorLink =
@@ -181,6 +183,7 @@
                 engines,
                 calls,
                 slots,
+                coordinator.crashingRequests(),
                 metrics));
     jobs = createJobService(self, outside, calls, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -11,11 +11,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
+import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
+import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.quarantine.PromptQuarantine;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.ExistingRun;
@@ -33,6 +36,7 @@
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.OrganisationId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -41,6 +45,7 @@
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.peer.PeerChannel;
 import org.waxwingcourse.peer.PeerTransport;
+import org.waxwingcourse.wire.fleet.Fingerprint;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.Running;
 import org.waxwingcourse.wire.fleet.RunningList;
@@ -120,6 +125,11 @@
     return screening.prompts();
   }
 
+  /** Returns the requests under which engines have ended, as this host knows them. */
+  public CrashingRequests crashingRequests() {
+    return screening.requests();
+  }
+
   private Map<UpstreamId, ListedEngine> listEngines(Collection<EngineEntry> entries) {
     Instant now = clock.instant();
     Map<UpstreamId, ListedEngine> next = new HashMap<>();
@@ -206,11 +216,12 @@
 
   /** Refuses the requests that wait although engines crash under them. */
   private void refuseWaiting(Instant now) {
-    List<SlotRequest> waiting = new ArrayList<>(pacedRequests.removeWaiting(screening::isRefused));
-    services.values().forEach(s -> waiting.addAll(s.removeWaiting(screening::isRefused)));
+    Predicate<SlotRequest> refused = r -> screening.screenWaiting(r, now).isDefined();
+    List<SlotRequest> waiting = new ArrayList<>(pacedRequests.removeWaiting(refused));
+    services.values().forEach(s -> waiting.addAll(s.removeWaiting(refused)));
     for (SlotRequest request : waiting) {
       request.chargedTo().forEach(o -> rates.returnToken(o, now));
-      sendRefusal(screening.refuseWaiting(request, now));
+      screening.screenWaiting(request, now).forEach(this::sendRefusal);
     }
   }
 
@@ -243,6 +254,11 @@
     RunId id = new RunId(from, end.getNumber());
     Instant now = clock.instant();
     boolean refusesMore = false;
+    if (end.hasFingerprint()) {
+      refusesMore =
+          screening.recordCrash(
+              CrashRecordCodec.decode(end.getFingerprint()), end.getEngineBoot(), now);
+    }
     for (SlotScheduler slots : services.values()) {
       for (GrantedRun run : slots.findRun(id)) {
         refusesMore |= screening.recordEnd(id, run, runEnd, now);
@@ -288,7 +304,7 @@
           new ExistingRun(
               RequestId.of(run.getRequest()),
               run.getPromptPartsList(),
-              FleetMessageConverter.toFingerprint(run.hasFingerprint(), run.getFingerprint()),
+              toFingerprint(run.hasFingerprint(), run.getFingerprint()),
               !run.getBatch(),
               work,
               now.minusNanos(run.getElapsedNanos()));
@@ -317,7 +333,11 @@
         ask.getBatch()
             ? batchWork(ask.getDueWithinNanos(), ask.getReceivedEvents(), now)
             : Option.none(),
-        FleetMessageConverter.toFingerprint(ask.hasFingerprint(), ask.getFingerprint()));
+        toFingerprint(ask.hasFingerprint(), ask.getFingerprint()));
+  }
+
+  private static Option<RequestFingerprint> toFingerprint(boolean present, Fingerprint message) {
+    return Option.when(present, () -> CrashRecordCodec.decode(message));
   }
 
   /** Returns the work of a batch request; none from a host of a version that does not send it. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -88,6 +88,7 @@
   private final Candidates candidates;
   private final ViewExchange views;
   private final QuarantineExchange quarantine;
+  private final CrashingRequestExchange crashingRequests;
   private final EngineStatementExchange statements;
   private final CollectedHosts collectedHosts = new CollectedHosts();
   private HostId coordinatorId;
@@ -124,6 +125,8 @@
     this.follower = follower;
     this.coordinator = coordinator;
     this.quarantine = new QuarantineExchange(coordinator.quarantine(), clocks);
+    this.crashingRequests =
+        new CrashingRequestExchange(self.boot(), coordinator.crashingRequests(), clocks);
     this.statements = new EngineStatementExchange(self.boot(), engines);
     this.slots = slots;
     this.lastContactAt = clocks.instant();
@@ -228,6 +231,7 @@
 
   void onPing(HostId from, Ping ping) {
     quarantine.apply(from, ping);
+    crashingRequests.apply(from, ping);
     statements.apply(from, ping);
     if (ping.getAttached()) {
       AttachedHost attachedHost = new AttachedHost(clocks.instant(), ping.getTakesCallers());
@@ -249,6 +253,7 @@
     statements.addTo(pong, from);
     views.addTo(pong, ping);
     quarantine.addTo(pong, ping);
+    crashingRequests.addTo(pong, from);
     if (ping.getAttached()) {
       if (isCollecting(clocks.instant())) {
         collected().forEach(h -> pong.addAttached(h.value()));
@@ -268,6 +273,7 @@
     statements.apply(from, pong);
     candidates.recordPong(from, pong, now);
     quarantine.apply(from, pong);
+    crashingRequests.apply(from, pong);
     synchronized (this) {
       if (from.equals(coordinatorId)) {
         collectedHosts.record(pong.getAttachedList().stream().map(HostId::of).toList(), now);
@@ -444,6 +450,7 @@
     statements.addTo(ping, host);
     views.addTo(ping, asksForViews);
     quarantine.addTo(ping, host);
+    crashingRequests.addTo(ping, host);
     send(host, FleetMessage.newBuilder().setPing(ping));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.waxwingcourse.fleet.quarantine.CrashRecord;
+import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.quarantine.PromptQuarantine;
 import org.waxwingcourse.fleet.quarantine.QuarantinedPrompt;
 import org.waxwingcourse.fleet.slot.CrashBlame;
@@ -18,6 +20,7 @@
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.RefusalCode;
 
@@ -29,39 +32,66 @@
 final class CrashScreening {
   private static final EventLog LOG = EventLog.of(CrashScreening.class);
 
+  private static final String REQUEST_REASON = "engines crash on this request";
+  private static final String PROMPT_REASON = "engines crash on its prompt";
+
   private final CrashBlame blame = new CrashBlame();
   private final PromptQuarantine prompts = new PromptQuarantine();
+  private final CrashingRequests requests = new CrashingRequests();
+  private long verdictsSeen;
 
   /** Returns the prompts on which engines crash, as this host knows them. */
   PromptQuarantine prompts() {
     return prompts;
   }
 
+  /** Returns the requests under which engines have ended, as this host knows them. */
+  CrashingRequests requests() {
+    return requests;
+  }
+
   /** Returns the refusal of a request under which engines crash, none if it may run. */
   Option<SlotDecision.Refuse> screen(SlotRequest request, Instant now) {
+    return request
+        .fingerprint()
+        .flatMap(f -> requests.admit(request.id(), f, now))
+        .map(at -> refusal(request, at, REQUEST_REASON))
+        .orElse(() -> screenPrompt(request, now));
+  }
+
+  private Option<SlotDecision.Refuse> screenPrompt(SlotRequest request, Instant now) {
     Option<Instant> retryAt = prompts.admit(request.id(), request.promptParts(), now);
     if (retryAt.isEmpty() && prompts.isProbe(request.id())) {
       LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
     }
-    return retryAt.map(at -> refusal(request, at));
-  }
-
-  private static SlotDecision.Refuse refusal(SlotRequest request, Instant retryAt) {
-    return new SlotDecision.Refuse(
-        request, RefusalCode.QUARANTINED, retryAt, "engines crash on its prompt");
+    return retryAt.map(at -> refusal(request, at, PROMPT_REASON));
   }
 
-  /** Returns whether a request that waits for a slot is to be refused. */
-  boolean isRefused(SlotRequest waiting) {
-    return prompts.isQuarantined(waiting.promptParts());
+  private static SlotDecision.Refuse refusal(SlotRequest request, Instant retryAt, String reason) {
+    return new SlotDecision.Refuse(request, RefusalCode.QUARANTINED, retryAt, reason);
   }
 
-  /** Returns the refusal of a request for which {@link #isRefused} holds. */
-  SlotDecision.Refuse refuseWaiting(SlotRequest waiting, Instant now) {
-    return refusal(waiting, prompts.probeAt(waiting.promptParts()).getOrElse(now));
+  /** Returns the refusal of a request that waits for a slot, none if it may go on waiting. */
+  Option<SlotDecision.Refuse> screenWaiting(SlotRequest waiting, Instant now) {
+    return waiting
+        .fingerprint()
+        .flatMap(f -> requests.refusedUntil(f, now))
+        .map(at -> refusal(waiting, at, REQUEST_REASON))
+        .orElse(
+            () ->
+                prompts
+                    .probeAt(waiting.promptParts())
+                    .map(at -> refusal(waiting, at, PROMPT_REASON)));
   }
 
   void recordGrant(SlotRequest request, UpstreamId engine, Instant now) {
+    if (request.fingerprint().exists(f -> requests.recordGrant(f, now))) {
+      LOG.write(
+          Event.CRASHING_REQUEST_PROBED,
+          request.requestId(),
+          request.id().host(),
+          request.fingerprint().get());
+    }
     blame.recordStart(request.id(), engine, request.promptParts(), now);
   }
 
@@ -80,6 +110,14 @@
     if (brokeOff) {
       logBrokenOff(id, run, end);
     }
+    if (end.isAnswered()) {
+      run.fingerprint()
+          .flatMap(f -> requests.recordWhole(f, now))
+          .forEach(
+              r ->
+                  LOG.write(
+                      Event.CRASHING_REQUEST_RELEASED, r.request(), run.request(), r.crashes()));
+    }
     if (end.hasEvent()) {
       for (QuarantinedPrompt released : prompts.recordSound(id, run.promptParts(), now)) {
         LOG.write(Event.PROMPT_RELEASED, run.request(), released.partsText());
@@ -90,6 +128,18 @@
     return quarantine(blame.recordEnd(id, end, now), now);
   }
 
+  /**
+   * Records that the engine closed the connection of a run of the request.
+   *
+   * @param engine hash of the engine's process
+   * @return as {@link #recordEnd}
+   */
+  boolean recordCrash(RequestFingerprint request, long engine, Instant now) {
+    Option<CrashRecord> reached = requests.recordCrash(request, engine, now);
+    reached.forEach(r -> LOG.write(Event.CRASHING_REQUEST_REFUSED, r.request(), r.crashes()));
+    return reached.isDefined();
+  }
+
   private static void logBrokenOff(RunId id, GrantedRun run, RunEnd end) {
     LOG.write(
         Event.RUN_BROKEN_OFF,
@@ -102,12 +152,15 @@
   }
 
   /**
-   * Draws conclusions from the passing of time.
+   * Draws conclusions from the passing of time, and from what other hosts have told.
    *
    * @return as {@link #recordEnd}
    */
-  boolean update(Instant now) {
-    return quarantine(blame.update(now), now);
+  synchronized boolean update(Instant now) {
+    long verdicts = requests.verdicts();
+    boolean more = quarantine(blame.update(now), now) || verdicts != verdictsSeen;
+    verdictsSeen = verdicts;
+    return more;
   }
 
   private boolean quarantine(List<Set<Long>> verdicts, Instant now) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
@@ -16,13 +16,11 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
-import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.LeaseId;
-import org.waxwingcourse.wire.fleet.Fingerprint;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.GrantedEngine;
 import org.waxwingcourse.wire.fleet.LeavingEngine;
@@ -104,20 +102,6 @@
         .toList();
   }
 
-  static Fingerprint encodeFingerprint(RequestFingerprint fingerprint) {
-    return Fingerprint.newBuilder()
-        .setHigh(fingerprint.high())
-        .setLow(fingerprint.low())
-        .setOwner(fingerprint.owner())
-        .build();
-  }
-
-  static Option<RequestFingerprint> toFingerprint(boolean present, Fingerprint message) {
-    return Option.when(
-        present,
-        () -> new RequestFingerprint(message.getHigh(), message.getLow(), message.getOwner()));
-  }
-
   static GrantedEngine encodeEngine(EngineEntry engine) {
     return GrantedEngine.newBuilder()
         .setService(engine.service().value())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import org.waxwingcourse.fleet.engine.EngineBoot;
+import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -106,20 +108,33 @@
 
   /** Reports the end of a run and frees its slot. */
   public void endRun(long number, RunEnd end) {
-    if (pending.remove(number) == null) {
-      return;
+    if (pending.remove(number) != null) {
+      send(FleetMessage.newBuilder().setEnd(buildEnd(number, end)));
+    }
+  }
+
+  /** Reports the end of an online run whose engine closed the connection, and frees its slot. */
+  public void endBrokenRun(long number, RunEnd end, EngineBoot engine) {
+    PendingRequest ended = pending.remove(number);
+    if (ended != null) {
+      SlotEnd.Builder message = buildEnd(number, end).setEngineBoot(engine.hash());
+      ended
+          .requirements
+          .fingerprint()
+          .forEach(f -> message.setFingerprint(CrashRecordCodec.encode(f)));
+      send(FleetMessage.newBuilder().setEnd(message));
     }
-    send(
-        FleetMessage.newBuilder()
-            .setEnd(
-                SlotEnd.newBuilder()
-                    .setNumber(number)
-                    .setHow(toWire(end.how()))
-                    .setBrokenOff(end.how() == RunEnd.How.ENGINE_BROKE_OFF)
-                    .setUnsent(end.how() == RunEnd.How.NOT_SENT)
-                    .setFirstEventNanos(end.firstEventDelay().toNanos())
-                    .setGapNanos(end.meanGap().toNanos())
-                    .setEvents(end.events())));
+  }
+
+  private static SlotEnd.Builder buildEnd(long number, RunEnd end) {
+    return SlotEnd.newBuilder()
+        .setNumber(number)
+        .setHow(toWire(end.how()))
+        .setBrokenOff(end.how() == RunEnd.How.ENGINE_BROKE_OFF)
+        .setUnsent(end.how() == RunEnd.How.NOT_SENT)
+        .setFirstEventNanos(end.firstEventDelay().toNanos())
+        .setGapNanos(end.meanGap().toNanos())
+        .setEvents(end.events());
   }
 
   private static SlotEnd.How toWire(RunEnd.How how) {
@@ -271,9 +286,7 @@
         .limit(MAX_CONNECTED_ENGINES)
         .map(UpstreamId::value)
         .forEach(ask::addConnected);
-    requirements
-        .fingerprint()
-        .forEach(f -> ask.setFingerprint(FleetMessageConverter.encodeFingerprint(f)));
+    requirements.fingerprint().forEach(f -> ask.setFingerprint(CrashRecordCodec.encode(f)));
     return ask.setNumber(number)
         .setRequest(requirements.requestId().value())
         .setService(requirements.service().value())
@@ -307,7 +320,7 @@
     request
         .requirements
         .fingerprint()
-        .forEach(f -> running.setFingerprint(FleetMessageConverter.encodeFingerprint(f)));
+        .forEach(f -> running.setFingerprint(CrashRecordCodec.encode(f)));
     return running
         .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
         .setNumber(number)
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -135,6 +135,11 @@
   }
 
   private void requestNextSlot() {
+    Option<Instant> refusedUntil = ports.crashingRequests().refusedUntil(fingerprint, now());
+    if (refusedUntil.isDefined()) {
+      endWithoutSlot(RefusalCode.QUARANTINED, refusedUntil.get(), "engines crash on this request");
+      return;
+    }
     Option<OrganisationId> chargedOrganisation =
         rateCharged ? Option.none() : admitted.organisation().map(OrganisationPlan::id);
     SlotRequirements requirements =
@@ -235,6 +240,10 @@
       return;
     }
     pendingSlotNumber = 0;
+    endWithoutSlot(code, retryTime, reason);
+  }
+
+  private void endWithoutSlot(RefusalCode code, Instant retryTime, String reason) {
     if (headForwarded) {
       fail(new Outcome.Unknown("no other engine could continue the stream: " + reason));
     } else if (runCount > 0) {
@@ -400,7 +409,22 @@
               ? Duration.ZERO
               : Duration.between(firstEventReceivedAt, lastActivityAt)
                   .dividedBy(receivedEvents - 1);
-      ports.slots().endRun(slot, new RunEnd(outcomeKind, first, gap, 0));
+      reportEnd(new RunEnd(outcomeKind, first, gap, 0));
+    }
+
+    private void reportEnd(RunEnd end) {
+      if (end.how() == RunEnd.How.ENGINE_BROKE_OFF) {
+        ports
+            .crashingRequests()
+            .recordCrash(fingerprint, engine.boot(), now())
+            .forEach(r -> LOG.write(Event.CRASHING_REQUEST_REFUSED, r.request(), r.crashes()));
+        ports.slots().endBrokenRun(slot, end, engine.boot());
+        return;
+      }
+      if (end.isAnswered()) {
+        ports.crashingRequests().recordWhole(fingerprint, now());
+      }
+      ports.slots().endRun(slot, end);
     }
 
     void watchSilence() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -34,6 +35,7 @@
    * @param engines the engines listed in the store
    * @param calls sends requests to engines
    * @param slots requests slots
+   * @param crashingRequests the requests under which engines have ended
    * @param metrics records outcomes and times
    */
   public record Ports(
@@ -45,6 +47,7 @@
       EngineDirectory engines,
       EngineSender calls,
       SlotClient slots,
+      CrashingRequests crashingRequests,
       MetricRegistry metrics) {}
 
   /** Creates the service. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantineKeeper.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantineKeeper.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
+import org.waxwingcourse.wire.fleet.CrashingRequest;
 import org.waxwingcourse.wire.fleet.QuarantineList;
 
 /**
@@ -26,18 +27,24 @@
   /** Delay before a failed write is repeated. */
   private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
+  /** Requests with fewer crashes are mostly sound ones that shared an engine with another. */
+  private static final int MIN_CRASHES_STORED = 2;
+
   private final Store store;
   private final PromptQuarantine quarantine;
+  private final CrashingRequests requests;
   private final Clocks clocks;
   private Revision storedAt = Revision.NONE;
   private long storedDigest;
   private boolean writing;
   private Deadline retryAt;
 
-  /** Creates a keeper of {@code quarantine}. */
-  public QuarantineKeeper(Store store, PromptQuarantine quarantine, Clocks clocks) {
+  /** Creates a keeper of {@code quarantine} and {@code requests}. */
+  public QuarantineKeeper(
+      Store store, PromptQuarantine quarantine, CrashingRequests requests, Clocks clocks) {
     this.store = store;
     this.quarantine = quarantine;
+    this.requests = requests;
     this.clocks = clocks;
     this.retryAt = Deadline.at(clocks.instant());
   }
@@ -49,27 +56,37 @@
 
   private void takeOver(Entry entry) {
     storedAt = entry.modified();
-    boolean wasSame = quarantine.digest() == storedDigest;
+    boolean wasSame = digest() == storedDigest;
     try {
-      List<QuarantinedPrompt> stored =
-          QuarantineCodec.decode(
-              QuarantineList.parseFrom(entry.value()).getEntriesList(), clocks.now());
+      QuarantineList list = QuarantineList.parseFrom(entry.value());
+      List<QuarantinedPrompt> stored = QuarantineCodec.decode(list.getEntriesList(), clocks.now());
       for (QuarantinedPrompt prompt : stored) {
         if (quarantine.merge(prompt)) {
           LOG.write(Event.QUARANTINE_LEARNED, prompt.partsText(), prompt.lifted(), "the store");
         }
       }
+      takeOver(list.getRequestsList());
     } catch (InvalidProtocolBufferException e) {
       LOG.write(Event.QUARANTINE_UNREADABLE, e.getMessage());
     }
     if (wasSame) {
-      storedDigest = quarantine.digest();
+      storedDigest = digest();
+    }
+  }
+
+  private void takeOver(Collection<CrashingRequest> stored) {
+    for (CrashRecord record : CrashRecordCodec.decode(stored, clocks.now())) {
+      requests
+          .merge(record, clocks.instant())
+          .forEach(
+              r ->
+                  LOG.write(Event.CRASHING_REQUEST_LEARNED, r.request(), r.crashes(), "the store"));
     }
   }
 
   /** Writes the quarantine if it differs from what is stored. Called periodically. */
   public void saveIfChanged() {
-    long digest = quarantine.digest();
+    long digest = digest();
     Transaction write;
     synchronized (this) {
       if (digest == storedDigest || writing || !retryAt.isPast(clocks.instant())) {
@@ -81,10 +98,23 @@
     store.write(write).thenAccept(outcome -> onWritten(outcome, digest));
   }
 
+  private List<CrashRecord> storedRequests() {
+    return requests.withCrashes(MIN_CRASHES_STORED);
+  }
+
+  /** Returns a number that differs if what is to be stored differs; 0 if nothing is. */
+  private long digest() {
+    return quarantine.digest() + storedRequests().stream().mapToLong(CrashRecord::digest).sum();
+  }
+
   private Transaction transaction() {
     QuarantineList list =
         QuarantineList.newBuilder()
             .addAllEntries(QuarantineCodec.encode(quarantine.entries(), clocks.now()))
+            .addAllRequests(
+                storedRequests().stream()
+                    .map(r -> CrashRecordCodec.encode(r, clocks.now()))
+                    .toList())
             .build();
     Transaction.Builder builder = Transaction.builder();
     if (storedAt.equals(Revision.NONE)) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
@@ -39,6 +39,11 @@
     return !firstEventDelay.isZero();
   }
 
+  /** Returns whether the engine answered in full, be it with an error of its own. */
+  public boolean isAnswered() {
+    return how == How.WHOLE || how == How.ENGINE_FAILED;
+  }
+
   /** Returns whether the run lost its engine. */
   public boolean lostEngine() {
     return how == How.ENGINE_LOST || how == How.ENGINE_BROKE_OFF;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CrashReplay.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CrashReplay.java
@@ -12,7 +12,9 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.ServiceName;
@@ -84,6 +86,8 @@
   private final Map<Long, Request> requests = new HashMap<>();
   private final List<EngineEntry> engines = new ArrayList<>();
 
+  private final Map<UpstreamId, EngineBoot> boots = new HashMap<>();
+
   /** The times at which engines ended, and at which such requests were sent, by cause. */
   private final Map<Integer, List<Instant>> crashes = new TreeMap<>();
 
@@ -269,7 +273,7 @@
             .setStartWithinNanos(Duration.ofMillis(216).toNanos())
             .setGiveUpWithinNanos(Duration.ofSeconds(2).toNanos())
             .addAllPromptParts(request.parts)
-            .setFingerprint(FleetMessageConverter.encodeFingerprint(request.fingerprint))
+            .setFingerprint(CrashRecordCodec.encode(request.fingerprint))
             .setDataCentre("a");
     coordinator.onAsk(request.host, ask.build());
   }
@@ -342,6 +346,7 @@
 
   private void end(long number, SlotEnd.How how, boolean brokenOff) {
     Request request = requests.get(number);
+    EngineBoot boot = boots.get(request.engine);
     request.engine = null;
     SlotEnd.Builder end =
         SlotEnd.newBuilder()
@@ -349,6 +354,9 @@
             .setHow(how)
             .setBrokenOff(brokenOff)
             .setFirstEventNanos(request.hasEvents ? PREFILL.toNanos() : 0);
+    if (brokenOff) {
+      end.setFingerprint(CrashRecordCodec.encode(request.fingerprint)).setEngineBoot(boot.hash());
+    }
     request.hasEvents = false;
     coordinator.onEnd(request.host, end.build());
   }
@@ -388,6 +396,7 @@
             SLOTS,
             false,
             clock.instant().toEpochMilli()));
+    boots.put(id, engines.get(engines.size() - 1).boot());
     coordinator.setEngines(List.copyOf(engines));
   }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CrashingRequestTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CrashingRequestTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.waxwingcourse.fleet.coordinate.CrashReplay.Cause;
@@ -13,7 +12,6 @@
   private static final int CRASHES_BEFORE_KNOWN = 3;
   private static final int MAX_SENT_WHEN_KNOWN = 3;
 
-  @Tag("known-red")
   @ParameterizedTest
   @ValueSource(longs = {0, 1, 2, 3, 4})
   void requestThatCrashesEnginesIsKeptFromThem(long seed) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -25,6 +25,7 @@
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.ServiceName;
@@ -114,6 +115,11 @@
 
     /** Requests a slot for an online request that may wait long. */
     long requestSlot() {
+      return requestSlot(Option.none());
+    }
+
+    /** As {@link #requestSlot()}, for a request with the given fingerprint. */
+    long requestSlot(Option<RequestFingerprint> fingerprint) {
       SlotRequirements requirements =
           new SlotRequirements(
               RequestId.of("r"),
@@ -126,7 +132,7 @@
               List.of(),
               Set.of(),
               Option.none(),
-              Option.none());
+              fingerprint);
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
       return listener.number;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -68,6 +69,7 @@
                 new EngineDirectory(storeView.engineTable(), e -> Option.none()),
                 (request, listener) -> () -> {},
                 slots,
+                new CrashingRequests(),
                 new MetricRegistry()));
     var refused = gate.admit("h", "/j/x", Option.none());
     byte[] document = "plan".getBytes(StandardCharsets.UTF_8);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
@@ -21,6 +21,7 @@
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -79,6 +80,7 @@
                   return () -> {};
                 },
                 slots,
+                new CrashingRequests(),
                 new MetricRegistry()));
     byte[] document = "plan".getBytes(StandardCharsets.UTF_8);
     storeView.applyIfNewer(new StoreView.ConfigurationDocument(Revision.of(1), document));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/LeavingEngineRunTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/LeavingEngineRunTest.java
@@ -2,181 +2,32 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.codahale.metrics.MetricRegistry;
-import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.waxwingcourse.fleet.FleetFixtures;
-import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
-import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
-import org.waxwingcourse.fleet.engine.EngineListener;
-import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.plan.RequestKind;
-import org.waxwingcourse.fleet.view.Clocks;
-import org.waxwingcourse.fleet.view.EngineAnswerWatch;
-import org.waxwingcourse.fleet.view.EngineDirectory;
-import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.http.CallFailure;
-import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
-import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.Outcome;
-import org.waxwingcourse.model.time.ManualClock;
-import org.waxwingcourse.store.Snapshot;
-import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.SlotAsk;
-import org.waxwingcourse.wire.fleet.SlotGrant;
 
 /**
  * A request was sent to an engine that had said in an answer to this host that it was leaving, as
- * the coordinator had granted a slot there before it knew. The test takes the coordinator's part.
+ * the coordinator had granted a slot there before it knew.
  */
-class LeavingEngineRunTest {
-  private static final HostId COORDINATOR = HostId.of("coordinator");
-  private static final UpstreamId LEAVING = UpstreamId.of("engine-1");
-  private static final UpstreamId STAYING = UpstreamId.of("engine-2");
-  private static final UpstreamId SUCCESSOR = UpstreamId.of("engine-3");
+class LeavingEngineRunTest extends OnlineRunFixture {
+  private static final UpstreamId LEAVING = FIRST;
+  private static final UpstreamId STAYING = SECOND;
 
   /** More than a request may be sent. */
   private static final int MANY_GRANTS = 9;
 
-  private static final Duration PATIENCE = Duration.ofSeconds(10);
-
-  private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
-  private final Clocks clocks = new Clocks(clock, clock);
-  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-  private final BlockingQueue<SlotAsk> asks = new LinkedBlockingQueue<>();
-  private final List<FleetMessage> sent = new ArrayList<>();
-  private final List<EngineRequest> received = new ArrayList<>();
-  private final List<EngineListener> answers = new ArrayList<>();
-  private final SlotClient slots =
-      new SlotClient(
-          FleetFixtures.recordingPeers(this::onSent), clock, FleetFixtures.DATA_CENTRE, List::of);
-  private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
-  private StoreView storeView;
-  private EngineDirectory engines;
-  private AdmissionGate gate;
-  private OnlineService service;
-
-  private void onSent(HostId to, FleetMessage message) {
-    synchronized (sent) {
-      sent.add(message);
-    }
-    if (message.hasAsk()) {
-      asks.add(message.getAsk());
-    }
-  }
-
-  @BeforeEach
-  void attach() {
-    slots.attachTo(COORDINATOR);
-  }
-
-  @AfterEach
-  void stop() {
-    timer.shutdownNow();
-  }
-
-  private void createService(RequestKind kind) {
-    storeView =
-        StoreView.of(
-            document -> Either.right(FleetFixtures.planOf(FleetFixtures.onlineRoute(kind))),
-            clocks,
-            FleetFixtures::readEngine);
-    engines = new EngineDirectory(storeView.engineTable(), FleetFixtures::readEngine);
-    storeView.applyIfNewer(
-        new StoreView.ConfigurationDocument(
-            Revision.of(1), "plan".getBytes(StandardCharsets.UTF_8)));
-    storeView
-        .engineTable()
-        .replaceFromRead(
-            new Snapshot(
-                Revision.of(1),
-                List.of(
-                    FleetFixtures.engineEntry(LEAVING.value(), 1, 8, false, 1, 1),
-                    FleetFixtures.engineEntry(STAYING.value(), 2, 8, false, 1, 1),
-                    FleetFixtures.engineEntry(SUCCESSOR.value(), 1, 8, false, 2, 1))));
-    gate = new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), () -> false);
-    service =
-        new OnlineService(
-            new OnlineService.Ports(
-                clock,
-                timer,
-                new Random(1),
-                gate,
-                storeView,
-                engines,
-                new EngineAnswerWatch(
-                    (request, listener) -> {
-                      received.add(request);
-                      answers.add(listener);
-                      return () -> {};
-                    },
-                    engines,
-                    clock),
-                slots,
-                new MetricRegistry()));
-  }
-
-  private RecordingSink serve(String id) {
-    OnlineRequest request =
-        new OnlineRequest(
-            RequestId.of(id),
-            "h",
-            "POST",
-            "/q/x",
-            List.of(),
-            new byte[0],
-            Option.none(),
-            List.of(),
-            Option.none(),
-            clock.instant(),
-            Option.none());
-    RecordingSink sink = new RecordingSink();
-    service.serve(request, gate.admit("h", "/q/x", Option.none()), sink);
-    return sink;
-  }
-
-  private SlotAsk nextAsk() throws InterruptedException {
-    SlotAsk ask = asks.poll(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
-    assertThat(ask).as("request for a slot").isNotNull();
-    return ask;
-  }
-
-  private void grant(SlotAsk ask, UpstreamId engine) {
-    SlotGrant.Builder grant =
-        SlotGrant.newBuilder().setNumber(ask.getNumber()).setEngine(engine.value());
-    channel.onMessage(COORDINATOR, FleetMessage.newBuilder().setGrant(grant).build().toByteArray());
-  }
-
-  private List<UpstreamId> receivers() {
-    return received.stream().map(r -> r.engine().id()).toList();
-  }
-
-  private static EngineAnswer head(int status, EngineAnswer.Verdict verdict) {
-    return new EngineAnswer(status, List.of(), verdict, false, true);
-  }
-
   /** Every answer tells: of a run, a refusal, a failure, another engine at the address. */
   @ParameterizedTest
   @CsvSource({
@@ -266,26 +117,4 @@
     assertThat(receivers()).containsExactly(LEAVING);
     assertThat(asks).isEmpty();
   }
-
-  private static byte[] event(int id) {
-    return ("id: " + id + "\ndata: w\n\n").getBytes(StandardCharsets.UTF_8);
-  }
-
-  private static final class RecordingSink implements AnswerSink {
-    private final StringBuilder text = new StringBuilder();
-    private final List<Outcome> outcomes = new ArrayList<>();
-
-    @Override
-    public void onHead(EngineAnswer head) {}
-
-    @Override
-    public void onBytes(byte[] bytes) {
-      text.append(new String(bytes, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public void onEnd(Outcome outcome) {
-      outcomes.add(outcome);
-    }
-  }
 }
--- /dev/null
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -0,0 +1,194 @@
+package org.waxwingcourse.fleet.online;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
+import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.engine.EngineListener;
+import org.waxwingcourse.fleet.engine.EngineRequest;
+import org.waxwingcourse.fleet.plan.RequestKind;
+import org.waxwingcourse.fleet.quarantine.CrashingRequests;
+import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.EngineAnswerWatch;
+import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.StoreView;
+import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestId;
+import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.store.Snapshot;
+import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.SlotAsk;
+import org.waxwingcourse.wire.fleet.SlotGrant;
+
+/** Serves online requests on one host; the test takes the coordinator's and the engines' part. */
+abstract class OnlineRunFixture {
+  private static final HostId COORDINATOR = HostId.of("coordinator");
+  static final UpstreamId FIRST = UpstreamId.of("engine-1");
+  static final UpstreamId SECOND = UpstreamId.of("engine-2");
+
+  /** Starts at the address of the first, later. */
+  static final UpstreamId SUCCESSOR = UpstreamId.of("engine-3");
+
+  private static final Duration PATIENCE = Duration.ofSeconds(10);
+
+  final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
+  final Clocks clocks = new Clocks(clock, clock);
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  final BlockingQueue<SlotAsk> asks = new LinkedBlockingQueue<>();
+  final List<FleetMessage> sent = new ArrayList<>();
+  final List<EngineRequest> received = new ArrayList<>();
+  final List<EngineListener> answers = new ArrayList<>();
+  private final SlotClient slots =
+      new SlotClient(
+          FleetFixtures.recordingPeers(this::onSent), clock, FleetFixtures.DATA_CENTRE, List::of);
+  private final FleetMessageRouter channel =
+      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+  final CrashingRequests crashingRequests = new CrashingRequests();
+  StoreView storeView;
+  EngineDirectory engines;
+  AdmissionGate gate;
+  OnlineService service;
+
+  private void onSent(HostId to, FleetMessage message) {
+    synchronized (sent) {
+      sent.add(message);
+    }
+    if (message.hasAsk()) {
+      asks.add(message.getAsk());
+    }
+  }
+
+  @BeforeEach
+  final void attach() {
+    slots.attachTo(COORDINATOR);
+  }
+
+  @AfterEach
+  final void stop() {
+    timer.shutdownNow();
+  }
+
+  final void createService(RequestKind kind) {
+    storeView =
+        StoreView.of(
+            document -> Either.right(FleetFixtures.planOf(FleetFixtures.onlineRoute(kind))),
+            clocks,
+            FleetFixtures::readEngine);
+    engines = new EngineDirectory(storeView.engineTable(), FleetFixtures::readEngine);
+    storeView.applyIfNewer(
+        new StoreView.ConfigurationDocument(
+            Revision.of(1), "plan".getBytes(StandardCharsets.UTF_8)));
+    storeView
+        .engineTable()
+        .replaceFromRead(
+            new Snapshot(
+                Revision.of(1),
+                List.of(
+                    FleetFixtures.engineEntry(FIRST.value(), 1, 8, false, 1, 1),
+                    FleetFixtures.engineEntry(SECOND.value(), 2, 8, false, 1, 1),
+                    FleetFixtures.engineEntry(SUCCESSOR.value(), 1, 8, false, 2, 1))));
+    gate = new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), () -> false);
+    service =
+        new OnlineService(
+            new OnlineService.Ports(
+                clock,
+                timer,
+                new Random(1),
+                gate,
+                storeView,
+                engines,
+                new EngineAnswerWatch(
+                    (request, listener) -> {
+                      received.add(request);
+                      answers.add(listener);
+                      return () -> {};
+                    },
+                    engines,
+                    clock),
+                slots,
+                crashingRequests,
+                new MetricRegistry()));
+  }
+
+  final RecordingSink serve(String id) {
+    OnlineRequest request =
+        new OnlineRequest(
+            RequestId.of(id),
+            "h",
+            "POST",
+            "/q/x",
+            List.of(),
+            new byte[0],
+            Option.none(),
+            List.of(),
+            Option.none(),
+            clock.instant(),
+            Option.none());
+    RecordingSink sink = new RecordingSink();
+    service.serve(request, gate.admit("h", "/q/x", Option.none()), sink);
+    return sink;
+  }
+
+  final SlotAsk nextAsk() throws InterruptedException {
+    SlotAsk ask = asks.poll(PATIENCE.toMillis(), TimeUnit.MILLISECONDS);
+    assertThat(ask).as("request for a slot").isNotNull();
+    return ask;
+  }
+
+  final void grant(SlotAsk ask, UpstreamId engine) {
+    SlotGrant.Builder grant =
+        SlotGrant.newBuilder().setNumber(ask.getNumber()).setEngine(engine.value());
+    channel.onMessage(COORDINATOR, FleetMessage.newBuilder().setGrant(grant).build().toByteArray());
+  }
+
+  final List<UpstreamId> receivers() {
+    return received.stream().map(r -> r.engine().id()).toList();
+  }
+
+  static EngineAnswer head(int status, EngineAnswer.Verdict verdict) {
+    return new EngineAnswer(status, List.of(), verdict, false, true);
+  }
+
+  static byte[] event(int id) {
+    return ("id: " + id + "\ndata: w\n\n").getBytes(StandardCharsets.UTF_8);
+  }
+
+  static final class RecordingSink implements AnswerSink {
+    final StringBuilder text = new StringBuilder();
+    final List<Outcome> outcomes = new ArrayList<>();
+
+    @Override
+    public void onHead(EngineAnswer head) {}
+
+    @Override
+    public void onBytes(byte[] bytes) {
+      text.append(new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onEnd(Outcome outcome) {
+      outcomes.add(outcome);
+    }
+  }
+}
--- a/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/QuarantineKeeperTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/QuarantineKeeperTest.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.standin.store.StoreFaults;
@@ -26,7 +27,8 @@
   private final Clocks clocks = new Clocks(clock, clock);
   private final MemoryStore store = MemoryStore.of(InstantSource.system());
   private final PromptQuarantine quarantine = new PromptQuarantine();
-  private final QuarantineKeeper keeper = new QuarantineKeeper(store, quarantine, clocks);
+  private final CrashingRequests requests = new CrashingRequests();
+  private final QuarantineKeeper keeper = new QuarantineKeeper(store, quarantine, requests, clocks);
 
   private List<Entry> stored() {
     return store.read(KeyRange.ofPrefix(StoreKeys.FLEET_PREFIX)).join().get().entries();
@@ -34,7 +36,7 @@
 
   private PromptQuarantine restarted() {
     PromptQuarantine next = new PromptQuarantine();
-    new QuarantineKeeper(store, next, clocks).restore(stored());
+    new QuarantineKeeper(store, next, new CrashingRequests(), clocks).restore(stored());
     return next;
   }
 
@@ -72,7 +74,8 @@
   @Test
   void twoCoordinatorsKeepEachOthersEntries() {
     PromptQuarantine others = new PromptQuarantine();
-    QuarantineKeeper otherKeeper = new QuarantineKeeper(store, others, clocks);
+    QuarantineKeeper otherKeeper =
+        new QuarantineKeeper(store, others, new CrashingRequests(), clocks);
     quarantine.add(Set.of(2L), clock.instant());
     others.add(Set.of(7L), clock.instant());
     save(keeper);
@@ -92,4 +95,16 @@
     save(keeper);
     assertThat(restarted().isQuarantined(PROMPT)).isTrue();
   }
+
+  @Test
+  void hostThatStartsRefusesRequestsUnderWhichEnginesEndedBeforeTheRestart() {
+    RequestFingerprint request = new RequestFingerprint(1, 2, 3);
+    for (int i = 0; i < CrashingRequests.CRASHES_FOR_VERDICT; i++) {
+      requests.recordCrash(request, i, clock.instant());
+      save(keeper);
+    }
+    CrashingRequests next = new CrashingRequests();
+    new QuarantineKeeper(store, new PromptQuarantine(), next, clocks).restore(stored());
+    assertThat(next.refusedUntil(request, clock.instant()).isDefined()).isTrue();
+  }
 }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -87,6 +87,18 @@
   QUARANTINE_LEARNED(513, Level.INFO, "prompts with parts {} quarantined, lifted: {}, from {}"),
   QUARANTINE_WRITE_WAITS(514, Level.WARN, "the quarantine was not written to the store: {}"),
   QUARANTINE_UNREADABLE(515, Level.ERROR, "the stored quarantine cannot be read: {}"),
+  CRASHING_REQUEST_REFUSED(
+      516, Level.WARN, "requests with fingerprint {} are refused: {} engines ended under them"),
+  CRASHING_REQUEST_PROBED(
+      517,
+      Level.INFO,
+      "request {} of host \"{}\" may run although requests with its fingerprint {} are refused"),
+  CRASHING_REQUEST_RELEASED(
+      518,
+      Level.INFO,
+      "requests with fingerprint {} may run: request {} was answered whole, {} engines had ended"),
+  CRASHING_REQUEST_LEARNED(
+      519, Level.INFO, "requests with fingerprint {} are refused: {} engines ended, from {}"),
   ENGINE_SAYS_LEAVING(
       520,
       Level.INFO,
