Crashes of one request no longer count against the parts of its prompt

Cause: CrashBlame counts crashes of a part, and one request that comes again makes as many as several different ones.

Change: a part is blamed only if no single request was in all of its crashes, and crashes under a request that is refused as such count against no part.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -92,12 +92,12 @@
           request.id().host(),
           request.fingerprint().get());
     }
-    blame.recordStart(request.id(), engine, request.promptParts(), now);
+    blame.recordStart(request.id(), engine, request.promptParts(), request.fingerprint(), now);
   }
 
   /** Records a run that another coordinator has granted. */
   void recordExisting(RunId id, UpstreamId engine, ExistingRun run) {
-    blame.recordStart(id, engine, run.promptParts(), run.startedAt());
+    blame.recordStart(id, engine, run.promptParts(), run.fingerprint(), run.startedAt());
   }
 
   /**
@@ -136,6 +136,9 @@
    */
   boolean recordCrash(RequestFingerprint request, long engine, Instant now) {
     Option<CrashRecord> reached = requests.recordCrash(request, engine, now);
+    if (requests.isRefused(request)) {
+      blame.blameRequest(request);
+    }
     reached.forEach(r -> LOG.write(Event.CRASHING_REQUEST_REFUSED, r.request(), r.crashes()));
     return reached.isDefined();
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashingRequests.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashingRequests.java
@@ -148,6 +148,11 @@
     return true;
   }
 
+  /** Returns whether there is a verdict on the request. */
+  public synchronized boolean isRefused(RequestFingerprint request) {
+    return isVerdict(recordOf(request));
+  }
+
   /** Returns whether an engine has ended under the request, which has not been answered since. */
   public synchronized boolean isSuspect(RequestFingerprint request) {
     return recordOf(request).crashes() > 0;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.slot;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -17,6 +18,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.UpstreamId;
 
 /**
@@ -33,6 +35,8 @@
  *   <li>A verdict takes two independent crashes, more for a part that has been seen sound or if
  *       other engines crash at the time.
  *   <li>A crash on a prompt with a verdict incriminates no other part.
+ *   <li>Crashes that one request was in, all of them, say nothing about its prompt: they may be the
+ *       request's own. The same holds for crashes under a request that is known to crash engines.
  * </ul>
  *
  * <p>Safe for use by several threads: one lock.
@@ -66,6 +70,7 @@
   private static final int MAX_CRASHES = 256;
   private static final int MAX_VERDICTS = 64;
   private static final int MAX_SOUND_PARTS = 8_192;
+  private static final int MAX_BLAMED_REQUESTS = 1_024;
 
   private final Map<RunId, Run> runs = new LinkedHashMap<>();
   private final Map<UpstreamId, EngineRuns> engines = new HashMap<>();
@@ -73,17 +78,28 @@
   private final Map<Long, Suspicion> suspicions = new HashMap<>();
   private final Set<Set<Long>> verdicts = new LinkedHashSet<>();
 
-  private final Map<Long, Boolean> soundParts =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
+  private final Map<Long, Boolean> soundParts = createBounded(MAX_SOUND_PARTS);
+  private final Map<RequestFingerprint, Boolean> blamedRequests =
+      createBounded(MAX_BLAMED_REQUESTS);
 
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-          return size() > MAX_SOUND_PARTS;
-        }
-      };
+  /** Returns a map that forgets the least recently used keys. */
+  private static <K> Map<K, Boolean> createBounded(int maxSize) {
+    return new LinkedHashMap<>(16, 0.75f, true) {
+      private static final long serialVersionUID = 1L;
+
+      @Override
+      protected boolean removeEldestEntry(Map.Entry<K, Boolean> eldest) {
+        return size() > maxSize;
+      }
+    };
+  }
 
-  private record Run(RunId id, UpstreamId engine, Set<Long> parts, Instant startedAt) {}
+  private record Run(
+      RunId id,
+      UpstreamId engine,
+      Set<Long> parts,
+      Option<RequestFingerprint> request,
+      Instant startedAt) {}
 
   /** The present runs of an engine and its latest crash that may still change. */
   private static final class EngineRuns {
@@ -110,6 +126,18 @@
     private boolean involves(Collection<Long> parts) {
       return suspects.stream().anyMatch(r -> r.parts.containsAll(parts));
     }
+
+    /** Returns the requests of the suspects whose prompts have the part. */
+    private Set<RequestFingerprint> requestsWith(Long part) {
+      return suspects.stream()
+          .filter(r -> r.parts.contains(part))
+          .flatMap(r -> r.request.toJavaStream())
+          .collect(Collectors.toSet());
+    }
+
+    private boolean involvesAny(Set<RequestFingerprint> requests) {
+      return suspects.stream().anyMatch(r -> r.request.exists(requests::contains));
+    }
   }
 
   /** The confirmed crashes of a part, with the start of its last run in each. */
@@ -123,13 +151,17 @@
 
   /** Records that a run was granted an engine. A repeated grant changes nothing. */
   public synchronized void recordStart(
-      RunId run, UpstreamId engine, List<Long> promptParts, Instant now) {
+      RunId run,
+      UpstreamId engine,
+      List<Long> promptParts,
+      Option<RequestFingerprint> request,
+      Instant now) {
     Run known = runs.get(run);
     if (known != null && known.engine.equals(engine)) {
       return;
     }
     removeRun(run);
-    Run started = new Run(run, engine, sharedParts(promptParts), now);
+    Run started = new Run(run, engine, sharedParts(promptParts), request, now);
     runs.put(run, started);
     engines.computeIfAbsent(engine, e -> new EngineRuns()).present.put(run, started);
     if (runs.size() > MAX_RUNS) {
@@ -221,6 +253,11 @@
     }
   }
 
+  /** Records that engines crash under a request, whatever its prompt. */
+  public synchronized void blameRequest(RequestFingerprint request) {
+    blamedRequests.put(request, true);
+  }
+
   /** Returns whether a part of the prompt was in a crash and has had no event since. */
   public synchronized boolean isSuspect(List<Long> promptParts) {
     return sharedParts(promptParts).stream().anyMatch(p -> !crashesOf(p).isEmpty());
@@ -364,7 +401,24 @@
     return open;
   }
 
+  /** Returns whether all crashes may be those of one request with the part. */
+  private static boolean isOfOneRequest(Set<Crash> crashes, Long part) {
+    Set<RequestFingerprint> common = null;
+    for (Crash crash : crashes) {
+      Set<RequestFingerprint> requests = crash.requestsWith(part);
+      if (common == null) {
+        common = requests;
+      } else {
+        common.retainAll(requests);
+      }
+    }
+    return common != null && !common.isEmpty();
+  }
+
   private boolean isExplained(Crash crash, Long part) {
+    if (crash.involvesAny(blamedRequests.keySet())) {
+      return true;
+    }
     List<Set<Long>> causes = verdicts.stream().filter(crash::involves).toList();
     return !causes.isEmpty() && causes.stream().noneMatch(v -> v.contains(part));
   }
@@ -389,7 +443,7 @@
   /** Returns by how many crashes a part exceeds its threshold, negative if it falls short. */
   private int excess(Long part) {
     Map<Crash, Instant> own = crashesOf(part);
-    if (own.size() < CRASHES_FOR_VERDICT) {
+    if (own.size() < CRASHES_FOR_VERDICT || isOfOneRequest(own.keySet(), part)) {
       return -1;
     }
     int threshold =
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BlameMethod.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BlameMethod.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.slot;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.UpstreamId;
 
 /** A way to find the prompt parts under which engines crash, as {@link BlameSimulation} runs it. */
@@ -38,7 +40,9 @@
 
       @Override
       public void recordStart(RunId run, UpstreamId engine, List<Long> parts, Instant now) {
-        blame.recordStart(run, engine, parts, now);
+        long own = parts.get(parts.size() - 1);
+        RequestFingerprint request = new RequestFingerprint(own, own, 1);
+        blame.recordStart(run, engine, parts, Option.some(request), now);
       }
 
       @Override
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.UpstreamId;
 
 /** The parts of prompts under which engines crash are found, and sound ones are not blamed. */
@@ -25,6 +27,10 @@
   private Instant now = Instant.ofEpochSecond(1000);
   private long lastNumber;
 
+  private static RequestFingerprint request(long n) {
+    return new RequestFingerprint(n, n, 1);
+  }
+
   private RunId start(HostId host, String engine, long... shared) {
     RunId id = new RunId(host, ++lastNumber);
     List<Long> parts = new ArrayList<>();
@@ -32,7 +38,7 @@
       parts.add(part);
     }
     parts.add(1_000_000 + lastNumber);
-    blame.recordStart(id, UpstreamId.of(engine), parts, now);
+    blame.recordStart(id, UpstreamId.of(engine), parts, Option.some(request(lastNumber)), now);
     return id;
   }
 
@@ -279,7 +285,7 @@
   void lastPartIsNeverBlamed() {
     for (int i = 0; i < 8; i++) {
       RunId run = new RunId(HOST, ++lastNumber);
-      blame.recordStart(run, UpstreamId.of("e-" + i), List.of(CRASHING), now);
+      blame.recordStart(run, UpstreamId.of("e-" + i), List.of(CRASHING), Option.none(), now);
       advance(60);
       breakOff(run);
       advance(400);
@@ -300,4 +306,42 @@
     }
     assertThat(blame.size()).isLessThan(80_000);
   }
+
+  private void startAndBreakOff(String engine, long request, long... parts) {
+    RunId id = new RunId(HOST, ++lastNumber);
+    List<Long> prompt = new ArrayList<>();
+    for (long part : parts) {
+      prompt.add(part);
+    }
+    blame.recordStart(id, UpstreamId.of(engine), prompt, Option.some(request(request)), now);
+    advance(100);
+    breakOff(id);
+    advance(2000);
+  }
+
+  /** One request that crashes engines was taken for a fault of all requests with its parts. */
+  @Test
+  void crashesOfOneRequestThatComesAgainSayNothingAboutItsPrompt() {
+    for (int i = 0; i < 6; i++) {
+      startAndBreakOff("e-" + i, 77, SHARED, CRASHING, 70);
+    }
+    assertThat(verdicts).isEmpty();
+  }
+
+  @Test
+  void partIsFoundWhenAnotherRequestCrashesOnItToo() {
+    startAndBreakOff("e-1", 77, SHARED, CRASHING, 70);
+    startAndBreakOff("e-2", 77, SHARED, CRASHING, 70);
+    startAndBreakOff("e-3", 78, SOUND, CRASHING, 71);
+    assertThat(verdicts).contains(Set.of(CRASHING));
+  }
+
+  @Test
+  void crashesUnderARequestThatIsKnownToCrashEnginesIncriminateNoPart() {
+    blame.blameRequest(request(77));
+    startAndBreakOff("e-1", 77, SHARED, CRASHING, 70);
+    startAndBreakOff("e-2", 78, SHARED, CRASHING, 71);
+    startAndBreakOff("e-3", 77, SHARED, CRASHING, 70);
+    assertThat(verdicts).isEmpty();
+  }
 }
