A request is refused after two engines that have certainly ended

Cause: a lost answer and an ended engine counted the same, so the verdict waited for three of either.

An engine that ended under a request that is refused counts against no other in this. A part of a prompt that has been seen sound is blamed for crashes under refused requests only if there are four such requests since; one that was never seen sound as before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -254,10 +254,10 @@
     RunId id = new RunId(from, end.getNumber());
     Instant now = clock.instant();
     boolean refusesMore = false;
-    if (end.hasFingerprint()) {
-      refusesMore =
-          screening.recordCrash(
-              CrashRecordCodec.decode(end.getFingerprint()), end.getEngineBoot(), now);
+    if (end.getEngineBoot() != 0) {
+      Option<RequestFingerprint> request =
+          toFingerprint(end.hasFingerprint(), end.getFingerprint());
+      refusesMore = screening.recordBreak(request, end.getEngineBoot(), now);
     }
     for (SlotScheduler slots : services.values()) {
       for (GrantedRun run : slots.findRun(id)) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -38,6 +39,7 @@
   private final CrashBlame blame = new CrashBlame();
   private final PromptQuarantine prompts = new PromptQuarantine();
   private final CrashingRequests requests = new CrashingRequests();
+  private final EndedEngines endedEngines = new EndedEngines();
   private long verdictsSeen;
 
   /** Returns the prompts on which engines crash, as this host knows them. */
@@ -129,18 +131,23 @@
   }
 
   /**
-   * Records that the engine closed the connection of a run of the request.
+   * Records that an engine closed the connection of a run.
    *
+   * @param request the request; none for an item
    * @param engine hash of the engine's process
    * @return as {@link #recordEnd}
    */
-  boolean recordCrash(RequestFingerprint request, long engine, Instant now) {
-    Option<CrashRecord> reached = requests.recordCrash(request, engine, now);
-    if (requests.isRefused(request)) {
-      blame.blameRequest(request);
+  boolean recordBreak(Option<RequestFingerprint> request, long engine, Instant now) {
+    List<CrashRecord> reached = new ArrayList<>();
+    request.flatMap(f -> requests.recordCrash(f, engine, now)).forEach(reached::add);
+    if (endedEngines.recordBreak(engine, now)) {
+      reached.addAll(requests.recordEndedEngine(engine, now));
     }
-    reached.forEach(r -> LOG.write(Event.CRASHING_REQUEST_REFUSED, r.request(), r.crashes()));
-    return reached.isDefined();
+    for (CrashRecord record : reached) {
+      LOG.write(Event.CRASHING_REQUEST_REFUSED, record.request(), record.crashes());
+      blame.blameRequest(record.request());
+    }
+    return !reached.isEmpty();
   }
 
   private static void logBrokenOff(RunId id, GrantedRun run, RunEnd end) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -113,7 +113,7 @@
     }
   }
 
-  /** Reports the end of an online run whose engine closed the connection, and frees its slot. */
+  /** Reports the end of a run whose engine closed the connection, and frees its slot. */
   public void endBrokenRun(long number, RunEnd end, EngineBoot engine) {
     PendingRequest ended = pending.remove(number);
     if (ended != null) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -11,6 +11,7 @@
 import org.waxwingcourse.fleet.coordinate.SlotListener;
 import org.waxwingcourse.fleet.coordinate.SlotRequirements;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
@@ -174,7 +175,7 @@
       return;
     }
     Deadline until = Deadline.after(ports.clock(), RUN_LIMIT).earlier(job.giveUpAt());
-    attempt = new Attempt(pendingSlot.requestNumber, engine);
+    attempt = new Attempt(pendingSlot.requestNumber, entry.get().boot());
     Attempt sent = attempt;
     sent.call =
         ports
@@ -304,6 +305,7 @@
     private final long requestNumber;
     private final Instant sentAt = ports.clock().instant();
     private final ServerSentEventParser parser = new ServerSentEventParser();
+    private final EngineBoot boot;
     private final UpstreamId engine;
     private StreamCall call;
     private EngineAnswer head;
@@ -318,9 +320,10 @@
             action -> call.afterPendingInput(action),
             this::onSilence);
 
-    Attempt(long requestNumber, UpstreamId engine) {
+    Attempt(long requestNumber, EngineBoot boot) {
       this.requestNumber = requestNumber;
-      this.engine = engine;
+      this.boot = boot;
+      this.engine = boot.id();
     }
 
     void releaseSlot(RunEnd.How outcomeKind) {
@@ -341,9 +344,12 @@
           planVersion);
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
-      ports
-          .slots()
-          .endRun(requestNumber, new RunEnd(outcomeKind, first, meanGap(), eventData.size()));
+      RunEnd end = new RunEnd(outcomeKind, first, meanGap(), eventData.size());
+      if (outcomeKind == RunEnd.How.ENGINE_BROKE_OFF) {
+        ports.slots().endBrokenRun(requestNumber, end, boot);
+      } else {
+        ports.slots().endRun(requestNumber, end);
+      }
     }
 
     private Duration meanGap() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashRecordCodec.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashRecordCodec.java
@@ -36,6 +36,7 @@
             .setFingerprint(encode(record.request()))
             .setGeneration(record.generation())
             .addAllEngineBoots(record.engines())
+            .setRefused(record.refused())
             .setProbes(record.probes());
     for (Deadline probeAt : record.probeAt()) {
       long millis = Duration.between(now.steady(), probeAt.at()).toMillis();
@@ -58,6 +59,7 @@
         decode(message.getFingerprint()),
         message.getGeneration(),
         new HashSet<>(message.getEngineBootsList()),
+        message.getRefused(),
         message.getProbes(),
         probeAt);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashingRequests.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashingRequests.java
@@ -27,8 +27,14 @@
  * <p>Safe for use by several threads.
  */
 public final class CrashingRequests {
-  /** Engines that end under a request before it is refused. */
-  public static final int CRASHES_FOR_VERDICT = 3;
+  /** Engines that close the connection of a run of a request before it is refused. */
+  static final int BREAKS_FOR_VERDICT = 3;
+
+  /** The same of engines that have certainly ended, and under no other request that is refused. */
+  static final int ENDED_ENGINES_FOR_VERDICT = 2;
+
+  /** Most engines remembered that have certainly ended. */
+  private static final int MAX_ENDED_ENGINES = 256;
 
   /** Most requests remembered. */
   static final int MAX_RECORDS = 4_096;
@@ -58,6 +64,18 @@
   private final Map<RequestFingerprint, Held> records = new LinkedHashMap<>();
 
   private final Map<RequestFingerprint, Probe> probing = new HashMap<>();
+
+  /** Engines that have certainly ended, with the first refused request that was on each. */
+  private final Map<Long, Option<RequestFingerprint>> endedEngines =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Option<RequestFingerprint>> eldest) {
+          return size() > MAX_ENDED_ENGINES;
+        }
+      };
+
   private long lastVersion;
   private long verdicts;
 
@@ -86,6 +104,26 @@
     return update(known, known.withCrash(engine), now);
   }
 
+  /**
+   * Records that an engine has certainly ended, since several of its runs broke off together; a
+   * single answer may be lost without that.
+   *
+   * @param engine hash of the engine's process
+   * @return the records that make a verdict now and did not before
+   */
+  public synchronized List<CrashRecord> recordEndedEngine(long engine, Instant now) {
+    List<CrashRecord> involved =
+        records.values().stream()
+            .map(Held::value)
+            .filter(r -> r.engines().contains(engine))
+            .toList();
+    endedEngines.putIfAbsent(
+        engine,
+        Option.ofOptional(
+            involved.stream().filter(CrashRecord::refused).map(CrashRecord::request).findFirst()));
+    return involved.stream().flatMap(r -> update(r, r, now).toJavaStream()).toList();
+  }
+
   /**
    * Records that the request was answered whole, so that it does not crash engines.
    *
@@ -104,7 +142,7 @@
   /** Returns when the request may next run, none if it may run now. */
   public synchronized Option<Instant> refusedUntil(RequestFingerprint request, Instant now) {
     CrashRecord known = recordOf(request);
-    if (!isVerdict(known)) {
+    if (!known.refused()) {
       return Option.none();
     }
     touch(request);
@@ -121,7 +159,7 @@
    */
   public synchronized Option<Instant> admit(RunId run, RequestFingerprint request, Instant now) {
     Option<Instant> refused = refusedUntil(request, now);
-    if (refused.isDefined() || !isVerdict(recordOf(request))) {
+    if (refused.isDefined() || !recordOf(request).refused()) {
       return refused;
     }
     Probe present = probing.get(request);
@@ -139,7 +177,7 @@
    */
   public synchronized boolean recordGrant(RequestFingerprint request, Instant now) {
     CrashRecord known = recordOf(request);
-    if (!isVerdict(known)) {
+    if (!known.refused()) {
       return false;
     }
     probing.remove(request);
@@ -150,7 +188,7 @@
 
   /** Returns whether there is a verdict on the request. */
   public synchronized boolean isRefused(RequestFingerprint request) {
-    return isVerdict(recordOf(request));
+    return recordOf(request).refused();
   }
 
   /** Returns whether an engine has ended under the request, which has not been answered since. */
@@ -206,25 +244,44 @@
   }
 
   private Option<CrashRecord> update(CrashRecord known, CrashRecord next, Instant now) {
-    if (next.equals(known)) {
+    boolean reached = (next.refused() || isVerdict(next)) && !known.refused();
+    if (next.equals(known) && !reached) {
       return Option.none();
     }
-    boolean reached = isVerdict(next) && !isVerdict(known);
+    Deadline firstProbe = Deadline.at(now.plus(FIRST_PROBE_DELAY));
     CrashRecord kept =
-        reached && next.probeAt().isEmpty()
-            ? next.withProbes(next.probes(), Deadline.at(now.plus(FIRST_PROBE_DELAY)))
-            : next;
+        reached ? next.withProbes(next.probes(), next.probeAt().getOrElse(firstProbe)) : next;
     removeExpired(now);
     records.remove(kept.request());
     Deadline suspectUntil = Deadline.at(now.plus(SUSPECT_RETENTION));
     records.put(kept.request(), new Held(kept, ++lastVersion, suspectUntil));
     removeExcess(kept.request().owner());
-    verdicts += reached ? 1 : 0;
+    if (reached) {
+      verdicts++;
+      blameForEngines(kept);
+    }
     return Option.when(reached, kept);
   }
 
-  private static boolean isVerdict(CrashRecord record) {
-    return record.crashes() >= CRASHES_FOR_VERDICT;
+  private boolean isVerdict(CrashRecord record) {
+    return record.crashes() >= BREAKS_FOR_VERDICT
+        || record.engines().stream().filter(e -> endedUnder(e, record.request())).count()
+            >= ENDED_ENGINES_FOR_VERDICT;
+  }
+
+  /**
+   * Returns whether an engine has certainly ended, and no other request is known to be at fault.
+   */
+  private boolean endedUnder(long engine, RequestFingerprint request) {
+    Option<RequestFingerprint> blamed = endedEngines.get(engine);
+    return blamed != null && blamed.forAll(request::equals);
+  }
+
+  private void blameForEngines(CrashRecord refused) {
+    for (long engine : refused.engines()) {
+      endedEngines.computeIfPresent(
+          engine, (e, blamed) -> blamed.orElse(Option.some(refused.request())));
+    }
   }
 
   private void touch(RequestFingerprint request) {
@@ -233,7 +290,7 @@
   }
 
   private void removeExpired(Instant now) {
-    records.values().removeIf(h -> !isVerdict(h.value) && h.suspectUntil.isPast(now));
+    records.values().removeIf(h -> !h.value.refused() && h.suspectUntil.isPast(now));
   }
 
   private void removeExcess(int owner) {
@@ -255,7 +312,7 @@
   private void removeOne(Collection<RequestFingerprint> leastUsedFirst) {
     RequestFingerprint removed =
         leastUsedFirst.stream()
-            .filter(r -> !isVerdict(records.get(r).value))
+            .filter(r -> !records.get(r).value.refused())
             .findFirst()
             .orElseGet(() -> leastUsedFirst.iterator().next());
     records.remove(removed);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -36,7 +36,8 @@
  *       other engines crash at the time.
  *   <li>A crash on a prompt with a verdict incriminates no other part.
  *   <li>Crashes that one request was in, all of them, say nothing about its prompt: they may be the
- *       request's own. The same holds for crashes under a request that is known to crash engines.
+ *       request's own. Against a part that has been seen sound, crashes under requests that are
+ *       known to crash engines count only if there are several such requests since.
  * </ul>
  *
  * <p>Safe for use by several threads: one lock.
@@ -60,6 +61,9 @@
   /** The same on a part that has been seen sound. */
   private static final int CRASHES_FOR_VERDICT_ON_SOUND = 4;
 
+  /** Requests known to crash engines whose crashes count against a part that was seen sound. */
+  private static final int BLAMED_FOR_VERDICT = 4;
+
   /** Crashes that a part does not explain and that raise its threshold by one. */
   private static final int UNEXPLAINED_PER_CRASH = 2;
 
@@ -398,6 +402,9 @@
     }
     Map<Crash, Instant> open = new LinkedHashMap<>(suspicion.startedAt);
     open.keySet().removeIf(c -> isExplained(c, part));
+    if (soundParts.containsKey(part) && countBlamed(open.keySet(), part) < BLAMED_FOR_VERDICT) {
+      open.keySet().removeIf(c -> c.involvesAny(blamedRequests.keySet()));
+    }
     return open;
   }
 
@@ -415,10 +422,16 @@
     return common != null && !common.isEmpty();
   }
 
+  /** Returns the number of requests with the part that are known to crash engines. */
+  private long countBlamed(Set<Crash> crashes, Long part) {
+    return crashes.stream()
+        .flatMap(c -> c.requestsWith(part).stream())
+        .filter(blamedRequests::containsKey)
+        .distinct()
+        .count();
+  }
+
   private boolean isExplained(Crash crash, Long part) {
-    if (crash.involvesAny(blamedRequests.keySet())) {
-      return true;
-    }
     List<Set<Long>> causes = verdicts.stream().filter(crash::involves).toList();
     return !causes.isEmpty() && causes.stream().noneMatch(v -> v.contains(part));
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/CrashingRequestsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/CrashingRequestsTest.java
@@ -186,4 +186,39 @@
     crash(requests, REQUEST, 1, 1);
     assertThat(requests.size()).isEqualTo(1);
   }
+
+  @Test
+  void secondEngineThatHasCertainlyEndedMakesTheVerdict() {
+    crash(requests, REQUEST, 1, 2);
+    requests.recordEndedEngine(engine(1).hash(), now);
+    assertThat(isAdmitted(requests, REQUEST)).as("the other answer may be lost").isTrue();
+    assertThat(requests.recordEndedEngine(engine(2).hash(), now))
+        .extracting(CrashRecord::request)
+        .containsExactly(REQUEST);
+    assertThat(isAdmitted(requests, REQUEST)).isFalse();
+    pass(requests, others);
+    assertThat(isAdmitted(others, REQUEST)).as("at a host that was only told").isFalse();
+  }
+
+  @Test
+  void engineThatIsKnownToHaveEndedCountsForRequestsReportedLater() {
+    crash(requests, REQUEST, 1, 1);
+    requests.recordEndedEngine(engine(1).hash(), now);
+    requests.recordEndedEngine(engine(2).hash(), now);
+    assertThat(requests.recordCrash(REQUEST, engine(2), now).isDefined()).isTrue();
+  }
+
+  @Test
+  void engineThatEndedUnderARefusedRequestCountsLessAgainstOthers() {
+    RequestFingerprint bystander = request(8, 1);
+    for (int i = 1; i <= 2; i++) {
+      crash(requests, REQUEST, i, i);
+      requests.recordEndedEngine(engine(i).hash(), now);
+      crash(requests, bystander, i, i);
+    }
+    assertThat(isAdmitted(requests, REQUEST)).isFalse();
+    assertThat(isAdmitted(requests, bystander)).isTrue();
+    crash(requests, bystander, 3, 3);
+    assertThat(isAdmitted(requests, bystander)).as("after three engines").isFalse();
+  }
 }
