Logs name the versions of engines' software

W503 gives the version that an engine's entry states, W804 is new: a stream goes on at another engine, with the versions of this one and of the one that began it, or the request that the caller names in Resumes. Without them the record of ORDER cannot tell whether streams change versions within an answer or as callers take them up. Nothing else reads the version yet.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
@@ -103,7 +103,9 @@
   }
 
   static GrantedEngine encodeEngine(EngineEntry engine) {
-    return GrantedEngine.newBuilder()
+    GrantedEngine.Builder message = GrantedEngine.newBuilder();
+    engine.version().forEach(message::setVersion);
+    return message
         .setService(engine.service().value())
         .setAddress(engine.address().getAddress().getHostAddress())
         .setPort(engine.address().getPort())
@@ -116,12 +118,13 @@
   static EngineEntry toEngine(SlotGrant grant) {
     GrantedEngine entry = grant.getEntry();
     return new EngineEntry(
-        UpstreamId.of(grant.getEngine()),
-        ServiceName.of(entry.getService()),
-        new InetSocketAddress(entry.getAddress(), entry.getPort()),
-        DataCentreId.of(entry.getDataCentre()),
-        entry.getSlots(),
-        false,
-        entry.getStartedMillis());
+            UpstreamId.of(grant.getEngine()),
+            ServiceName.of(entry.getService()),
+            new InetSocketAddress(entry.getAddress(), entry.getPort()),
+            DataCentreId.of(entry.getDataCentre()),
+            entry.getSlots(),
+            false,
+            entry.getStartedMillis())
+        .withVersion(Option.when(!entry.getVersion().isEmpty(), entry::getVersion));
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
@@ -17,6 +17,7 @@
  * @param leaving whether it accepts no new requests
  * @param startedAtMillis Unix time of its start in milliseconds, zero if not stated
  * @param limit the requests per second that it takes from all hosts together, none if it names none
+ * @param version the version of its software, none if not stated
  */
 public record EngineEntry(
     UpstreamId id,
@@ -26,8 +27,9 @@
     int slots,
     boolean leaving,
     long startedAtMillis,
-    Option<RequestRate> limit) {
-  /** Creates the entry of an engine that names no limit. */
+    Option<RequestRate> limit,
+    Option<String> version) {
+  /** Creates the entry of an engine that names no limit and no version. */
   public EngineEntry(
       UpstreamId id,
       ServiceName service,
@@ -36,7 +38,16 @@
       int slots,
       boolean leaving,
       long startedAtMillis) {
-    this(id, service, address, dataCentre, slots, leaving, startedAtMillis, Option.none());
+    this(
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        leaving,
+        startedAtMillis,
+        Option.none(),
+        Option.none());
   }
 
   /** Returns the process that wrote the entry. */
@@ -46,12 +57,19 @@
 
   /** Returns this entry as that of an engine that accepts no new requests. */
   public EngineEntry asLeaving() {
-    return new EngineEntry(id, service, address, dataCentre, slots, true, startedAtMillis, limit);
+    return new EngineEntry(
+        id, service, address, dataCentre, slots, true, startedAtMillis, limit, version);
   }
 
   /** Returns this entry as that of an engine that names the given limit, or none. */
   public EngineEntry withLimit(Option<RequestRate> named) {
     return new EngineEntry(
-        id, service, address, dataCentre, slots, leaving, startedAtMillis, named);
+        id, service, address, dataCentre, slots, leaving, startedAtMillis, named, version);
+  }
+
+  /** Returns this entry as that of an engine whose software has the given version, or none. */
+  public EngineEntry withVersion(Option<String> stated) {
+    return new EngineEntry(
+        id, service, address, dataCentre, slots, leaving, startedAtMillis, limit, stated);
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
@@ -19,6 +19,8 @@
  * @param key the caller's key
  * @param promptParts ids of the shared parts of its prompt, in order
  * @param resumeAfter id of the last event that the caller has received before
+ * @param resumes id of the request that brought the first event of the stream that this one takes
+ *     up, as named by the caller
  * @param arrivedAt when it had been read completely, by the steady clock
  * @param deadline when the caller stops waiting, none if not stated
  */
@@ -32,6 +34,7 @@
     Option<String> key,
     List<Long> promptParts,
     Option<Long> resumeAfter,
+    Option<String> resumes,
     Instant arrivedAt,
     Option<Deadline> deadline) {
   /** Copies the lists. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -89,6 +89,10 @@
   private int runCount;
   private int eventCount;
   private boolean headForwarded;
+
+  /** The engine that sent the first event of the answer. */
+  private Option<EngineEntry> begunBy = Option.none();
+
   private boolean done;
   private boolean rateCharged;
   private boolean grantReturned;
@@ -218,6 +222,7 @@
     triedEngines.add(engine.id());
     engineSequence.append(engineSequence.isEmpty() ? "" : ",").append(engine.id());
     attempt = new Attempt(slot, engine);
+    logContinuation(engine);
     EngineRequest call =
         new EngineRequest(
             request.id(),
@@ -234,6 +239,20 @@
     sent.watchSilence();
   }
 
+  private void logContinuation(EngineEntry engine) {
+    if (lastEventId.isDefined()) {
+      LOG.write(
+          Event.STREAM_CONTINUED,
+          request.id(),
+          lastEventId.get(),
+          engine.id(),
+          engine.version().getOrElse("none"),
+          begunBy.isEmpty()
+              ? "unknown, request " + request.resumes().getOrElse("not named")
+              : begunBy.flatMap(EngineEntry::version).getOrElse("none"));
+    }
+  }
+
   private synchronized void handleRefusal(
       PendingSlot pendingSlot, RefusalCode code, Instant retryTime, String reason) {
     if (done || pendingSlot.number != pendingSlotNumber) {
@@ -545,6 +564,7 @@
         return;
       }
       forwardHead();
+      begunBy = begunBy.orElse(Option.some(engine));
       if (event.id() != ServerSentEventParser.NO_ID) {
         lastEventId = Option.some(event.id());
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -223,7 +223,13 @@
         (id, entry) -> {
           EngineEntry previous = entries.get(id);
           if (previous == null || previous.leaving() != entry.leaving()) {
-            LOG.write(Event.ENGINE_LISTED, id, entry.address(), entry.leaving(), revision);
+            LOG.write(
+                Event.ENGINE_LISTED,
+                id,
+                entry.address(),
+                entry.leaving(),
+                entry.version().getOrElse("none"),
+                revision);
           }
         });
     entries.keySet().stream()
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
@@ -85,6 +85,7 @@
             Option.none(),
             List.of(),
             Option.none(),
+            Option.none(),
             clock.instant(),
             Option.none());
     service.serve(request, refused, new RecordingSink());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
@@ -95,6 +95,7 @@
             Option.none(),
             List.of(),
             Option.none(),
+            Option.none(),
             clock.instant(),
             Option.none());
     service.serve(request, gate.admit("h", "/j/x", Option.none()), new RecordingSink());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -143,6 +143,7 @@
             Option.none(),
             List.of(),
             Option.none(),
+            Option.none(),
             clock.instant(),
             Option.none());
     RecordingSink sink = new RecordingSink();
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -61,7 +61,8 @@
   ENGINE_EJECTED(500, Level.WARN, "engine \"{}\" fails and gets no work until {}"),
   DISPATCH_UNREADABLE(501, Level.ERROR, "dispatch message from host \"{}\" cannot be read: {}"),
   ENGINE_ORDERED(502, Level.INFO, "engine \"{}\" was ordered to load model \"{}\""),
-  ENGINE_LISTED(503, Level.INFO, "engine \"{}\" at {} is listed, leaving: {}, revision {}"),
+  ENGINE_LISTED(
+      503, Level.INFO, "engine \"{}\" at {} is listed, leaving: {}, version {}, revision {}"),
   ENGINE_UNLISTED(504, Level.INFO, "engine \"{}\" is no longer listed, revision {}"),
   SLOT_REFUSED(
       505,
@@ -171,6 +172,10 @@
           + " total {} ms, {} events, version {}, coordinator {}: {}"),
   REQUEST_MOVED(
       803, Level.INFO, "request {} goes on elsewhere or ends: {}; last event {}, run {} of {}"),
+  STREAM_CONTINUED(
+      804,
+      Level.INFO,
+      "request {} goes on after event {} at engine \"{}\" of version {}; begun by version {}"),
   // 900: stand-ins
   STANDIN_STARTED(900, Level.INFO, "{} stand-in is listening on {}"),
   STANDIN_FAILED(901, Level.ERROR, "{} stand-in failed on \"{}\": {}");
