--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.plan.RequestKind;
@@ -36,6 +37,7 @@
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.SlotAsk;
@@ -94,8 +96,8 @@
         StoreView.of(
             document -> Either.right(FleetFixtures.planOf(FleetFixtures.onlineRoute(kind))),
             clocks,
-            FleetFixtures::readEngine);
-    engines = new EngineDirectory(storeView.engineTable(), FleetFixtures::readEngine);
+            this::readEngine);
+    engines = new EngineDirectory(storeView.engineTable(), this::readEngine);
     storeView.applyIfNewer(
         new StoreView.ConfigurationDocument(
             Revision.of(1), "plan".getBytes(StandardCharsets.UTF_8)));
@@ -131,6 +133,15 @@
                 new MetricRegistry()));
   }
 
+  /** Returns the version that an engine's entry states. */
+  Option<String> versionOf(String engine) {
+    return Option.none();
+  }
+
+  private Option<EngineEntry> readEngine(Entry entry) {
+    return FleetFixtures.readEngine(entry).map(e -> e.withVersion(versionOf(e.id().value())));
+  }
+
   final RecordingSink serve(String id) {
     OnlineRequest request =
         new OnlineRequest(
