A stream goes on only at the software version that began it

Cause: nobody read the version. An engine's entry states it and EngineDocument skipped it, and nobody read Resumes, so a stream that broke off got any engine of the service, within an answer and for a caller who took it up at any host.

Change: from the first forwarded event on, a request for a slot names the software that sent it. Engines of others do not fit; such a request holds up none behind it; when no engine of the version is left on which it has not failed, the answer ends at once, incomplete. The host checks the grant against what it knows of the engine. For a caller who takes a stream up, the host looks up the request named in Resumes among its own streams, else the coordinator among its grants and among what hosts tell it and its possible successors with their pings. The key of a stream is a digest with the organisation. Nobody knows it: refused at once, 503, code stream_unknown, nothing has run; unless all engines listed for as long as a stream can be taken up had one version. An engine without a version is like no other. An item prefers engines of the version that sent its events and begins anew at another (W627).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -28,6 +28,7 @@
 import org.waxwingcourse.fleet.online.OnlineService;
 import org.waxwingcourse.fleet.plan.PlanReader;
 import org.waxwingcourse.fleet.quarantine.QuarantineKeeper;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -99,6 +100,7 @@
   private final ScheduledExecutorService timer;
   private final StoreView storeView;
   private final EngineDirectory engines;
+  private final StreamOrigins streams = new StreamOrigins();
   private final HostEntryRegistration registration;
   private final StoreFollower follower;
   private final Coordinator coordinator;
@@ -168,23 +170,12 @@
             follower,
             coordinator,
             slots,
+            streams,
             registration::registeredAt);
     gate =
         new AdmissionGate(
             storeView, clocks, () -> this.settings.trustLimit(), this::refusesNewRequests);
-    online =
-        new OnlineService(
-            new OnlineService.Ports(
-                clocks.steady(),
-                timer,
-                RandomGenerator.getDefault(),
-                gate,
-                storeView,
-                engines,
-                calls,
-                slots,
-                coordinator.crashingRequests(),
-                metrics));
+    online = createOnlineService(calls, slots, metrics);
     jobs = createJobService(self, outside, calls, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
@@ -382,6 +373,23 @@
         Revision.NONE);
   }
 
+  private OnlineService createOnlineService(
+      EngineSender calls, SlotClient slots, MetricRegistry metrics) {
+    return new OnlineService(
+        new OnlineService.Ports(
+            clocks.steady(),
+            timer,
+            RandomGenerator.getDefault(),
+            gate,
+            storeView,
+            engines,
+            calls,
+            slots,
+            coordinator.crashingRequests(),
+            streams,
+            metrics));
+  }
+
   private JobService createJobService(
       FleetHost self, Dependencies outside, EngineSender calls, SlotClient slots) {
     return new JobService(
@@ -427,6 +435,9 @@
     metrics.register(
         "hosts.known", (Gauge<Integer>) () -> storeView.fleetHosts().inRegistrationOrder().size());
     metrics.register("engines.known", (Gauge<Integer>) () -> engines.all().size());
+    metrics.register(
+        "engines.versions",
+        (Gauge<Long>) () -> engines.all().stream().map(EngineEntry::software).distinct().count());
     metrics.register(
         "engines.limited",
         (Gauge<Long>) () -> engines.all().stream().filter(e -> e.limit().isDefined()).count());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -14,6 +14,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
@@ -31,6 +32,9 @@
 import org.waxwingcourse.fleet.slot.SlotLoad;
 import org.waxwingcourse.fleet.slot.SlotRequest;
 import org.waxwingcourse.fleet.slot.SlotScheduler;
+import org.waxwingcourse.fleet.stream.SoftwareHistory;
+import org.waxwingcourse.fleet.stream.StreamKey;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -81,6 +85,8 @@
   private final Map<ServiceName, SlotScheduler> services = new ConcurrentHashMap<>();
   private final PacedRequests pacedRequests = new PacedRequests();
   private final CrashScreening screening = new CrashScreening();
+  private final StreamOrigins streams = new StreamOrigins();
+  private final SoftwareHistory softwareHistory = new SoftwareHistory();
   private volatile Option<Plan> plan = Option.none();
   private volatile double fleetShare;
   private volatile Map<UpstreamId, ListedEngine> listed = Map.of();
@@ -103,6 +109,7 @@
 
   /** Replaces the engines by those listed in the store. */
   public void setEngines(Collection<EngineEntry> entries) {
+    softwareHistory.update(entries, clock.instant());
     Set<UpstreamId> before = listed.keySet();
     listed = listEngines(entries);
     before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
@@ -125,6 +132,16 @@
     return screening.prompts();
   }
 
+  /** Returns the software that began the streams of all hosts, as this host knows it. */
+  StreamOrigins streams() {
+    return streams;
+  }
+
+  /** Returns which software has been listed, as this host knows it. */
+  public SoftwareHistory softwareHistory() {
+    return softwareHistory;
+  }
+
   /** Returns the requests under which engines have ended, as this host knows them. */
   public CrashingRequests crashingRequests() {
     return screening.requests();
@@ -194,6 +211,10 @@
     if (pacedRequests.contains(request.id())) {
       return;
     }
+    if (ask.getStreamBegun() && request.software().isEmpty()) {
+      refuseUnknownStream(request, ask, now);
+      return;
+    }
     Option<SlotDecision.Refuse> screened = screening.screen(request, now);
     if (screened.isDefined()) {
       sendRefusal(screened.get());
@@ -214,6 +235,26 @@
     }
   }
 
+  private void refuseUnknownStream(SlotRequest request, SlotAsk ask, Instant now) {
+    String named = ask.getStream() == 0 ? "not named" : "not known here";
+    String reason = "the request that began its stream is " + named;
+    sendRefusal(new SlotDecision.Refuse(request, RefusalCode.STREAM_UNKNOWN, now, reason));
+  }
+
+  /** Returns the only software that may run a request, or that is preferred for an item. */
+  private Option<SoftwareId> requiredSoftware(SlotAsk ask, Instant now) {
+    if (ask.getSoftware() != 0 || !ask.getStreamBegun()) {
+      return Option.when(ask.getSoftware() != 0, () -> new SoftwareId(ask.getSoftware()));
+    }
+    return streamOf(ask.getStream())
+        .flatMap(k -> streams.find(k, now))
+        .orElse(() -> softwareHistory.only(ServiceName.of(ask.getService()), now));
+  }
+
+  private static Option<StreamKey> streamOf(long hash) {
+    return Option.when(hash != 0, () -> new StreamKey(hash));
+  }
+
   /** Refuses the requests that wait although engines crash under them. */
   private void refuseWaiting(Instant now) {
     Predicate<SlotRequest> refused = r -> screening.screenWaiting(r, now).isDefined();
@@ -333,7 +374,9 @@
         ask.getBatch()
             ? batchWork(ask.getDueWithinNanos(), ask.getReceivedEvents(), now)
             : Option.none(),
-        toFingerprint(ask.hasFingerprint(), ask.getFingerprint()));
+        toFingerprint(ask.hasFingerprint(), ask.getFingerprint()),
+        streamOf(ask.getStream()),
+        requiredSoftware(ask, now));
   }
 
   private static Option<RequestFingerprint> toFingerprint(boolean present, Fingerprint message) {
@@ -406,6 +449,9 @@
             .setEngine(grant.engine().value())
             .setWaitedNanos(waited.toNanos());
     ListedEngine engine = listed.get(grant.engine());
+    if (engine != null) {
+      request.stream().forEach(k -> streams.record(k, engine.entry.software(), clock.instant()));
+    }
     if (engine != null && clock.instant().isBefore(engine.since.plus(LISTING_SPREAD))) {
       message.setEntry(FleetMessageConverter.encodeEngine(engine.entry));
     }
@@ -428,6 +474,7 @@
             .setNumber(request.id().number())
             .setOverRate(refuse.code() == RefusalCode.RATE_LIMITED)
             .setQuarantined(refuse.code() == RefusalCode.QUARANTINED)
+            .setStreamUnknown(refuse.code() == RefusalCode.STREAM_UNKNOWN)
             .setRetryAfterNanos(Math.max(0, retryAfter.toNanos()))
             .setReason(refuse.reason());
     send(request.id().host(), FleetMessage.newBuilder().setRefusal(message));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -90,6 +91,7 @@
   private final QuarantineExchange quarantine;
   private final CrashingRequestExchange crashingRequests;
   private final EngineStatementExchange statements;
+  private final StreamExchange streams;
   private final CollectedHosts collectedHosts = new CollectedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
@@ -104,6 +106,7 @@
   /**
    * Creates the link of {@code self}, which is not attached to a coordinator yet.
    *
+   * @param ownStreams the software that began the streams of this host's answers
    * @param ownRegistration supplies the revision at which this process registered, none before
    */
   public CoordinatorLink(
@@ -115,6 +118,7 @@
       StoreFollower follower,
       Coordinator coordinator,
       SlotClient slots,
+      StreamOrigins ownStreams,
       Supplier<Revision> ownRegistration) {
     this.self = self;
     this.peers = peers;
@@ -127,8 +131,10 @@
     this.quarantine = new QuarantineExchange(coordinator.quarantine(), clocks);
     this.crashingRequests =
         new CrashingRequestExchange(self.boot(), coordinator.crashingRequests(), clocks);
+    this.streams = new StreamExchange(self.boot(), ownStreams, coordinator.streams());
     this.statements = new EngineStatementExchange(self.boot(), engines);
     this.slots = slots;
+    coordinator.softwareHistory().setCurrent(() -> candidates.isInContact(self.id()));
     this.lastContactAt = clocks.instant();
   }
 
@@ -232,6 +238,7 @@
   void onPing(HostId from, Ping ping) {
     quarantine.apply(from, ping);
     crashingRequests.apply(from, ping);
+    streams.apply(ping, clocks.instant());
     statements.apply(from, ping);
     if (ping.getAttached()) {
       AttachedHost attachedHost = new AttachedHost(clocks.instant(), ping.getTakesCallers());
@@ -254,6 +261,7 @@
     views.addTo(pong, ping);
     quarantine.addTo(pong, ping);
     crashingRequests.addTo(pong, from);
+    streams.addTo(pong, ping);
     if (ping.getAttached()) {
       if (isCollecting(clocks.instant())) {
         collected().forEach(h -> pong.addAttached(h.value()));
@@ -274,6 +282,7 @@
     candidates.recordPong(from, pong, now);
     quarantine.apply(from, pong);
     crashingRequests.apply(from, pong);
+    streams.apply(from, pong);
     synchronized (this) {
       if (from.equals(coordinatorId)) {
         collectedHosts.record(pong.getAttachedList().stream().map(HostId::of).toList(), now);
@@ -451,6 +460,7 @@
     views.addTo(ping, asksForViews);
     quarantine.addTo(ping, host);
     crashingRequests.addTo(ping, host);
+    streams.addTo(ping, host, clocks.instant());
     send(host, FleetMessage.newBuilder().setPing(ping));
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -264,6 +265,9 @@
     if (refusal.getQuarantined()) {
       return RefusalCode.QUARANTINED;
     }
+    if (refusal.getStreamUnknown()) {
+      return RefusalCode.STREAM_UNKNOWN;
+    }
     return refusal.getOverRate() ? RefusalCode.RATE_LIMITED : RefusalCode.OVERLOADED;
   }
 
@@ -282,6 +286,12 @@
         .forEach(
             w ->
                 ask.setDueWithinNanos(nanosUntilDue(w, now)).setReceivedEvents(w.receivedEvents()));
+    requirements.preferred().forEach(p -> ask.setSoftware(p.hash()));
+    for (StreamNeeds stream : requirements.stream()) {
+      stream.key().forEach(k -> ask.setStream(k.hash()));
+      stream.software().forEach(s -> ask.setSoftware(s.hash()));
+      ask.setStreamBegun(stream.begun());
+    }
     engines.connected().stream()
         .limit(MAX_CONNECTED_ENGINES)
         .map(UpstreamId::value)
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -3,7 +3,9 @@
 import io.vavr.control.Option;
 import java.util.List;
 import java.util.Set;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.slot.BatchWork;
+import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.id.RequestFingerprint;
 import org.waxwingcourse.model.id.RequestId;
@@ -28,6 +30,8 @@
  * @param avoidedEngines engines on which it has failed
  * @param batchWork its work; none for an online request
  * @param fingerprint equal for online requests that ask for the same; none for an item
+ * @param stream the stream of the answer; none if the answer is none
+ * @param preferred of an item: the software that sent the events it has; another has to begin anew
  */
 public record SlotRequirements(
     RequestId requestId,
@@ -40,7 +44,9 @@
     List<Long> promptParts,
     Set<UpstreamId> avoidedEngines,
     Option<BatchWork> batchWork,
-    Option<RequestFingerprint> fingerprint) {
+    Option<RequestFingerprint> fingerprint,
+    Option<StreamNeeds> stream,
+    Option<SoftwareId> preferred) {
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
@@ -55,6 +55,11 @@
     return new EngineBoot(id, startedAtMillis);
   }
 
+  /** Returns the software that the engine's process runs. */
+  public SoftwareId software() {
+    return SoftwareId.of(version, boot());
+  }
+
   /** Returns this entry as that of an engine that accepts no new requests. */
   public EngineEntry asLeaving() {
     return new EngineEntry(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -11,12 +11,12 @@
 import org.waxwingcourse.fleet.coordinate.SlotListener;
 import org.waxwingcourse.fleet.coordinate.SlotRequirements;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
-import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.engine.StreamEnd;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
@@ -86,6 +86,10 @@
   private final Set<UpstreamId> failedOn = new HashSet<>();
   private final List<String> eventData = new ArrayList<>();
   private Option<Long> lastEventId = Option.none();
+
+  /** The software that sent the events received so far. */
+  private Option<SoftwareId> software = Option.none();
+
   private Attempt attempt;
   private long slotNumber;
   private long planVersion;
@@ -147,7 +151,9 @@
             ports.promptParts().apply(item.getHeadersList()),
             failedOn,
             Option.some(new BatchWork(job.due(), eventData.size())),
-            Option.none());
+            Option.none(),
+            Option.none(),
+            software);
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
@@ -174,8 +180,11 @@
       }
       return;
     }
+    if (software.exists(s -> !s.equals(entry.get().software()))) {
+      beginAnew(entry.get());
+    }
     Deadline until = Deadline.after(ports.clock(), RUN_LIMIT).earlier(job.giveUpAt());
-    attempt = new Attempt(pendingSlot.requestNumber, entry.get().boot());
+    attempt = new Attempt(pendingSlot.requestNumber, entry.get());
     Attempt sent = attempt;
     sent.call =
         ports
@@ -195,6 +204,20 @@
     sent.silenceWatch.start(SILENCE_LIMIT);
   }
 
+  /** Drops the events received so far, which another version of the software cannot go on with. */
+  private void beginAnew(EngineEntry engine) {
+    LOG.write(
+        Event.ITEM_BEGINS_ANEW,
+        item.getId(),
+        job.id(),
+        eventData.size(),
+        engine.id(),
+        engine.version().getOrElse("none"));
+    eventData.clear();
+    lastEventId = Option.none();
+    software = Option.none();
+  }
+
   private List<Header> headers() {
     List<Header> headers = new ArrayList<>();
     headers.add(Header.of(HOST, job.hostHeader()));
@@ -305,7 +328,7 @@
     private final long requestNumber;
     private final Instant sentAt = ports.clock().instant();
     private final ServerSentEventParser parser = new ServerSentEventParser();
-    private final EngineBoot boot;
+    private final EngineEntry entry;
     private final UpstreamId engine;
     private StreamCall call;
     private EngineAnswer head;
@@ -320,10 +343,10 @@
             action -> call.afterPendingInput(action),
             this::onSilence);
 
-    Attempt(long requestNumber, EngineBoot boot) {
+    Attempt(long requestNumber, EngineEntry entry) {
       this.requestNumber = requestNumber;
-      this.boot = boot;
-      this.engine = boot.id();
+      this.entry = entry;
+      this.engine = entry.id();
     }
 
     void releaseSlot(RunEnd.How outcomeKind) {
@@ -346,7 +369,7 @@
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
       RunEnd end = new RunEnd(outcomeKind, first, meanGap(), eventData.size());
       if (outcomeKind == RunEnd.How.ENGINE_BROKE_OFF) {
-        ports.slots().endBrokenRun(requestNumber, end, boot);
+        ports.slots().endBrokenRun(requestNumber, end, entry.boot());
       } else {
         ports.slots().endRun(requestNumber, end);
       }
@@ -437,6 +460,7 @@
       if (event.id() != ServerSentEventParser.NO_ID) {
         lastEventId = Option.some(event.id());
       }
+      software = Option.some(entry.software());
       eventData.add(event.data());
     }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -16,11 +16,14 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.engine.StreamEnd;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.stream.StreamKey;
+import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.StreamCall;
@@ -90,9 +93,18 @@
   private int eventCount;
   private boolean headForwarded;
 
+  /** The stream of the answer; none if it is no stream, or if its caller does not name it. */
+  private final Option<StreamKey> stream;
+
+  /** Whether the caller takes up a stream of which it has events. */
+  private final boolean takesUp;
+
   /** The engine that sent the first event of the answer. */
   private Option<EngineEntry> begunBy = Option.none();
 
+  /** The software that sent the events that the caller has, as far as it is known. */
+  private Option<SoftwareId> software = Option.none();
+
   private boolean done;
   private boolean rateCharged;
   private boolean grantReturned;
@@ -116,11 +128,18 @@
     this.limits =
         RunLimits.of(route, request.arrivedAt(), request.deadline().getOrElse(routeDeadline));
     this.lastEventId = request.resumeAfter();
-    this.fingerprint =
-        RequestFingerprint.of(
-            admitted.organisation().map(o -> o.id().value()).getOrElse(""),
-            request.target(),
-            request.body());
+    String organisation = admitted.organisation().map(o -> o.id().value()).getOrElse("");
+    this.fingerprint = RequestFingerprint.of(organisation, request.target(), request.body());
+    boolean isStream = route.kind() == RequestKind.STREAM;
+    this.takesUp = isStream && request.resumeAfter().isDefined();
+    Option<String> first = takesUp ? request.resumes() : Option.some(request.id().value());
+    this.stream =
+        first
+            .filter(id -> isStream && id.length() <= StreamKey.MAX_ID_LENGTH)
+            .map(id -> StreamKey.of(organisation, id));
+    if (takesUp) {
+      software = stream.flatMap(k -> ports.streams().find(k, request.arrivedAt()));
+    }
   }
 
   synchronized void start() {
@@ -158,12 +177,19 @@
             request.promptParts(),
             triedEngines,
             Option.none(),
-            Option.some(fingerprint));
+            Option.some(fingerprint),
+            streamNeeds(),
+            Option.none());
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
     pendingSlotNumber = pendingSlot.number;
   }
 
+  private Option<StreamNeeds> streamNeeds() {
+    boolean begun = takesUp || begunBy.isDefined();
+    return Option.when(begun || stream.isDefined(), () -> new StreamNeeds(stream, begun, software));
+  }
+
   private synchronized void handleGrant(
       PendingSlot pendingSlot, UpstreamId engine, Duration coordinatorWait) {
     if (done) {
@@ -185,6 +211,13 @@
       retryOrEnd("engine " + engine + " is not listed for " + service + " on this host");
       return;
     }
+    if (!mayGoOnAt(entry.get())) {
+      sendCount++;
+      triedEngines.add(engine);
+      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
+      retryOrEnd("engine " + engine + " has another version than the one that began the stream");
+      return;
+    }
     if (!ports.gate().isStillAdmitted(admitted, request.key())) {
       ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
       refuse(
@@ -194,6 +227,14 @@
     send(pendingSlot.number, entry.get());
   }
 
+  /**
+   * Returns whether the engine's software may send the next event. What this host knows of the
+   * engine may differ from what the coordinator knew as it granted the slot.
+   */
+  private boolean mayGoOnAt(EngineEntry engine) {
+    return software.forAll(engine.software()::equals);
+  }
+
   /** Returns the slot on an engine that is leaving and requests another one. */
   private void returnGrant(PendingSlot pendingSlot, UpstreamId engine) {
     boolean first = !grantReturned;
@@ -564,7 +605,11 @@
         return;
       }
       forwardHead();
-      begunBy = begunBy.orElse(Option.some(engine));
+      if (begunBy.isEmpty()) {
+        begunBy = Option.some(engine);
+        software = Option.some(engine.software());
+        recordOrigin();
+      }
       if (event.id() != ServerSentEventParser.NO_ID) {
         lastEventId = Option.some(event.id());
       }
@@ -572,6 +617,10 @@
       sink.onBytes(event.bytes());
     }
 
+    private void recordOrigin() {
+      stream.forEach(k -> ports.streams().record(k, engine.software(), now()));
+    }
+
     private void forwardHead() {
       if (!headForwarded) {
         headForwarded = true;
@@ -644,6 +693,7 @@
       }
       buffered.writeBytes(parser.unparsedBytes());
       forwardBuffered();
+      stream.forEach(ports.streams()::remove);
       sink.onEnd(new Outcome.Done());
       finish("status " + head.status());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
@@ -9,6 +9,7 @@
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -36,6 +37,7 @@
    * @param calls sends requests to engines
    * @param slots requests slots
    * @param crashingRequests the requests under which engines have ended
+   * @param streams the software that began the streams of this host's answers
    * @param metrics records outcomes and times
    */
   public record Ports(
@@ -48,6 +50,7 @@
       EngineSender calls,
       SlotClient slots,
       CrashingRequests crashingRequests,
+      StreamOrigins streams,
       MetricRegistry metrics) {}
 
   /** Creates the service. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Set;
+import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.id.RequestFingerprint;
@@ -32,6 +34,9 @@
  * @param connectedEngines engines to which its host has an idle connection
  * @param batchWork its work; none for an online request
  * @param fingerprint equal for online requests that ask for the same; none for an item
+ * @param stream the stream of the answer; none if there is none
+ * @param software the only software that may run it, since it sent the events before; of a batch
+ *     request the one that need not begin anew; none if any may
  */
 public record SlotRequest(
     RunId id,
@@ -48,7 +53,9 @@
     Set<UpstreamId> avoidedEngines,
     Set<UpstreamId> connectedEngines,
     Option<BatchWork> batchWork,
-    Option<RequestFingerprint> fingerprint) {
+    Option<RequestFingerprint> fingerprint,
+    Option<StreamKey> stream,
+    Option<SoftwareId> software) {
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
@@ -56,6 +63,16 @@
     connectedEngines = Set.copyOf(connectedEngines);
   }
 
+  /** Returns whether an engine with the given software may run it. */
+  boolean accepts(SoftwareId engine) {
+    return !isOnline() || software.forAll(engine::equals);
+  }
+
+  /** Returns whether an engine with the given software can go on where an earlier run ended. */
+  boolean continuesAt(SoftwareId engine) {
+    return software.forAll(engine::equals);
+  }
+
   /** Returns whether a caller waits for it. */
   public boolean isOnline() {
     return workClass == WorkClass.ONLINE;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -146,6 +146,12 @@
       decisions.add(
           refusal(
               request, now.plus(NO_ENGINE_RETRY_DELAY), "no engine of the service is available"));
+    } else if (!mayEverRun(request)) {
+      decisions.add(
+          refusal(
+              request,
+              now.plus(NO_ENGINE_RETRY_DELAY),
+              "no engine of the version that began the stream is available"));
     } else {
       submitOnline(request, now, decisions);
     }
@@ -333,7 +339,7 @@
   private void submitOnline(SlotRequest request, Instant now, List<SlotDecision> decisions) {
     int requestsAhead = onlineQueue.headSet(request).size();
     boolean free = requestsAhead == 0 && selectEngine(request, now).isDefined();
-    Instant start = free ? now : estimateFreeAt(requestsAhead + 1, now);
+    Instant start = free ? now : estimateFreeAt(requestsAhead + 1, request, now);
     if (!free && request.startBy().isPast(start)) {
       Instant retryAt = reserveReturn(requestsAhead, now);
       decisions.add(refusal(request, retryAt, describeLoad(requestsAhead, now)));
@@ -383,11 +389,17 @@
   }
 
   private List<SlotDecision> startWaitingRequests(Instant now, List<SlotDecision> decisions) {
-    while (!onlineQueue.isEmpty()) {
-      SlotRequest next = nextRequest(onlineQueue, now);
+    // Requests that only one version may run do not hold up those behind them.
+    Set<SlotRequest> withoutEngine = new HashSet<>();
+    while (onlineQueue.size() > withoutEngine.size()) {
+      SlotRequest next = nextRequest(onlineQueue, withoutEngine, now);
       Option<EngineSlots> selected = selectEngine(next, now);
       if (selected.isEmpty()) {
-        return decisions;
+        if (next.software().isEmpty()) {
+          return decisions;
+        }
+        withoutEngine.add(next);
+        continue;
       }
       onlineQueue.remove(next);
       if (!selected.get().hasFreeSlot()) {
@@ -397,7 +409,9 @@
       }
       grantSlot(next, selected.get(), now, decisions);
     }
-    startBatchRequests(now, decisions);
+    if (withoutEngine.isEmpty()) {
+      startBatchRequests(now, decisions);
+    }
     return decisions;
   }
 
@@ -450,8 +464,13 @@
    * Returns the most urgent online request that can still start in time, or the most urgent one if
    * none can.
    */
-  private static SlotRequest nextRequest(TreeSet<SlotRequest> queue, Instant now) {
-    return queue.stream().filter(r -> !r.startBy().isPast(now)).findFirst().orElseGet(queue::first);
+  private static SlotRequest nextRequest(
+      TreeSet<SlotRequest> queue, Set<SlotRequest> left, Instant now) {
+    List<SlotRequest> waiting = queue.stream().filter(r -> !left.contains(r)).toList();
+    return waiting.stream()
+        .filter(r -> !r.startBy().isPast(now))
+        .findFirst()
+        .orElseGet(() -> waiting.get(0));
   }
 
   /**
@@ -474,10 +493,12 @@
     List<EngineSlots> usable =
         engines.values().stream()
             .filter(e -> isUsable(e, now) && fits.test(e) && e.starts().allowsStart(now))
+            .filter(e -> request.accepts(e.entry().software()))
             .toList();
     List<EngineSlots> notAvoided =
         usable.stream().filter(e -> !request.avoidedEngines().contains(e.entry().id())).toList();
-    List<EngineSlots> candidates = notAvoided.isEmpty() ? usable : notAvoided;
+    List<EngineSlots> candidates =
+        preferSoftware(request, notAvoided.isEmpty() ? usable : notAvoided);
     double fastest =
         engines.values().stream()
             .mapToDouble(e -> e.health().meanGapMillis())
@@ -493,6 +514,21 @@
                     .thenComparing(e -> e.entry().id())));
   }
 
+  /** Returns the engines that can go on where an earlier run ended, or all if none can. */
+  private static List<EngineSlots> preferSoftware(SlotRequest request, List<EngineSlots> engines) {
+    List<EngineSlots> continuing =
+        engines.stream().filter(e -> request.continuesAt(e.entry().software())).toList();
+    return continuing.isEmpty() ? engines : continuing;
+  }
+
+  /** Returns whether an engine that may run the request is listed on which it has not failed. */
+  private boolean mayEverRun(SlotRequest request) {
+    return request.software().isEmpty()
+        || remainingEngines()
+            .filter(e -> request.accepts(e.entry().software()))
+            .anyMatch(e -> !request.avoidedEngines().contains(e.entry().id()));
+  }
+
   private double limitedCost(EngineSlots engine, SlotRequest request, Instant now) {
     return isLimiting(engine, now) ? limitedPlacement.cost(request, engine.starts(), now) : 0;
   }
@@ -561,9 +597,19 @@
 
   /** Estimates when the given number of waiting online requests can have started. */
   private Instant estimateFreeAt(int count, Instant now) {
+    return estimateFreeAt(count, remainingEngines(), now);
+  }
+
+  /** The same on the engines that may run a request. */
+  private Instant estimateFreeAt(int count, SlotRequest request, Instant now) {
+    return estimateFreeAt(
+        count, remainingEngines().filter(e -> request.accepts(e.entry().software())), now);
+  }
+
+  private Instant estimateFreeAt(int count, Stream<EngineSlots> candidates, Instant now) {
     Duration run = Duration.ofNanos((long) (meanRunMillis * 1e6));
     StartEstimate estimate = new StartEstimate(run, now);
-    remainingEngines().forEach(estimate::add);
+    candidates.forEach(estimate::add);
     Instant earliest = now.plus(MIN_RETRY_DELAY);
     Instant start = estimate.startTime(count);
     return start.isBefore(earliest) ? earliest : start;
--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamOrigins.java
@@ -0,0 +1,72 @@
+package org.waxwingcourse.fleet.stream;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.model.time.Deadline;
+
+/**
+ * The software that began each stream, for as long as its caller may take it up. A host remembers
+ * the streams of its answers, the coordinator those that it has granted.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class StreamOrigins {
+  /** Time after the last sign of a stream in which a caller may take it up. */
+  public static final Duration RETENTION = Duration.ofSeconds(30);
+
+  /** Most streams remembered: those of the retention at the fleet's highest rate, and a margin. */
+  static final int MAX_STREAMS = 131_072;
+
+  /** In the order of the last sign. */
+  private final Map<StreamKey, Origin> origins = new LinkedHashMap<>();
+
+  private long lastVersion;
+
+  private record Origin(SoftwareId software, Deadline until, long version) {}
+
+  /** A stream, the software that began it, and the number of the change that brought it here. */
+  public record Change(StreamKey stream, SoftwareId software, long version) {}
+
+  /** Records the software that runs a stream, in place of what was recorded before. */
+  public synchronized void record(StreamKey stream, SoftwareId software, Instant now) {
+    origins.remove(stream);
+    origins.put(stream, new Origin(software, Deadline.at(now.plus(RETENTION)), ++lastVersion));
+    Iterator<Origin> oldest = origins.values().iterator();
+    while (oldest.hasNext() && (oldest.next().until.isPast(now) || origins.size() > MAX_STREAMS)) {
+      oldest.remove();
+    }
+  }
+
+  /** Returns the software that began a stream, none if it is not known. */
+  public synchronized Option<SoftwareId> find(StreamKey stream, Instant now) {
+    return Option.of(origins.get(stream)).filter(o -> !o.until.isPast(now)).map(Origin::software);
+  }
+
+  /** Forgets a stream that has reached its caller whole. */
+  public synchronized void remove(StreamKey stream) {
+    origins.remove(stream);
+  }
+
+  /** Returns the number of the last change, zero before the first. */
+  public synchronized long version() {
+    return lastVersion;
+  }
+
+  /** Returns the first streams that were recorded after the given change, in order. */
+  public synchronized List<Change> changesAfter(long version, int max, Instant now) {
+    if (version >= lastVersion) {
+      return List.of();
+    }
+    return origins.entrySet().stream()
+        .filter(e -> e.getValue().version > version && !e.getValue().until.isPast(now))
+        .limit(max)
+        .map(e -> new Change(e.getKey(), e.getValue().software, e.getValue().version))
+        .toList();
+  }
+}
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLinkTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -61,6 +62,7 @@
               orders -> {}),
           new Coordinator(SILENT, clock),
           slots,
+          new StreamOrigins(),
           () -> ownRegistration);
 
   @BeforeEach
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -25,6 +25,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.quarantine.PromptQuarantine;
 import org.waxwingcourse.fleet.slot.RunId;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -109,6 +110,7 @@
               follower,
               coordinator,
               slots,
+              new StreamOrigins(),
               () -> registered);
       router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
@@ -88,6 +88,8 @@
             List.of(),
             Set.of(),
             Option.none(),
+            Option.none(),
+            Option.none(),
             Option.none());
     client.requestSlot(
         requirements,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.stream.StreamNeeds;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -78,6 +80,7 @@
         StoreView.of(document -> Either.left("none"), clocks, FleetFixtures::readEngine);
     final EngineDirectory engines =
         new EngineDirectory(storeView.engineTable(), FleetFixtures::readEngine);
+    final StreamOrigins streams = new StreamOrigins();
     final Coordinator coordinator;
     final SlotClient slots;
     final CoordinatorLink link;
@@ -103,6 +106,7 @@
               new StoreFollower(store, storeView, clocks, timer, sources, orders -> {}),
               coordinator,
               slots,
+              streams,
               () -> Revision.of(rank));
       router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
       engines.addListener(coordinator::setEngines);
@@ -120,6 +124,15 @@
 
     /** As {@link #requestSlot()}, for a request with the given fingerprint. */
     long requestSlot(Option<RequestFingerprint> fingerprint) {
+      return requestSlot(fingerprint, Option.none());
+    }
+
+    /** As {@link #requestSlot()}, for a request with a stream. */
+    long requestSlot(StreamNeeds stream) {
+      return requestSlot(Option.none(), Option.some(stream));
+    }
+
+    private long requestSlot(Option<RequestFingerprint> fingerprint, Option<StreamNeeds> stream) {
       SlotRequirements requirements =
           new SlotRequirements(
               RequestId.of("r"),
@@ -132,7 +145,9 @@
               List.of(),
               Set.of(),
               Option.none(),
-              fingerprint);
+              fingerprint,
+              stream,
+              Option.none());
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
       return listener.number;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -65,6 +65,8 @@
             List.of(),
             Set.of(),
             Option.none(),
+            Option.none(),
+            Option.none(),
             Option.none());
     return client.requestSlot(
         requirements,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.waxwingcourse.fleet.FleetFixtures;
@@ -160,15 +161,16 @@
     while (!message.hasAsk()) {
       message = sent.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     }
-    FleetMessage grant =
-        FleetMessage.newBuilder()
-            .setGrant(
-                SlotGrant.newBuilder().setNumber(message.getAsk().getNumber()).setEngine(engine))
-            .build();
-    channel.onMessage(COORDINATOR, grant.toByteArray());
+    channel.onMessage(COORDINATOR, grantOf(message, engine).toByteArray());
     return started.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
   }
 
+  private static FleetMessage grantOf(FleetMessage ask, String engine) {
+    return FleetMessage.newBuilder()
+        .setGrant(SlotGrant.newBuilder().setNumber(ask.getAsk().getNumber()).setEngine(engine))
+        .build();
+  }
+
   private static void answer(EngineListener listener, String body, Ending ending) {
     listener.onHead(
         new EngineAnswer(
@@ -211,8 +213,37 @@
     }
   }
 
+  /** What two versions write does not fit together, and nobody has seen the item's events yet. */
+  @Test
+  void itemBeginsAnewAtAnEngineOfAnotherVersion() throws Exception {
+    storeView.applyIfNewer(
+        new StoreView.ConfigurationDocument(
+            Revision.of(1), "plan".getBytes(StandardCharsets.UTF_8)));
+    slots.attachTo(COORDINATOR);
+    list("e1", "v1");
+    list("e2", "v2");
+    item().requestSlot();
+    Run first = grantNextTo("e1");
+    answer(first.listener(), FIRST, Ending.FRAMED_LOST);
+    FleetMessage ask = sent.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    while (!ask.hasAsk()) {
+      ask = sent.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+    assertThat(ask.getAsk().getSoftware())
+        .isEqualTo(engines.findEngine(UpstreamId.of("e1")).get().software().hash());
+    channel.onMessage(COORDINATOR, grantOf(ask, "e2").toByteArray());
+    Run second = started.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    assertThat(second.request().resumeAfter()).isEmpty();
+    answer(second.listener(), STREAM.replace("data: a", "data: x"), Ending.FRAMED_COMPLETE);
+    assertThat(results.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo("true:x\nbc");
+  }
+
   private void list(String id) {
-    engines.learn(
+    list(id, "v1");
+  }
+
+  private void list(String id, String version) {
+    EngineEntry engine =
         new EngineEntry(
             UpstreamId.of(id),
             ServiceName.of("s"),
@@ -220,7 +251,8 @@
             FleetFixtures.DATA_CENTRE,
             1,
             false,
-            0));
+            0);
+    engines.learn(engine.withVersion(Option.some(version)));
   }
 
   private SlotEnd awaitEndOfRun() throws InterruptedException {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
@@ -19,6 +19,7 @@
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -70,6 +71,7 @@
                 (request, listener) -> () -> {},
                 slots,
                 new CrashingRequests(),
+                new StreamOrigins(),
                 new MetricRegistry()));
     var refused = gate.admit("h", "/j/x", Option.none());
     byte[] document = "plan".getBytes(StandardCharsets.UTF_8);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -81,6 +82,7 @@
                 },
                 slots,
                 new CrashingRequests(),
+                new StreamOrigins(),
                 new MetricRegistry()));
     byte[] document = "plan".getBytes(StandardCharsets.UTF_8);
     storeView.applyIfNewer(new StoreView.ConfigurationDocument(Revision.of(1), document));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -27,6 +27,7 @@
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
+import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -35,6 +36,7 @@
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.UpstreamId;
+import org.waxwingcourse.model.request.Call;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.store.Entry;
@@ -45,7 +47,7 @@
 
 /** Serves online requests on one host; the test takes the coordinator's and the engines' part. */
 abstract class OnlineRunFixture {
-  private static final HostId COORDINATOR = HostId.of("coordinator");
+  static final HostId COORDINATOR = HostId.of("coordinator");
   static final UpstreamId FIRST = UpstreamId.of("engine-1");
   static final UpstreamId SECOND = UpstreamId.of("engine-2");
 
@@ -64,9 +66,9 @@
   private final SlotClient slots =
       new SlotClient(
           FleetFixtures.recordingPeers(this::onSent), clock, FleetFixtures.DATA_CENTRE, List::of);
-  private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+  final FleetMessageRouter channel = new FleetMessageRouter(null, null, slots, (from, m) -> {});
   final CrashingRequests crashingRequests = new CrashingRequests();
+  final StreamOrigins streams = new StreamOrigins();
   StoreView storeView;
   EngineDirectory engines;
   AdmissionGate gate;
@@ -130,12 +132,13 @@
                     clock),
                 slots,
                 crashingRequests,
+                streams,
                 new MetricRegistry()));
   }
 
   /** Returns the version that an engine's entry states. */
   Option<String> versionOf(String engine) {
-    return Option.none();
+    return Option.some("v1");
   }
 
   private Option<EngineEntry> readEngine(Entry entry) {
@@ -143,6 +146,10 @@
   }
 
   final RecordingSink serve(String id) {
+    return serve(id, Option.none(), Option.none());
+  }
+
+  final RecordingSink serve(String id, Option<Long> resumeAfter, Option<String> resumes) {
     OnlineRequest request =
         new OnlineRequest(
             RequestId.of(id),
@@ -153,12 +160,12 @@
             new byte[0],
             Option.none(),
             List.of(),
-            Option.none(),
-            Option.none(),
+            resumeAfter,
+            resumes,
             clock.instant(),
             Option.none());
     RecordingSink sink = new RecordingSink();
-    service.serve(request, gate.admit("h", "/q/x", Option.none()), sink);
+    sink.call = service.serve(request, gate.admit("h", "/q/x", Option.none()), sink);
     return sink;
   }
 
@@ -189,6 +196,7 @@
   static final class RecordingSink implements AnswerSink {
     final StringBuilder text = new StringBuilder();
     final List<Outcome> outcomes = new ArrayList<>();
+    Call call;
 
     @Override
     public void onHead(EngineAnswer head) {}
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
@@ -180,6 +180,8 @@
             Set.of(),
             Set.of(),
             work,
+            Option.none(),
+            Option.none(),
             Option.none());
     execute(scheduler.submit(request, now));
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -106,6 +106,8 @@
         Set.of(),
         connected,
         Option.none(),
+        Option.none(),
+        Option.none(),
         Option.none());
   }
 
@@ -179,6 +181,8 @@
         Option.when(
             workClass == WorkClass.BATCH,
             () -> new BatchWork(Deadline.at(now.plus(startWithin).plus(BATCH_RUN)), 0)),
+        Option.none(),
+        Option.none(),
         Option.none());
   }
 
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -154,6 +154,10 @@
       Level.INFO,
       "item {} of job \"{}\": run on engine \"{}\" ends, {}; connection {}, {} ms, {} events,"
           + " version {}"),
+  ITEM_BEGINS_ANEW(
+      627,
+      Level.INFO,
+      "item {} of job {} drops {} events and begins anew at engine \"{}\" of version {}"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
--- a/model/src/main/java/org/waxwingcourse/model/request/RefusalCode.java
+++ b/model/src/main/java/org/waxwingcourse/model/request/RefusalCode.java
@@ -16,6 +16,8 @@
   OVERLOADED(503),
   /** Engines crash on the prompt. */
   QUARANTINED(503),
+  /** It is not known which software began the stream that the request takes up. */
+  STREAM_UNKNOWN(503),
   /** This host lacks recent evidence of the configuration, or no upstream can be reached. */
   UNAVAILABLE(503),
   /** The host is stopping. */
