Items start beside a stream that waits for its version

Items would have waited while a continued stream waited for an engine of its version, also for free slots of engines of another version (SoftwarePlacementTest failed before; no run of real processes has shown it).

Cause: a waiting online request ended the round of starts before items had their turn, which was right as long as every engine fitted it.

Change: items have their turn in each round. A waiting online request has no free slot on its engines, so it loses none. The choice of the next online request copies no list.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -409,9 +409,7 @@
       }
       grantSlot(next, selected.get(), now, decisions);
     }
-    if (withoutEngine.isEmpty()) {
-      startBatchRequests(now, decisions);
-    }
+    startBatchRequests(now, decisions);
     return decisions;
   }
 
@@ -466,11 +464,10 @@
    */
   private static SlotRequest nextRequest(
       TreeSet<SlotRequest> queue, Set<SlotRequest> left, Instant now) {
-    List<SlotRequest> waiting = queue.stream().filter(r -> !left.contains(r)).toList();
-    return waiting.stream()
-        .filter(r -> !r.startBy().isPast(now))
+    return queue.stream()
+        .filter(r -> !left.contains(r) && !r.startBy().isPast(now))
         .findFirst()
-        .orElseGet(() -> waiting.get(0));
+        .orElseGet(() -> queue.stream().filter(r -> !left.contains(r)).findFirst().orElseThrow());
   }
 
   /**
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
@@ -81,6 +81,10 @@
     return scheduler.submit(request(WorkClass.ONLINE, Option.none(), Set.of()), now);
   }
 
+  private List<SlotDecision> submitBatch() {
+    return scheduler.submit(request(WorkClass.BATCH, Option.none(), Set.of()), now);
+  }
+
   private static List<UpstreamId> engines(List<SlotDecision> decisions) {
     return decisions.stream().map(d -> ((SlotDecision.Grant) d).engine()).toList();
   }
@@ -101,6 +105,7 @@
     scheduler.submit(waiting, now);
     assertThat(engines(submitNew())).containsExactly(NEW.id());
     RunId first = new RunId(HostId.of("host"), 1);
+    assertThat(engines(submitBatch())).as("items too").containsExactly(NEW.id());
     assertThat(scheduler.endRun(first, RunEnd.of(RunEnd.How.WHOLE), now))
         .containsExactly(new SlotDecision.Grant(waiting, OLD.id()));
   }
