Streams that end incomplete are remembered from their end; fewer hashes when engines are chosen

A stream that runs longer than 30 s could not be taken up after it broke off, since its origin was recorded at the first event only; now also at the end of an answer that is not whole. The software of engines is compared only for requests that need one. Unused methods of CrashingRequests went.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -106,6 +106,10 @@
   private Option<SoftwareId> software = Option.none();
 
   private boolean done;
+
+  /** Whether the caller has been sent the complete answer. */
+  private boolean whole;
+
   private boolean rateCharged;
   private boolean grantReturned;
   private Instant firstEventAt;
@@ -377,6 +381,7 @@
   private void finish(String outcome) {
     done = true;
     answerTimeout.cancel(false);
+    updateOrigin();
     Duration total = Duration.between(request.arrivedAt(), now());
     LOG.write(
         Event.REQUEST_ENDED,
@@ -400,6 +405,19 @@
     onDone.run();
   }
 
+  /** Remembers which software began the stream if its caller may take it up from here on. */
+  private void updateOrigin() {
+    if (whole) {
+      stream.forEach(ports.streams()::remove);
+    } else if (begunBy.isDefined()) {
+      recordOrigin();
+    }
+  }
+
+  private void recordOrigin() {
+    stream.forEach(k -> software.forEach(s -> ports.streams().record(k, s, now())));
+  }
+
   private Instant now() {
     return ports.clock().instant();
   }
@@ -617,10 +635,6 @@
       sink.onBytes(event.bytes());
     }
 
-    private void recordOrigin() {
-      stream.forEach(k -> ports.streams().record(k, engine.software(), now()));
-    }
-
     private void forwardHead() {
       if (!headForwarded) {
         headForwarded = true;
@@ -693,7 +707,7 @@
       }
       buffered.writeBytes(parser.unparsedBytes());
       forwardBuffered();
-      stream.forEach(ports.streams()::remove);
+      whole = true;
       sink.onEnd(new Outcome.Done());
       finish("status " + head.status());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashingRequests.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/CrashingRequests.java
@@ -186,16 +186,6 @@
     return true;
   }
 
-  /** Returns whether there is a verdict on the request. */
-  public synchronized boolean isRefused(RequestFingerprint request) {
-    return recordOf(request).refused();
-  }
-
-  /** Returns whether an engine has ended under the request, which has not been answered since. */
-  public synchronized boolean isSuspect(RequestFingerprint request) {
-    return recordOf(request).crashes() > 0;
-  }
-
   /**
    * Takes over what another host knows of a request.
    *
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Set;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -63,14 +64,14 @@
     connectedEngines = Set.copyOf(connectedEngines);
   }
 
-  /** Returns whether an engine with the given software may run it. */
-  boolean accepts(SoftwareId engine) {
-    return !isOnline() || software.forAll(engine::equals);
+  /** Returns whether an engine may run it. */
+  boolean accepts(EngineEntry engine) {
+    return !isOnline() || continuesAt(engine);
   }
 
-  /** Returns whether an engine with the given software can go on where an earlier run ended. */
-  boolean continuesAt(SoftwareId engine) {
-    return software.forAll(engine::equals);
+  /** Returns whether an engine can go on where an earlier run ended, if there was one. */
+  boolean continuesAt(EngineEntry engine) {
+    return software.forAll(s -> s.equals(engine.software()));
   }
 
   /** Returns whether a caller waits for it. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -490,7 +490,7 @@
     List<EngineSlots> usable =
         engines.values().stream()
             .filter(e -> isUsable(e, now) && fits.test(e) && e.starts().allowsStart(now))
-            .filter(e -> request.accepts(e.entry().software()))
+            .filter(e -> request.accepts(e.entry()))
             .toList();
     List<EngineSlots> notAvoided =
         usable.stream().filter(e -> !request.avoidedEngines().contains(e.entry().id())).toList();
@@ -513,8 +513,11 @@
 
   /** Returns the engines that can go on where an earlier run ended, or all if none can. */
   private static List<EngineSlots> preferSoftware(SlotRequest request, List<EngineSlots> engines) {
+    if (request.software().isEmpty()) {
+      return engines;
+    }
     List<EngineSlots> continuing =
-        engines.stream().filter(e -> request.continuesAt(e.entry().software())).toList();
+        engines.stream().filter(e -> request.continuesAt(e.entry())).toList();
     return continuing.isEmpty() ? engines : continuing;
   }
 
@@ -522,7 +525,7 @@
   private boolean mayEverRun(SlotRequest request) {
     return request.software().isEmpty()
         || remainingEngines()
-            .filter(e -> request.accepts(e.entry().software()))
+            .filter(e -> request.accepts(e.entry()))
             .anyMatch(e -> !request.avoidedEngines().contains(e.entry().id()));
   }
 
@@ -599,8 +602,7 @@
 
   /** The same on the engines that may run a request. */
   private Instant estimateFreeAt(int count, SlotRequest request, Instant now) {
-    return estimateFreeAt(
-        count, remainingEngines().filter(e -> request.accepts(e.entry().software())), now);
+    return estimateFreeAt(count, remainingEngines().filter(e -> request.accepts(e.entry())), now);
   }
 
   private Instant estimateFreeAt(int count, Stream<EngineSlots> candidates, Instant now) {
