--- a/model/src/main/java/org/waxwingcourse/model/id/KeyHash.java
+++ b/model/src/main/java/org/waxwingcourse/model/id/KeyHash.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.regex.Pattern;
 
@@ -28,13 +27,8 @@
 
   /** Returns the hash of a caller's key. */
   public static KeyHash ofKey(String key) {
-    try {
-      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-      byte[] digest = sha256.digest(key.getBytes(StandardCharsets.UTF_8));
-      return new KeyHash(HexFormat.of().formatHex(digest));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("SHA-256 is missing from the Java runtime", e);
-    }
+    byte[] digest = Sha256.newDigest().digest(key.getBytes(StandardCharsets.UTF_8));
+    return new KeyHash(HexFormat.of().formatHex(digest));
   }
 
   /** Returns whether both hashes are equal. The comparison takes constant time. */
--- a/model/src/main/java/org/waxwingcourse/model/id/RequestFingerprint.java
+++ b/model/src/main/java/org/waxwingcourse/model/id/RequestFingerprint.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 
 /**
  * Equal for requests that ask for the same: those of one organisation with the same path, query and
@@ -25,7 +24,7 @@
    * @param body the complete body
    */
   public static RequestFingerprint of(String organisation, String target, byte[] body) {
-    MessageDigest digest = sha256();
+    MessageDigest digest = Sha256.newDigest();
     byte[] organisationBytes = organisation.getBytes(StandardCharsets.UTF_8);
     int owner = ByteBuffer.wrap(digest.digest(organisationBytes)).getInt();
     digest.update(organisationBytes);
@@ -36,14 +35,6 @@
     return new RequestFingerprint(bytes.getLong(), bytes.getLong(), owner);
   }
 
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("SHA-256 is missing from the Java runtime", e);
-    }
-  }
-
   /** Returns the first half of the digest, which suffices to tell requests apart in a log. */
   @Override
   public String toString() {
