SlotClient decides what the end of a run says of its engine

OnlineRun and ItemRun each chose between two methods by how the run ended, and OnlineRun gave slots back in two equal blocks. The software of an engine is hashed only if a stream asks for one.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -114,17 +114,24 @@
     }
   }
 
-  /** Reports the end of a run whose engine closed the connection, and frees its slot. */
-  public void endBrokenRun(long number, RunEnd end, EngineBoot engine) {
+  /**
+   * Reports the end of a run and frees its slot; if the engine closed the connection, also which of
+   * its processes did so under which request.
+   */
+  public void endRun(long number, RunEnd end, EngineBoot engine) {
     PendingRequest ended = pending.remove(number);
-    if (ended != null) {
-      SlotEnd.Builder message = buildEnd(number, end).setEngineBoot(engine.hash());
+    if (ended == null) {
+      return;
+    }
+    SlotEnd.Builder message = buildEnd(number, end);
+    if (end.how() == RunEnd.How.ENGINE_BROKE_OFF) {
+      message.setEngineBoot(engine.hash());
       ended
           .requirements
           .fingerprint()
           .forEach(f -> message.setFingerprint(CrashRecordCodec.encode(f)));
-      send(FleetMessage.newBuilder().setEnd(message));
     }
+    send(FleetMessage.newBuilder().setEnd(message));
   }
 
   private static SlotEnd.Builder buildEnd(long number, RunEnd end) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -368,11 +368,7 @@
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
       RunEnd end = new RunEnd(outcomeKind, first, meanGap(), eventData.size());
-      if (outcomeKind == RunEnd.How.ENGINE_BROKE_OFF) {
-        ports.slots().endBrokenRun(requestNumber, end, entry.boot());
-      } else {
-        ports.slots().endRun(requestNumber, end);
-      }
+      ports.slots().endRun(requestNumber, end, entry.boot());
     }
 
     private Duration meanGap() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -209,17 +209,11 @@
     }
     Option<EngineEntry> entry = ports.engines().findUsable(engine, service);
     if (entry.isEmpty()) {
-      sendCount++;
-      triedEngines.add(engine);
-      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
-      retryOrEnd("engine " + engine + " is not listed for " + service + " on this host");
+      giveBack(pendingSlot, engine, "is not listed for " + service + " on this host");
       return;
     }
     if (!mayGoOnAt(entry.get())) {
-      sendCount++;
-      triedEngines.add(engine);
-      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
-      retryOrEnd("engine " + engine + " has another version than the one that began the stream");
+      giveBack(pendingSlot, engine, "has another version than the one that began the stream");
       return;
     }
     if (!ports.gate().isStillAdmitted(admitted, request.key())) {
@@ -236,7 +230,15 @@
    * engine may differ from what the coordinator knew as it granted the slot.
    */
   private boolean mayGoOnAt(EngineEntry engine) {
-    return software.forAll(engine.software()::equals);
+    return software.forAll(s -> s.equals(engine.software()));
+  }
+
+  /** Returns a slot on an engine that cannot be used from here, which counts as a send. */
+  private void giveBack(PendingSlot pendingSlot, UpstreamId engine, String reason) {
+    sendCount++;
+    triedEngines.add(engine);
+    ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
+    retryOrEnd("engine " + engine + " " + reason);
   }
 
   /** Returns the slot on an engine that is leaving and requests another one. */
@@ -496,13 +498,10 @@
             .crashingRequests()
             .recordCrash(fingerprint, engine.boot(), now())
             .forEach(r -> LOG.write(Event.CRASHING_REQUEST_REFUSED, r.request(), r.crashes()));
-        ports.slots().endBrokenRun(slot, end, engine.boot());
-        return;
-      }
-      if (end.isAnswered()) {
+      } else if (end.isAnswered()) {
         ports.crashingRequests().recordWhole(fingerprint, now());
       }
-      ports.slots().endRun(slot, end);
+      ports.slots().endRun(slot, end, engine.boot());
     }
 
     void watchSilence() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CrashCountTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CrashCountTakeOverTest.java
@@ -43,7 +43,7 @@
   private void recordCrash(Member host, long run, long engineStart) {
     EngineBoot engine = new EngineBoot(UpstreamId.of("engine-1"), engineStart);
     host.coordinator.crashingRequests().recordCrash(REQUEST, engine, clock.instant());
-    host.slots.endBrokenRun(run, RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF), engine);
+    host.slots.endRun(run, RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF), engine);
     deliver();
   }
 
