--- a/review/EndLostCase.java
+++ b/review/EndLostCase.java
@@ -32,7 +32,7 @@
     fleet.addNode("worker-1", "worker");
     List<NodeProcess> fronts = List.of(fleet.addNode("edge-1", "node"), fleet.addNode("edge-2", "node"));
     fleet.startNodes();
-    fleet.awaitReady(Duration.ofSeconds(20));
+    fleet.awaitReady(Duration.ofSeconds(45));
     Thread.sleep(3000);
 
     String first = "first-" + ProcessHandle.current().pid();
--- a/review/ForeignPageCase.java
+++ b/review/ForeignPageCase.java
@@ -46,7 +46,7 @@
     NodeProcess reader = fronts.get(0);
     NodeProcess runner = fronts.get(1);
     fleet.startNodes();
-    fleet.awaitReady(Duration.ofSeconds(25));
+    fleet.awaitReady(Duration.ofSeconds(45));
     Thread.sleep(4000);
 
     for (int n = 1; n <= MAX_ATTEMPTS; n++) {
@@ -58,7 +58,7 @@
       reader.kill();
       Thread.sleep(RESTART_MILLIS);
       reader.start();
-      fleet.awaitReady(Duration.ofSeconds(20));
+      fleet.awaitReady(Duration.ofSeconds(45));
       Thread.sleep(3000);
     }
     return 2;
--- a/review/LateCommitCase.java
+++ b/review/LateCommitCase.java
@@ -49,7 +49,7 @@
     NodeProcess worker = fleet.addNode("worker-1", "worker");
     List<NodeProcess> fronts = List.of(fleet.addNode("edge-1", "node"), fleet.addNode("edge-2", "node"));
     fleet.startNodes();
-    fleet.awaitReady(Duration.ofSeconds(20));
+    fleet.awaitReady(Duration.ofSeconds(45));
     Thread.sleep(2000);
 
     double from = fleet.record.seconds() + 1;
@@ -107,7 +107,7 @@
       fleet.record.write("platform: killed all processes");
       Thread.sleep(600);
       fleet.startNodes();
-      fleet.awaitReady(Duration.ofSeconds(20));
+      fleet.awaitReady(Duration.ofSeconds(45));
     }
     for (String job : jobs) {
       broken += check(fleet, job, before.get(job), items(fleet.readAll(fronts.get(0), job)));
--- a/review/OrphanCase.java
+++ b/review/OrphanCase.java
@@ -50,7 +50,7 @@
     }
     List<NodeProcess> fronts = fleet.addSite();
     fleet.startNodes();
-    fleet.awaitReady(Duration.ofSeconds(25));
+    fleet.awaitReady(Duration.ofSeconds(45));
     Thread.sleep(4000);
 
     Map<NodeProcess, Integer> accepted = new HashMap<>();
--- a/review/PlannedStopCase.java
+++ b/review/PlannedStopCase.java
@@ -56,7 +56,7 @@
     NodeProcess stopped = fleet.addNode("edge-1", "node");
     NodeProcess other = fleet.addNode("edge-2", "node");
     fleet.startNodes();
-    fleet.awaitReady(Duration.ofSeconds(20));
+    fleet.awaitReady(Duration.ofSeconds(45));
     Thread.sleep(4000);
 
     // Some clients keep this answer for three times its ttlS of 2 s.
