Review, case 1: the suspended host is one that all others are connected to

With as many machines as on the site, a host that has no connection yet to the suspended one can't ask it; the case failed 2 of 3 times for that.

--- a/review/ForeignPageCase.java
+++ b/review/ForeignPageCase.java
@@ -43,12 +43,26 @@
       fleet.addEngine("engine-" + i, 8, 20, ForeignPageCase::events);
     }
     List<NodeProcess> fronts = fleet.addSite();
-    NodeProcess reader = fronts.get(0);
-    NodeProcess runner = fronts.get(1);
     fleet.startNodes();
     fleet.awaitReady(Duration.ofSeconds(45));
     Thread.sleep(4000);
 
+    // All hosts are connected to the three that registered first; the first coordinates.
+    List<String> order =
+        fleet.store.keysByCreation("fleet/hosts/").stream()
+            .map(k -> k.substring("fleet/hosts/".length(), k.lastIndexOf('@')))
+            .toList();
+    NodeProcess runner =
+        fronts.stream()
+            .filter(f -> order.subList(1, 3).contains(f.name()))
+            .findFirst()
+            .orElse(fronts.get(1));
+    NodeProcess reader =
+        fronts.stream()
+            .filter(f -> !order.subList(0, 3).contains(f.name()))
+            .findFirst()
+            .orElse(fronts.get(0));
+    fleet.record.write("platform: registered in the order %s", order);
     for (int n = 1; n <= MAX_ATTEMPTS; n++) {
       int foreign = attempt(fleet, reader, runner, n, trouble);
       fleet.record.write("result: %d foreign results", foreign);
--- a/review/KvStandIn.java
+++ b/review/KvStandIn.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -99,6 +100,15 @@
     return revision;
   }
 
+  /** Returns the keys with a prefix, the earliest created first. */
+  synchronized List<String> keysByCreation(String prefix) {
+    return items.values().stream()
+        .filter(i -> i.key.startsWith(prefix))
+        .sorted(Comparator.comparingLong(Item::created))
+        .map(Item::key)
+        .toList();
+  }
+
   /** Writes an engine's entry, unless the store refuses calls now. */
   void beat(String key, String json) {
     if (faults.treat("engines", "POST", "/beat", "") != Treatment.REFUSE) {
