--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
@@ -34,10 +34,16 @@
   private final BiConsumer<HostId, FleetMessage.Builder> sender;
   private final PendingAnswers<JobAnswer> pending;
 
-  /** Creates a forwarder that sends its messages with {@code sender}. */
-  JobForwarder(BiConsumer<HostId, FleetMessage.Builder> sender, ScheduledExecutorService timer) {
+  /**
+   * Creates a forwarder.
+   *
+   * @param boot identifies this process
+   * @param sender sends messages to other hosts
+   */
+  JobForwarder(
+      long boot, BiConsumer<HostId, FleetMessage.Builder> sender, ScheduledExecutorService timer) {
     this.sender = sender;
-    this.pending = new PendingAnswers<>(timer);
+    this.pending = new PendingAnswers<>(boot, timer);
   }
 
   /** Returns whether the job is small enough to be forwarded. */
@@ -62,9 +68,14 @@
             .addAllItems(job.items());
     return pending
         .await(
-            number ->
+            host,
+            job.id(),
+            question ->
                 sender.accept(
-                    host, FleetMessage.newBuilder().setJobForwarded(message.setNumber(number))),
+                    host,
+                    FleetMessage.newBuilder()
+                        .setJobForwarded(
+                            message.setNumber(question.number()).setBoot(question.boot()))),
             limit)
         .thenApply(forwarded -> combine(answer, forwarded));
   }
@@ -78,8 +89,10 @@
     return mayBeStored && forwarded.get() instanceof JobAnswer.Refused ? own : forwarded.get();
   }
 
-  void onAnswer(JobForwardAnswer message) {
-    pending.complete(message.getNumber(), decode(message));
+  void onAnswer(HostId from, JobForwardAnswer message) {
+    Question question =
+        new Question(from, message.getBoot(), message.getNumber(), message.getJob());
+    pending.complete(question, decode(message));
   }
 
   /** Returns the submission of a forwarded job; none if its route is not known here. */
@@ -95,8 +108,12 @@
                 message.getItemsList()));
   }
 
-  static JobForwardAnswer encode(long number, JobAnswer answer) {
-    JobForwardAnswer.Builder message = JobForwardAnswer.newBuilder().setNumber(number);
+  static JobForwardAnswer encode(JobForwarded question, JobAnswer answer) {
+    JobForwardAnswer.Builder message =
+        JobForwardAnswer.newBuilder()
+            .setNumber(question.getNumber())
+            .setBoot(question.getBoot())
+            .setJob(question.getJob());
     if (answer instanceof JobAnswer.Accepted) {
       message.setResult(JobForwardAnswer.Result.ACCEPTED);
     } else if (answer instanceof JobAnswer.NotFound) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
@@ -98,8 +99,8 @@
             }
           });
   private final PendingAnswers<JobPage> pendingReads;
-  private final Map<Long, JobId> unconfirmedCloses = new ConcurrentHashMap<>();
-  private final AtomicLong lastNumber = new AtomicLong();
+  private final Set<Question> unconfirmedCloses = ConcurrentHashMap.newKeySet();
+  private final AtomicLong lastCloseNumber = new AtomicLong();
 
   /**
    * The dependencies of the service.
@@ -136,8 +137,8 @@
     this.ports = ports;
     this.self = new RunnerName(host, boot);
     this.store = new JobStore(ports.store());
-    this.forwarder = new JobForwarder(this::send, ports.timer());
-    this.pendingReads = new PendingAnswers<>(ports.timer());
+    this.forwarder = new JobForwarder(boot, this::send, ports.timer());
+    this.pendingReads = new PendingAnswers<>(boot, ports.timer());
     this.runner =
         new JobRunner(
             new JobRunner.Ports(
@@ -210,7 +211,7 @@
                 send(
                     from,
                     FleetMessage.newBuilder()
-                        .setJobForwardAnswer(JobForwarder.encode(message.getNumber(), answer))));
+                        .setJobForwardAnswer(JobForwarder.encode(message, answer))));
   }
 
   /** Returns the results from a position on, waiting up to {@code patience} for the first one. */
@@ -290,10 +291,9 @@
   public void onJobMessage(HostId from, FleetMessage message) {
     switch (message.getBodyCase()) {
       case JOB_READ -> answerRead(from, message.getJobRead());
-      case JOB_PAGE ->
-          pendingReads.complete(message.getJobPage().getNumber(), message.getJobPage());
+      case JOB_PAGE -> onPage(from, message.getJobPage());
       case JOB_FORWARDED -> acceptForwarded(from, message.getJobForwarded());
-      case JOB_FORWARD_ANSWER -> forwarder.onAnswer(message.getJobForwardAnswer());
+      case JOB_FORWARD_ANSWER -> forwarder.onAnswer(from, message.getJobForwardAnswer());
       case JOB_CLOSED -> onClosed(from, message.getJobClosed());
       case JOB_ANNOUNCED -> onAnnounced(message.getJobAnnounced());
       case JOB_ASSIGNED -> runner.takeOver(JobId.of(message.getJobAssigned().getJob()));
@@ -367,10 +367,21 @@
     JobRead.Builder message =
         JobRead.newBuilder().setJob(job.value()).setAfter(after).setWaitNanos(patience.toNanos());
     return pendingReads.await(
-        number -> send(host, FleetMessage.newBuilder().setJobRead(message.setNumber(number))),
+        host,
+        job,
+        question ->
+            send(
+                host,
+                FleetMessage.newBuilder()
+                    .setJobRead(message.setNumber(question.number()).setBoot(question.boot()))),
         patience.plus(PEER_ANSWER_MARGIN));
   }
 
+  private void onPage(HostId from, JobPage page) {
+    pendingReads.complete(
+        new Question(from, page.getBoot(), page.getNumber(), page.getJob()), page);
+  }
+
   private void answerRead(HostId from, JobRead readRequest) {
     JobId job = JobId.of(readRequest.getJob());
     Option<RunningJob> runningJob = runner.findJob(job);
@@ -380,7 +391,7 @@
       return;
     }
     if (runningJob.isEmpty() || !runningJob.get().isHeld()) {
-      sendPage(from, JobPage.newBuilder().setNumber(readRequest.getNumber()).build());
+      sendPage(from, answerTo(readRequest).build());
       return;
     }
     readRunning(
@@ -389,14 +400,20 @@
   }
 
   private static JobPage page(JobRead readRequest, JobAnswer.Page page) {
-    return JobPage.newBuilder()
-        .setNumber(readRequest.getNumber())
+    return answerTo(readRequest)
         .setKnown(true)
         .setAfter(page.after())
         .addAllResults(page.results())
         .build();
   }
 
+  private static JobPage.Builder answerTo(JobRead readRequest) {
+    return JobPage.newBuilder()
+        .setNumber(readRequest.getNumber())
+        .setBoot(readRequest.getBoot())
+        .setJob(readRequest.getJob());
+  }
+
   /** Announces to all hosts that a job runs here, so that they request its results here. */
   private void announceJob(RunningJob job) {
     JobAnnounced.Builder message =
@@ -525,29 +542,33 @@
     cachedJobs.remove(job);
     runner.stopClosed(job);
     if (!host.equals(self.host())) {
-      long number = lastNumber.incrementAndGet();
-      unconfirmedCloses.put(number, job);
-      sendCloseUntilConfirmed(number, job, host, MAX_CLOSE_MESSAGES);
+      Question close =
+          new Question(host, self.boot(), lastCloseNumber.incrementAndGet(), job.value());
+      unconfirmedCloses.add(close);
+      sendCloseUntilConfirmed(close, MAX_CLOSE_MESSAGES);
     }
   }
 
-  private void sendCloseUntilConfirmed(long number, JobId job, HostId host, int remainingMessages) {
-    if (remainingMessages == 0 || !unconfirmedCloses.containsKey(number)) {
-      unconfirmedCloses.remove(number);
+  private void sendCloseUntilConfirmed(Question close, int remainingMessages) {
+    if (remainingMessages == 0 || !unconfirmedCloses.contains(close)) {
+      unconfirmedCloses.remove(close);
       return;
     }
-    sendClosed(host, JobClosed.newBuilder().setJob(job.value()).setNumber(number).build());
+    JobClosed.Builder message =
+        JobClosed.newBuilder().setJob(close.job()).setNumber(close.number()).setBoot(close.boot());
+    sendClosed(close.host(), message.build());
     ports
         .timer()
         .schedule(
-            () -> sendCloseUntilConfirmed(number, job, host, remainingMessages - 1),
+            () -> sendCloseUntilConfirmed(close, remainingMessages - 1),
             CLOSE_CONFIRMATION_TIMEOUT.toMillis(),
             TimeUnit.MILLISECONDS);
   }
 
   private void onClosed(HostId from, JobClosed message) {
     if (message.getAnswer()) {
-      unconfirmedCloses.remove(message.getNumber());
+      unconfirmedCloses.remove(
+          new Question(from, message.getBoot(), message.getNumber(), message.getJob()));
       return;
     }
     JobId job = JobId.of(message.getJob());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobReadCostTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobReadCostTest.java
@@ -36,6 +36,7 @@
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.JobPage;
+import org.waxwingcourse.wire.fleet.JobRead;
 import org.waxwingcourse.wire.fleet.JobRecord;
 
 /**
@@ -94,7 +95,13 @@
   /** The restarted process does not run the job. */
   private void answerAsRestartedRunner(HostId to, FleetMessage message) {
     if (runnerAnswers && message.hasJobRead()) {
-      JobPage page = JobPage.newBuilder().setNumber(message.getJobRead().getNumber()).build();
+      JobRead question = message.getJobRead();
+      JobPage page =
+          JobPage.newBuilder()
+              .setNumber(question.getNumber())
+              .setBoot(question.getBoot())
+              .setJob(question.getJob())
+              .build();
       timer.execute(
           () -> jobs.onJobMessage(to, FleetMessage.newBuilder().setJobPage(page).build()));
     }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -158,6 +158,10 @@
       627,
       Level.INFO,
       "item {} of job {} drops {} events and begins anew at engine \"{}\" of version {}"),
+  ANSWER_NOT_OURS(
+      628,
+      Level.WARN,
+      "host \"{}\" answers a question about job \"{}\" that process {} asked; this is process {}"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
