A pong confirms streams to the process that told of them

Numbers of begun streams start at 1 in each process, and a pong repeated only the number: one that answered an earlier process's ping late kept the next process from telling of its first streams, so that callers could not take them up elsewhere.

StreamExchangeTest.confirmationForAnEarlierProcessConfirmsNoStreamOfTheNext failed before (None, expected the stream's software) and passes now.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/StreamExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/StreamExchange.java
@@ -62,11 +62,13 @@
   /** Confirms what a ping brought, unless it left out what only an earlier process has received. */
   void addTo(Pong.Builder pong, Ping ping) {
     if (ping.getStreams().getReceiverBoot() == ownBoot) {
-      pong.setStreamsSeen(ping.getStreams().getVersion());
+      pong.setStreamsSeen(ping.getStreams().getVersion()).setStreamsBoot(ping.getBoot());
     }
   }
 
+  /** Records a confirmation, unless it is for an earlier process of this host. */
   void apply(HostId from, Pong pong) {
-    progress.record(from, pong.getBoot(), 0, pong.getStreamsSeen());
+    boolean isOwn = pong.getStreamsBoot() == ownBoot || pong.getStreamsBoot() == 0;
+    progress.record(from, pong.getBoot(), 0, isOwn ? pong.getStreamsSeen() : 0);
   }
 }
