--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -222,10 +222,10 @@
         .thenApply(
             answer -> {
               if (answer.isRight() && answer.get().isDefined()) {
-                runner.takeOver(job.id());
+                runner.resumeAccepted(job.id());
                 return new JobAnswer.Accepted();
               }
-              runner.lookForLostWrite(job.id(), record -> true);
+              runner.lookForLostWrite(job.id());
               LOG.write(Event.JOB_UNKNOWN, job.id(), reason);
               return new JobAnswer.Unknown(reason);
             });
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -1,12 +1,12 @@
 package org.waxwingcourse.fleet.job;
 
-import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -37,14 +37,14 @@
 final class JobRunner {
   private static final EventLog LOG = EventLog.of(JobRunner.class);
 
-  /** Interval between lookups of a write whose answer was lost. */
+  /** Interval between reads of a record until it is certain who runs the job. */
   private static final Duration LOOKUP_INTERVAL = Duration.ofSeconds(1);
 
-  private static final int MAX_LOOKUPS = 8;
+  private static final String UNANSWERED_WRITE = "an unanswered write may still be executed";
 
   private final Ports ports;
   private final Map<JobId, RunningJob> running = new ConcurrentHashMap<>();
-  private final Set<JobId> takeOversInProgress = ConcurrentHashMap.newKeySet();
+  private final Map<JobId, TakeOver> takeOvers = new ConcurrentHashMap<>();
   private volatile boolean stopped;
 
   /**
@@ -119,6 +119,9 @@
     if (running.putIfAbsent(id, job) == null) {
       ports.onStarted().accept(job);
       job.start();
+      if (term != term()) {
+        job.confirmOwnership();
+      }
     }
   }
 
@@ -128,29 +131,98 @@
    * entry had expired confirms its jobs before it answers for them again.
    */
   void takeOver(JobId id) {
-    if (stopped || running.containsKey(id) || !takeOversInProgress.add(id)) {
-      return;
-    }
-    ports.store().readRecord(id).thenAccept(answer -> onRecord(id, answer));
+    begin(id, TakeOver::assign).forEach(t -> readRecord(id, t));
   }
 
-  private void onRecord(JobId id, Either<StoreFailure, Option<JobStore.StoredRecord>> answer) {
-    if (answer.isLeft() || answer.get().isEmpty()) {
-      takeOversInProgress.remove(id);
-      return;
+  /** Runs a job whose record this host has found in the store after an unanswered write of it. */
+  void resumeAccepted(JobId id) {
+    beginAfterLostAnswer(id).forEach(t -> readRecord(id, t));
+  }
+
+  /**
+   * Looks for a job that this host has accepted by a write that the store did not answer and may
+   * execute seconds later, and runs the job once its record shows the write.
+   */
+  void lookForLostWrite(JobId id) {
+    beginAfterLostAnswer(id).forEach(t -> readLater(id, t, UNANSWERED_WRITE));
+  }
+
+  private Option<TakeOver> beginAfterLostAnswer(JobId id) {
+    Instant now = ports.clock().instant();
+    return begin(id, takeOver -> takeOver.expectLateWrite(now));
+  }
+
+  /** Adds a reason to the take-over in progress. Returns a new one if there is none. */
+  private Option<TakeOver> begin(JobId id, Predicate<TakeOver> reason) {
+    if (stopped || running.containsKey(id)) {
+      return Option.none();
     }
-    JobStore.StoredRecord storedRecord = answer.get().get();
-    JobRecord record = storedRecord.record();
-    if (record.getClosed() || record.getListedCount() == record.getItemTokensCount()) {
-      takeOversInProgress.remove(id);
-      ports.store().write(Transaction.builder().delete(StoreKeys.runnerKey(id)).build());
+    TakeOver added = new TakeOver(ports.self());
+    reason.test(added);
+    TakeOver current = takeOvers.compute(id, (job, t) -> t != null && reason.test(t) ? t : added);
+    return Option.when(current == added, added);
+  }
+
+  private void readRecord(JobId id, TakeOver takeOver) {
+    if (stopped || running.containsKey(id)) {
+      takeOvers.remove(id, takeOver);
       return;
     }
     long term = term();
-    if (ports.self().isRunnerOf(record)) {
-      resumeJob(id, storedRecord, term);
-      return;
+    Instant now = ports.clock().instant();
+    goOnAfter(
+        id,
+        takeOver,
+        ports
+            .store()
+            .readRecord(id)
+            .thenAccept(
+                answer -> {
+                  TakeOver.Next next = takeOver.onRecord(answer, now);
+                  String reason = answer.fold(StoreFailure::message, r -> UNANSWERED_WRITE);
+                  goOn(id, takeOver, next, answer.getOrElse(Option.none()), term, reason);
+                }));
+  }
+
+  private void goOn(
+      JobId id,
+      TakeOver takeOver,
+      TakeOver.Next next,
+      Option<JobStore.StoredRecord> stored,
+      long term,
+      String reason) {
+    switch (next) {
+      case CLAIM -> claim(id, takeOver, stored.get(), term);
+      case RESUME -> resume(id, takeOver, stored.get(), term);
+      case READ -> readRecord(id, takeOver);
+      case READ_LATER -> readLater(id, takeOver, reason);
+      case REMOVE_ENTRY -> {
+        takeOvers.remove(id, takeOver);
+        ports.store().write(Transaction.builder().delete(StoreKeys.runnerKey(id)).build());
+      }
+      case END -> takeOvers.remove(id, takeOver);
     }
+  }
+
+  private void readLater(JobId id, TakeOver takeOver, String reason) {
+    LOG.write(Event.JOB_TAKE_OVER_WAITS, id, reason);
+    ports
+        .timer()
+        .schedule(
+            () -> readRecord(id, takeOver), LOOKUP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Goes on with a take-over one of whose steps has failed with an exception. */
+  private void goOnAfter(JobId id, TakeOver takeOver, CompletableFuture<?> step) {
+    step.exceptionally(
+        e -> {
+          readLater(id, takeOver, e.toString());
+          return null;
+        });
+  }
+
+  private void claim(JobId id, TakeOver takeOver, JobStore.StoredRecord stored, long term) {
+    JobRecord record = stored.record();
     JobRecord claimedRecord =
         record.toBuilder()
             .setRunner(ports.self().host().value())
@@ -160,82 +232,60 @@
         StoreKeys.hostKey(HostId.of(record.getRunner()), record.getRunnerBoot());
     Transaction claim =
         Transaction.builder()
-            .requireUnmodified(StoreKeys.jobKey(id), storedRecord.revision())
+            .requireUnmodified(StoreKeys.jobKey(id), stored.revision())
             .requireAbsent(runnerEntryKey)
             .put(StoreKeys.jobKey(id), claimedRecord.toByteArray())
             .put(StoreKeys.runnerKey(id), ports.self().encode())
             .build();
-    ports.store().write(claim).thenAccept(outcome -> onClaimed(id, claimedRecord, term, outcome));
+    goOnAfter(
+        id,
+        takeOver,
+        ports
+            .store()
+            .write(claim)
+            .thenAccept(outcome -> onClaimed(id, takeOver, claimedRecord, term, outcome)));
   }
 
-  private void onClaimed(JobId id, JobRecord claimedRecord, long term, WriteOutcome outcome) {
+  private void onClaimed(
+      JobId id, TakeOver takeOver, JobRecord claimedRecord, long term, WriteOutcome outcome) {
     if (outcome instanceof WriteOutcome.Unknown unknown) {
       LOG.write(Event.JOB_CLAIM_UNKNOWN, id, unknown.message());
-      takeOversInProgress.remove(id);
-      lookForLostWrite(id, ports.self()::isRunnerOf);
-      return;
     }
-    if (!(outcome instanceof WriteOutcome.Done done)) {
-      takeOversInProgress.remove(id);
-      return;
+    Option<JobStore.StoredRecord> claimed = Option.none();
+    if (outcome instanceof WriteOutcome.Done done) {
+      LOG.write(
+          Event.JOB_TAKEN, id, claimedRecord.getListedCount(), claimedRecord.getItemTokensCount());
+      claimed = Option.some(new JobStore.StoredRecord(claimedRecord, done.revision()));
     }
-    LOG.write(
-        Event.JOB_TAKEN, id, claimedRecord.getListedCount(), claimedRecord.getItemTokensCount());
-    resumeJob(id, new JobStore.StoredRecord(claimedRecord, done.revision()), term);
-  }
-
-  /**
-   * Looks for a write whose answer was lost, since the store may apply it seconds later, and takes
-   * the job over once its record shows the write.
-   */
-  void lookForLostWrite(JobId id, Predicate<JobRecord> isWritten) {
-    scheduleLookup(id, isWritten, MAX_LOOKUPS);
+    TakeOver.Next next = takeOver.onClaimed(outcome, ports.clock().instant());
+    goOn(id, takeOver, next, claimed, term, "the claim was not answered as executed: " + outcome);
   }
 
-  private void scheduleLookup(JobId id, Predicate<JobRecord> isWritten, int remainingLookups) {
-    if (remainingLookups > 0 && !stopped) {
-      ports
-          .timer()
-          .schedule(
-              () -> lookUp(id, isWritten, remainingLookups),
-              LOOKUP_INTERVAL.toMillis(),
-              TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void lookUp(JobId id, Predicate<JobRecord> isWritten, int remainingLookups) {
-    if (running.containsKey(id)) {
-      return;
-    }
-    ports
-        .store()
-        .readRecord(id)
-        .thenAccept(
-            answer -> {
-              if (answer.isRight() && answer.get().exists(s -> isWritten.test(s.record()))) {
-                takeOver(id);
-              } else {
-                scheduleLookup(id, isWritten, remainingLookups - 1);
-              }
-            });
-  }
-
-  private void resumeJob(JobId id, JobStore.StoredRecord stored, long term) {
-    ports
-        .store()
-        .readItems(id)
-        .thenCombine(
-            ports.store().readResults(id),
-            (items, results) -> {
-              takeOversInProgress.remove(id);
-              if (items.isRight() && results.isRight()) {
-                startJob(id, stored, items.get(), results.get(), term);
-              } else {
-                LOG.write(Event.JOB_UNREADABLE, id);
-                ports.timer().schedule(() -> takeOver(id), 1, TimeUnit.SECONDS);
-              }
-              return null;
-            });
+  private void resume(JobId id, TakeOver takeOver, JobStore.StoredRecord stored, long term) {
+    goOnAfter(
+        id,
+        takeOver,
+        ports
+            .store()
+            .readItems(id)
+            .thenCombine(
+                ports.store().readResults(id),
+                (items, results) -> {
+                  boolean isReadable = items.isRight() && results.isRight();
+                  if (isReadable) {
+                    startJob(id, stored, items.get(), results.get(), term);
+                  } else {
+                    LOG.write(Event.JOB_UNREADABLE, id);
+                  }
+                  goOn(
+                      id,
+                      takeOver,
+                      takeOver.onContent(isReadable),
+                      Option.none(),
+                      term,
+                      "its items or results cannot be read");
+                  return null;
+                }));
   }
 
   /** Confirms each job from its record, or stops it, after this host's entry had expired. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -304,6 +304,11 @@
   /** Asks a host, possibly this one, to take over a job. */
   void assignJob(HostId host, JobId job) {
     LOG.write(Event.JOB_ASSIGNED, job, host);
+    remindRunner(host, job);
+  }
+
+  /** Has a host take over a job unless it runs it already. */
+  void remindRunner(HostId host, JobId job) {
     send(
         host,
         FleetMessage.newBuilder().setJobAssigned(JobAssigned.newBuilder().setJob(job.value())));
