--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ExpiredJobRemover.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ExpiredJobRemover.java
@@ -69,7 +69,7 @@
     Instant accepted = Instant.ofEpochMilli(record.getAcceptedMillis());
     boolean finished =
         record.getClosed()
-            || record.getListedCount() == record.getItemTokensCount()
+            || ResultLog.isComplete(record)
             || now.toEpochMilli() > record.getGiveUpMillis();
     return finished && now.isAfter(accepted.plus(retention));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
@@ -314,7 +315,7 @@
     }
     JobRecord record = stored.get().record();
     long sum = record.getItemTokensList().stream().mapToLong(Long::longValue).sum();
-    for (int item : record.getListedList()) {
+    for (int item : Set.copyOf(record.getListedList())) {
       sum -= record.getItemTokens(item);
     }
     return sum;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -271,7 +271,8 @@
             .thenCombine(
                 ports.store().readResults(id),
                 (items, results) -> {
-                  boolean isReadable = items.isRight() && results.isRight();
+                  boolean isReadable =
+                      items.isRight() && results.exists(r -> holdsAll(r, stored.record()));
                   if (isReadable) {
                     startJob(id, stored, items.get(), results.get(), term);
                   } else {
@@ -288,6 +289,10 @@
                 }));
   }
 
+  private static boolean holdsAll(List<JobResult> results, JobRecord record) {
+    return results.size() >= record.getListedCount();
+  }
+
   /** Confirms each job from its record, or stops it, after this host's entry had expired. */
   void confirmAll() {
     running.values().forEach(RunningJob::confirmOwnership);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -513,7 +513,7 @@
   private CompletableFuture<JobAnswer> closeJob(
       JobId job, OrganisationId organisation, JobStore.StoredRecord found, int conflicts) {
     JobRecord record = found.record();
-    if (record.getClosed() || record.getListedCount() == record.getItemTokensCount()) {
+    if (record.getClosed() || ResultLog.isComplete(record)) {
       return completed(new JobAnswer.Closed());
     }
     JobRecord closed = record.toBuilder().setClosed(true).build();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -41,17 +41,12 @@
   /** Delay before a commit that the store refused is tried again. */
   private static final Duration COMMIT_RETRY_DELAY = Duration.ofMillis(400);
 
-  /** Maximum characters of result text in one value; below the largest value of the store. */
-  private static final int MAX_PART_CHARS = 500_000;
-
   private final JobId id;
   private final JobRunner.Ports ports;
   private final Runnable endListener;
   private final List<JobItem> items;
   private final List<ItemRun> runs = new ArrayList<>();
-  private final List<JobResult> committedResults = new ArrayList<>();
-  private final List<JobResult> pendingResults = new ArrayList<>();
-  private final List<Integer> pendingIndexes = new ArrayList<>();
+  private final ResultLog results;
   private final List<CompletableFuture<Void>> waitingReaders = new ArrayList<>();
   private final Deadline due;
   private final Deadline giveUpAt;
@@ -65,7 +60,7 @@
       JobId id,
       JobStore.StoredRecord stored,
       List<JobItem> items,
-      List<JobResult> results,
+      List<JobResult> storedResults,
       long term,
       JobRunner.Ports ports,
       Runnable endListener) {
@@ -75,7 +70,7 @@
     this.items = items;
     this.ports = ports;
     this.endListener = endListener;
-    committedResults.addAll(results);
+    results = new ResultLog(items.size(), stored.record(), storedResults);
     due = deadline(stored.record().getDueMillis());
     giveUpAt = deadline(stored.record().getGiveUpMillis());
   }
@@ -168,11 +163,7 @@
 
   /** Returns the results from a position on. */
   synchronized JobAnswer.Page page(int after) {
-    int from = Math.min(after, committedResults.size());
-    return new JobAnswer.Page(
-        stored.record().getItemTokensCount(),
-        after,
-        List.copyOf(committedResults.subList(from, committedResults.size())));
+    return new JobAnswer.Page(stored.record().getItemTokensCount(), after, results.after(after));
   }
 
   /**
@@ -181,7 +172,7 @@
    */
   synchronized CompletableFuture<Void> whenResultsAfter(int after) {
     CompletableFuture<Void> waiting = new CompletableFuture<>();
-    if (committedResults.size() > after || ended) {
+    if (results.committedCount() > after || ended) {
       waiting.complete(null);
     } else {
       waitingReaders.add(waiting);
@@ -218,11 +209,11 @@
 
   private void endJob(String reason) {
     ended = true;
-    if (committedResults.size() == items.size()) {
+    if (results.isComplete()) {
       ports.onFinished().accept(this);
     }
     LOG.write(
-        Event.JOB_LEFT, id, reason, committedResults.size(), stored.record().getItemTokensCount());
+        Event.JOB_LEFT, id, reason, results.committedCount(), stored.record().getItemTokensCount());
     ports.timer().execute(endListener);
   }
 
@@ -230,16 +221,15 @@
     if (ended) {
       return;
     }
-    pendingIndexes.add(item.index());
-    pendingResults.add(
+    results.add(
+        item.index(),
         JobResult.newBuilder()
             .setItem(item.item().getId())
             .setCompleted(completed)
             .setText(text)
             .build());
     if (!commitInProgress && !commitScheduled) {
-      boolean last = committedResults.size() + pendingResults.size() == items.size();
-      scheduleCommit(last ? Duration.ZERO : COMMIT_DELAY);
+      scheduleCommit(results.isLastKnown() ? Duration.ZERO : COMMIT_DELAY);
     }
   }
 
@@ -249,29 +239,30 @@
   }
 
   private void commit() {
-    List<JobResult> part;
-    List<Integer> indexes;
+    ResultLog.Part part;
     JobRecord next;
     Transaction transaction;
     synchronized (this) {
       commitScheduled = false;
-      if (ended || commitInProgress || pendingResults.isEmpty()) {
+      if (ended || commitInProgress || results.pendingCount() == 0) {
         return;
       }
       commitInProgress = true;
-      int size = partSize();
-      part = List.copyOf(pendingResults.subList(0, size));
-      indexes = List.copyOf(pendingIndexes.subList(0, size));
+      part = results.nextPart();
       JobRecord before = stored.record();
-      next = before.toBuilder().addAllListed(indexes).addResultParts(size).build();
+      next =
+          before.toBuilder()
+              .addAllListed(part.indexes())
+              .addResultParts(part.results().size())
+              .build();
       Transaction.Builder builder =
           Transaction.builder()
               .requireUnmodified(StoreKeys.jobKey(id), stored.revision())
               .put(StoreKeys.jobKey(id), next.toByteArray())
               .put(
                   StoreKeys.resultsKey(id, before.getResultPartsCount()),
-                  JobResults.newBuilder().addAllResults(part).build().toByteArray());
-      if (next.getListedCount() == items.size()) {
+                  JobResults.newBuilder().addAllResults(part.results()).build().toByteArray());
+      if (ResultLog.isComplete(next)) {
         builder.delete(StoreKeys.runnerKey(id));
       }
       transaction = builder.build();
@@ -279,41 +270,42 @@
     ports
         .store()
         .write(transaction)
-        .thenAccept(writeOutcome -> onCommitted(writeOutcome, next, part));
+        .thenAccept(outcome -> onCommitted(outcome, next, part))
+        .exceptionally(
+            e -> {
+              scheduleCommitRetry(e.toString());
+              return null;
+            });
   }
 
-  private int partSize() {
-    int charCount = 0;
-    int size = 0;
-    while (size < pendingResults.size() && (size == 0 || charCount < MAX_PART_CHARS)) {
-      charCount += pendingResults.get(size).getText().length();
-      size++;
-    }
-    return size;
-  }
-
-  private void onCommitted(WriteOutcome outcome, JobRecord next, List<JobResult> part) {
+  private void onCommitted(WriteOutcome outcome, JobRecord next, ResultLog.Part part) {
     if (outcome instanceof WriteOutcome.Done done) {
-      onCommitSucceeded(new JobStore.StoredRecord(next, done.revision()), part);
+      synchronized (this) {
+        stored = new JobStore.StoredRecord(next, done.revision());
+        results.confirm(part);
+      }
+      onCommitResolved();
     } else if (outcome instanceof WriteOutcome.NotSent notSent) {
       scheduleCommitRetry(notSent.failure().message());
     } else {
       ports
           .store()
           .readRecord(id)
-          .thenAccept(answer -> resolveCommit(outcome.toString(), answer, next, part));
+          .thenAccept(answer -> resolveCommit(outcome.toString(), answer))
+          .exceptionally(
+              e -> {
+                scheduleCommitRetry(e.toString());
+                return null;
+              });
     }
   }
 
   /**
-   * Reads the record to find out whether a commit took effect whose outcome is unknown or a
-   * conflict.
+   * Finds out from the record what the store has executed: the commit whose outcome is unknown or a
+   * conflict, an earlier one whose outcome was unknown, or neither yet.
    */
   private void resolveCommit(
-      String outcome,
-      Either<StoreFailure, Option<JobStore.StoredRecord>> answer,
-      JobRecord next,
-      List<JobResult> part) {
+      String outcome, Either<StoreFailure, Option<JobStore.StoredRecord>> answer) {
     if (answer.isLeft()) {
       scheduleCommitRetry(outcome + "; " + answer.getLeft().message());
       return;
@@ -322,42 +314,71 @@
       stop("the job record was removed");
       return;
     }
-    JobStore.StoredRecord storedRecord = answer.get().get();
-    if (storedRecord.record().equals(next)) {
-      onCommitSucceeded(storedRecord, part);
-    } else if (storedRecord.record().getClosed()) {
+    JobStore.StoredRecord current = answer.get().get();
+    if (current.record().getClosed()) {
       stop("the job was closed");
-    } else if (!ports.self().isRunnerOf(storedRecord.record())) {
-      stop("host " + storedRecord.record().getRunner() + " now runs the job");
+    } else if (!ports.self().isRunnerOf(current.record())) {
+      stop("host " + current.record().getRunner() + " now runs the job");
+    } else if (isBehind(current.record())) {
+      ports
+          .store()
+          .readResults(id)
+          .thenAccept(storedResults -> adoptResults(outcome, current, storedResults))
+          .exceptionally(
+              e -> {
+                scheduleCommitRetry(e.toString());
+                return null;
+              });
     } else {
       synchronized (this) {
-        stored = storedRecord;
+        stored = current;
       }
       scheduleCommitRetry(outcome);
     }
   }
 
-  private void onCommitSucceeded(JobStore.StoredRecord storedRecord, List<JobResult> part) {
+  private synchronized boolean isBehind(JobRecord record) {
+    return results.isBehind(record);
+  }
+
+  private void adoptResults(
+      String outcome,
+      JobStore.StoredRecord current,
+      Either<StoreFailure, List<JobResult>> storedResults) {
+    if (storedResults.isLeft()) {
+      scheduleCommitRetry(outcome + "; " + storedResults.getLeft().message());
+      return;
+    }
+    synchronized (this) {
+      stored = current;
+      results.adopt(current.record(), storedResults.get());
+      LOG.write(Event.JOB_COMMIT_FOUND, id, outcome, results.committedCount());
+    }
+    onCommitResolved();
+  }
+
+  private void onCommitResolved() {
     List<CompletableFuture<Void>> waiting;
+    boolean complete;
     synchronized (this) {
-      stored = storedRecord;
       commitInProgress = false;
-      committedResults.addAll(part);
-      pendingResults.subList(0, part.size()).clear();
-      pendingIndexes.subList(0, part.size()).clear();
       waiting = List.copyOf(waitingReaders);
       waitingReaders.clear();
-      if (committedResults.size() == items.size() && !ended) {
+      complete = results.isComplete();
+      if (complete && !ended) {
         endJob("all results are stored");
-      } else if (!pendingResults.isEmpty()) {
+      } else if (results.pendingCount() > 0) {
         scheduleCommit(COMMIT_DELAY);
       }
     }
+    if (complete) {
+      runs.forEach(ItemRun::stop);
+    }
     waiting.forEach(r -> r.complete(null));
   }
 
   private synchronized void scheduleCommitRetry(String reason) {
-    LOG.write(Event.JOB_COMMIT_WAITS, id, reason, pendingResults.size());
+    LOG.write(Event.JOB_COMMIT_WAITS, id, reason, results.pendingCount());
     commitInProgress = false;
     if (!ended && !commitScheduled) {
       scheduleCommit(COMMIT_RETRY_DELAY);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/TakeOver.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/TakeOver.java
@@ -73,7 +73,7 @@
       return mayBeWritten ? Next.READ_LATER : end(Next.END);
     }
     JobRecord record = answer.get().get().record();
-    if (record.getClosed() || record.getListedCount() == record.getItemTokensCount()) {
+    if (record.getClosed() || ResultLog.isComplete(record)) {
       return end(Next.REMOVE_ENTRY);
     }
     if (self.isRunnerOf(record)) {
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -164,6 +164,10 @@
       "host \"{}\" answers a question about job \"{}\" that process {} asked; this is process {}"),
   JOB_TAKE_OVER_WAITS(
       629, Level.WARN, "this host may have to run job \"{}\": {}; its record is read again"),
+  JOB_COMMIT_FOUND(
+      631,
+      Level.INFO,
+      "an unanswered commit of job \"{}\" was executed after all, found after {}; {} results"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
