--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -42,6 +41,7 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.service.Service;
+import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.peer.FleetSecret;
 import org.waxwingcourse.peer.NettyPeerTransport;
 import org.waxwingcourse.peer.PeerChannel;
@@ -85,12 +85,6 @@
   /** Time reserved at the end of a planned stop for closing connections. */
   private static final Duration STOP_MARGIN = Duration.ofMillis(900);
 
-  /**
-   * No new requests are accepted for this long before the end of a planned stop, so that those in
-   * progress can complete; a stream lasts about a second.
-   */
-  private static final Duration REQUEST_CLOSING_TIME = Duration.ofMillis(2500);
-
   private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(50);
   private static final int MAX_HOSTS_IN_ANSWER = 64;
 
@@ -114,8 +108,7 @@
   private final ExpiredJobRemover expiredJobRemover;
   private final SecureRandom random;
   private volatile NettyPeerTransport peerTransport;
-  private volatile boolean leaving;
-  private volatile Instant stopRequestedAt;
+  private volatile Option<StopSchedule> stopSchedule = Option.none();
 
   /**
    * The external services and formats that a host depends on.
@@ -174,7 +167,7 @@
             registration::registeredAt);
     gate =
         new AdmissionGate(
-            storeView, clocks, () -> this.settings.trustLimit(), this::refusesNewRequests);
+            storeView, clocks, () -> this.settings.trustLimit(), this::endsBeforeStop);
     online = createOnlineService(calls, slots, metrics);
     jobs = createJobService(self, outside, calls, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
@@ -207,7 +200,7 @@
 
   /** Returns whether callers may be sent here. */
   public boolean isReady() {
-    return !leaving
+    return !isLeaving()
         && storeView.plan().isDefined()
         && coordinatorLink.isAttached()
         && gate.trustsKeys();
@@ -235,7 +228,7 @@
 
   /** Returns whether the host has been told to stop. */
   public boolean isLeaving() {
-    return leaving;
+    return stopSchedule.isDefined();
   }
 
   /**
@@ -255,18 +248,17 @@
   /** Announces to the fleet that this host stops; from now on callers are sent to other hosts. */
   public void announceStop() {
     LOG.write(Event.NODE_STOPPING, settings.host(), "shutdown was requested");
-    stopRequestedAt = clocks.instant();
-    leaving = true;
+    stopSchedule =
+        Option.some(
+            StopSchedule.of(
+                clocks.instant(),
+                settings.stopLimit().minus(STOP_MARGIN),
+                HOST_LIST_LIFETIME.multipliedBy(3)));
     registration.announceLeaving();
   }
 
-  private Instant stopDeadline() {
-    return stopRequestedAt.plus(settings.stopLimit().minus(STOP_MARGIN));
-  }
-
-  /** Returns whether new requests are refused because they might not end before the process. */
-  private boolean refusesNewRequests() {
-    return leaving && clocks.instant().isAfter(stopDeadline().minus(REQUEST_CLOSING_TIME));
+  private boolean endsBeforeStop(Deadline answerBy) {
+    return stopSchedule.forAll(s -> s.admits(answerBy));
   }
 
   /**
@@ -274,14 +266,8 @@
    * until the stop limit is nearly reached.
    */
   public void awaitIdle() {
-    Instant end = stopDeadline();
-    Instant callersGoneAt = stopRequestedAt.plus(HOST_LIST_LIFETIME.multipliedBy(3));
-    boolean isIdle = false;
-    while (!isIdle && clocks.instant().isBefore(end)) {
-      isIdle =
-          !clocks.instant().isBefore(callersGoneAt)
-              && online.activeRequests() == 0
-              && jobs.countRunning() == 0;
+    StopSchedule schedule = stopSchedule.get();
+    while (!schedule.mayEnd(isIdle(), clocks.instant())) {
       sleepPollInterval();
     }
     if (online.activeRequests() > 0) {
@@ -289,6 +275,10 @@
     }
   }
 
+  private boolean isIdle() {
+    return online.activeRequests() == 0 && jobs.countRunning() == 0;
+  }
+
   @Override
   public void stop() {
     jobs.stop();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
@@ -6,7 +6,7 @@
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
@@ -17,6 +17,7 @@
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.time.Deadline;
 
 /**
  * Admits requests by route and key. A key is trusted only while there is recent evidence that the
@@ -48,7 +49,7 @@
   private final StoreView storeView;
   private final Clocks clocks;
   private final Supplier<Duration> trustLimit;
-  private final BooleanSupplier closing;
+  private final Predicate<Deadline> endsBeforeStop;
   private final CompletableFuture<Void> configured = new CompletableFuture<>();
 
   /**
@@ -71,38 +72,44 @@
    * @param storeView the content of the store as this host knows it
    * @param clocks the host's clocks
    * @param trustLimit maximum age of the evidence for accepting a key
-   * @param closing whether the host is about to stop and accepts no new requests
+   * @param endsBeforeStop whether this host is still there when a request's time limit ends
    */
   public AdmissionGate(
-      StoreView storeView, Clocks clocks, Supplier<Duration> trustLimit, BooleanSupplier closing) {
+      StoreView storeView,
+      Clocks clocks,
+      Supplier<Duration> trustLimit,
+      Predicate<Deadline> endsBeforeStop) {
     this.storeView = storeView;
     this.clocks = clocks;
     this.trustLimit = trustLimit;
-    this.closing = closing;
+    this.endsBeforeStop = endsBeforeStop;
     storeView.addPlanListener(plan -> configured.complete(null));
   }
 
   /**
    * Admits a request or returns the reason for refusing it. On a host that has just started it
    * waits briefly for the first configuration.
+   *
+   * @param callerDeadline until when the caller waits, none if it does not say
    */
   public CompletableFuture<Either<Refusal, Admitted>> admitOnceConfigured(
-      String host, String target, Option<String> key) {
-    if (storeView.plan().isDefined() || closing.getAsBoolean()) {
-      return CompletableFuture.completedFuture(admit(host, target, key));
+      String host, String target, Option<String> key, Option<Deadline> callerDeadline) {
+    if (storeView.plan().isDefined()) {
+      return CompletableFuture.completedFuture(admit(host, target, key, callerDeadline));
     }
     return configured
         .copy()
         .completeOnTimeout(null, FIRST_CONFIGURATION_WAIT.toMillis(), TimeUnit.MILLISECONDS)
-        .thenApply(nothing -> admit(host, target, key));
+        .thenApply(nothing -> admit(host, target, key, callerDeadline));
   }
 
-  /** Admits a request or returns the reason for refusing it. */
-  public Either<Refusal, Admitted> admit(String host, String target, Option<String> key) {
-    if (closing.getAsBoolean()) {
-      Instant at = clocks.instant().plus(OTHER_HOST_RETRY_DELAY);
-      return Either.left(new Refusal(RefusalCode.STOPPING, "this node is shutting down", at));
-    }
+  /**
+   * Admits a request or returns the reason for refusing it.
+   *
+   * @param callerDeadline until when the caller waits, none if it does not say
+   */
+  public Either<Refusal, Admitted> admit(
+      String host, String target, Option<String> key, Option<Deadline> callerDeadline) {
     if (storeView.plan().isEmpty()) {
       return Either.left(unavailable("this host has no configuration yet"));
     }
@@ -111,6 +118,11 @@
     if (route.isEmpty()) {
       return Either.left(denialIfCertain(RefusalCode.NOT_FOUND, "no route matches the request"));
     }
+    Deadline answerBy = Deadline.at(clocks.instant().plus(route.get().timeout()));
+    if (!endsBeforeStop.test(callerDeadline.map(answerBy::earlier).getOrElse(answerBy))) {
+      Instant at = clocks.instant().plus(OTHER_HOST_RETRY_DELAY);
+      return Either.left(new Refusal(RefusalCode.STOPPING, "this node is shutting down", at));
+    }
     if (route.get().keyless() || plan.organisations().isEmpty()) {
       return Either.right(new Admitted(plan, route.get(), Option.none()));
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
@@ -28,6 +28,7 @@
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.request.RefusalCode;
+import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.model.time.ManualClock;
 
 /** Tests which requests are admitted, by route, key and age of the evidence. */
@@ -37,9 +38,10 @@
   private final Clocks clocks = new Clocks(steady, wall);
   private final StoreView storeView =
       StoreView.of(document -> Either.right(plan(document)), clocks);
-  private boolean stopping;
+  private Instant stopAt = Instant.MAX;
   private final AdmissionGate gate =
-      new AdmissionGate(storeView, clocks, () -> Duration.ofMillis(4500), () -> stopping);
+      new AdmissionGate(
+          storeView, clocks, () -> Duration.ofMillis(4500), answerBy -> answerBy.isPast(stopAt));
 
   /**
    * Parses a test document, whose single byte is the plan version; the key is valid in version 1
@@ -86,7 +88,7 @@
 
   @Test
   void hostWithoutAConfigurationAnswersUnavailable() {
-    assertThat(gate.admit("h", "/a/x", Option.none()).getLeft().code())
+    assertThat(gate.admit("h", "/a/x", Option.none(), Option.none()).getLeft().code())
         .isEqualTo(RefusalCode.UNAVAILABLE);
   }
 
@@ -105,14 +107,16 @@
     applyPlan(1);
     advanceClocks(age);
     String answer =
-        gate.admit("h", target, Option.some(key)).fold(r -> r.code().name(), a -> "ADMITTED");
+        gate.admit("h", target, Option.some(key), Option.none())
+            .fold(r -> r.code().name(), a -> "ADMITTED");
     assertThat(answer).isEqualTo(expected);
   }
 
   @Test
   void waitingRequestIsNotStartedAfterItsKeyIsRevoked() {
     applyPlan(1);
-    AdmissionGate.Admitted admitted = gate.admit("h", "/a/x", Option.some("k")).get();
+    AdmissionGate.Admitted admitted =
+        gate.admit("h", "/a/x", Option.some("k"), Option.none()).get();
     assertThat(gate.isStillAdmitted(admitted, Option.some("k"))).isTrue();
     applyPlan(2);
     assertThat(gate.isStillAdmitted(admitted, Option.some("k"))).isFalse();
@@ -125,17 +129,30 @@
     assertThat(storeView.plan().get().version()).isEqualTo(2);
   }
 
-  @Test
-  void hostThatIsAboutToStopRefusesRequests() {
+  /** The route allows 5 s. */
+  @ParameterizedTest
+  @CsvSource({
+    "4900, , STOPPING",
+    "5100, , ADMITTED",
+    "1900, 2000, STOPPING",
+    "2100, 2000, ADMITTED"
+  })
+  void stoppingHostAdmitsRequestsWhoseTimeLimitEndsBeforeIt(
+      long millisLeft, Long callerLimit, String expected) {
     applyPlan(1);
-    stopping = true;
-    assertThat(gate.admit("h", "/a/x", Option.some("k")).getLeft().code())
-        .isEqualTo(RefusalCode.STOPPING);
+    Instant now = steady.instant();
+    stopAt = now.plusMillis(millisLeft);
+    Option<Deadline> limit = Option.of(callerLimit).map(l -> Deadline.at(now.plusMillis(l)));
+    String answer =
+        gate.admit("h", "/a/x", Option.some("k"), limit)
+            .fold(r -> r.code().name(), a -> "ADMITTED");
+    assertThat(answer).isEqualTo(expected);
   }
 
   @Test
   void requestWaitsForTheFirstConfigurationOfAStartingHost() throws Exception {
-    CompletableFuture<?> early = gate.admitOnceConfigured("h", "/open/x", Option.none());
+    CompletableFuture<?> early =
+        gate.admitOnceConfigured("h", "/open/x", Option.none(), Option.none());
     assertThat(early).isNotDone();
     storeView.applyIfNewer(new StoreView.ConfigurationDocument(Revision.of(1), new byte[] {1}));
     assertThat(early.get(1, TimeUnit.SECONDS)).isInstanceOf(Either.Right.class);
@@ -144,7 +161,7 @@
   @Test
   void requestIsRefusedWhenNoConfigurationComes() throws Exception {
     assertThat(
-            gate.admitOnceConfigured("h", "/open/x", Option.none())
+            gate.admitOnceConfigured("h", "/open/x", Option.none(), Option.none())
                 .get(1, TimeUnit.SECONDS)
                 .getLeft()
                 .code())
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
@@ -43,7 +43,7 @@
   private final List<FleetMessage> sent = new ArrayList<>();
   private final List<Outcome> outcomes = new ArrayList<>();
   private final AdmissionGate gate =
-      new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), () -> false);
+      new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), answerBy -> true);
 
   @AfterEach
   void stop() {
@@ -73,7 +73,7 @@
                 new CrashingRequests(),
                 new StreamOrigins(),
                 new MetricRegistry()));
-    var refused = gate.admit("h", "/j/x", Option.none());
+    var refused = gate.admit("h", "/j/x", Option.none(), Option.none());
     byte[] document = "plan".getBytes(StandardCharsets.UTF_8);
     storeView.applyIfNewer(new StoreView.ConfigurationDocument(Revision.of(1), document));
     OnlineRequest request =
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
@@ -57,7 +57,7 @@
           FleetFixtures.DATA_CENTRE,
           List::of);
   private final AdmissionGate gate =
-      new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), () -> false);
+      new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), answerBy -> true);
 
   @AfterEach
   void stop() {
@@ -100,7 +100,8 @@
             Option.none(),
             clock.instant(),
             Option.none());
-    service.serve(request, gate.admit("h", "/j/x", Option.none()), new RecordingSink());
+    service.serve(
+        request, gate.admit("h", "/j/x", Option.none(), Option.none()), new RecordingSink());
     learnEngine("other-1", "other");
     learnEngine("engine-1", "s");
     grant("other-1");
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -112,7 +112,7 @@
                     FleetFixtures.engineEntry(FIRST.value(), 1, 8, false, 1, 1),
                     FleetFixtures.engineEntry(SECOND.value(), 2, 8, false, 1, 1),
                     FleetFixtures.engineEntry(SUCCESSOR.value(), 1, 8, false, 2, 1))));
-    gate = new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), () -> false);
+    gate = new AdmissionGate(storeView, clocks, () -> Duration.ofSeconds(4), answerBy -> true);
     service =
         new OnlineService(
             new OnlineService.Ports(
@@ -165,7 +165,7 @@
             clock.instant(),
             Option.none());
     RecordingSink sink = new RecordingSink();
-    sink.call = service.serve(request, gate.admit("h", "/q/x", Option.none()), sink);
+    sink.call = service.serve(request, gate.admit("h", "/q/x", Option.none(), Option.none()), sink);
     return sink;
   }
 
