--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -513,7 +513,12 @@
   private CompletableFuture<JobAnswer> closeJob(
       JobId job, OrganisationId organisation, JobStore.StoredRecord found, int conflicts) {
     JobRecord record = found.record();
-    if (record.getClosed() || ResultLog.isComplete(record)) {
+    if (record.getClosed()) {
+      // By a write of this host that was not answered, or by another host that may be gone.
+      notifyRunner(job, HostId.of(record.getRunner()));
+      return completed(new JobAnswer.Closed());
+    }
+    if (ResultLog.isComplete(record)) {
       return completed(new JobAnswer.Closed());
     }
     JobRecord closed = record.toBuilder().setClosed(true).build();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
@@ -26,6 +26,7 @@
   private final Queue<WriteFault> writeFaults = new ArrayDeque<>();
   private final List<Transaction> lateWrites = new ArrayList<>();
   private Runnable afterWrite = () -> {};
+  private Runnable afterRead = () -> {};
 
   /** What happens to a write. */
   enum WriteFault {
@@ -49,6 +50,11 @@
     afterWrite = action;
   }
 
+  /** Sets what happens after the next read, before its answer arrives. */
+  void afterRead(Runnable action) {
+    afterRead = action;
+  }
+
   /** Executes the writes that are late, if their conditions still hold. */
   void executeLateWrites() {
     lateWrites.forEach(store::write);
@@ -71,7 +77,11 @@
 
   @Override
   public CompletableFuture<Either<StoreFailure, Snapshot>> read(KeyRange range) {
-    return store.read(range);
+    CompletableFuture<Either<StoreFailure, Snapshot>> answer = store.read(range);
+    Runnable action = afterRead;
+    afterRead = () -> {};
+    action.run();
+    return answer;
   }
 
   @Override
