A host starts no job that it was told of as closed just before

ClosedJobTest.closedJobIsNotStartedByATakeOverInProgress failed before (1 job running, expected 0) and passes; all tests of fleet.job pass (57).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -25,6 +25,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
@@ -40,11 +41,18 @@
   /** Interval between reads of a record until it is certain who runs the job. */
   private static final Duration LOOKUP_INTERVAL = Duration.ofSeconds(1);
 
+  /**
+   * How long a closed job is not started; longer than a record that was read before is in use, and
+   * much shorter than jobs are kept, after which their ids may be used again.
+   */
+  private static final Duration CLOSED_RETENTION = Duration.ofSeconds(20);
+
   private static final String UNANSWERED_WRITE = "an unanswered write may still be executed";
 
   private final Ports ports;
   private final Map<JobId, RunningJob> running = new ConcurrentHashMap<>();
   private final Map<JobId, TakeOver> takeOvers = new ConcurrentHashMap<>();
+  private final Map<JobId, Deadline> closedUntil = new ConcurrentHashMap<>();
   private volatile boolean stopped;
 
   /**
@@ -111,7 +119,7 @@
       List<JobItem> items,
       List<JobResult> results,
       long term) {
-    if (stopped) {
+    if (stopped || isRecentlyClosed(id)) {
       return;
     }
     RunningJob job =
@@ -122,6 +130,9 @@
       if (term != term()) {
         job.confirmOwnership();
       }
+      if (isRecentlyClosed(id)) {
+        job.stop("the job was closed");
+      }
     }
   }
 
@@ -289,6 +300,10 @@
                 }));
   }
 
+  private boolean isRecentlyClosed(JobId id) {
+    return Option.of(closedUntil.get(id)).exists(d -> !d.isPast(ports.clock().instant()));
+  }
+
   private static boolean holdsAll(List<JobResult> results, JobRecord record) {
     return results.size() >= record.getListedCount();
   }
@@ -298,8 +313,14 @@
     running.values().forEach(RunningJob::confirmOwnership);
   }
 
-  /** Stops a job that was closed in the store. */
+  /**
+   * Stops a job that was closed in the store, also if its record was read before and it is yet to
+   * start.
+   */
   void stopClosed(JobId id) {
+    Instant now = ports.clock().instant();
+    closedUntil.values().removeIf(d -> d.isPast(now));
+    closedUntil.put(id, Deadline.at(now.plus(CLOSED_RETENTION)));
     findJob(id).forEach(job -> job.stop("the job was closed"));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ClosedJobTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ClosedJobTest.java
@@ -123,4 +123,16 @@
     close();
     assertThat(hosts.get(RUNNER).countRunning()).isZero();
   }
+
+  /** The runner had read the open record, and started the job after it was told of its end. */
+  @Test
+  void closedJobIsNotStartedByATakeOverInProgress() {
+    hosts.get(RUNNER).stop();
+    timer.advance(MESSAGE_TIME);
+    start(RUNNER, storeOfRunner);
+    storeOfRunner.afterRead(this::close);
+    hosts.get(RUNNER).takeOver(JOB);
+    timer.advance(MESSAGE_TIME);
+    assertThat(hosts.get(RUNNER).countRunning()).isZero();
+  }
 }
