A list of engines that this host has not read itself shows no only version

A host that lives on becomes the coordinator with the list of engines it had from the lost one, and took it for current once it had read the configuration. Streams of a version not in that list, of which no ping had told, went on at the version that it knew.

Ruled out: hosts that have just started (they take no version for the only one for 30 s), origins that were told with pings.

Change: whether the list is current depends on the read and watch of the list. A host that heard of engines from nobody for 2 s begins its 30 s anew.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
+import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -50,6 +51,12 @@
    */
   private static final int MAX_HOSTS_AT_FULL_PING_RATE = 20;
 
+  /**
+   * Longest time without news of engines after which none can have come and gone unseen; shorter
+   * than the lease of an engine's entry.
+   */
+  private static final Duration MAX_UNHEARD = Duration.ofSeconds(2);
+
   /** A host that has not answered for this long counts as lost; three pings and a margin. */
   private static final Duration PONG_TIMEOUT = Duration.ofMillis(450);
 
@@ -100,6 +107,7 @@
   private volatile int ownPingTicks = 1;
   private Instant coordinatorSince = Instant.MAX;
   private Instant lastContactAt;
+  private ClockReading heardAt;
   private Instant contactLostAt = FAR_FUTURE;
   private Instant levelsReportedAt = Instant.MIN;
 
@@ -134,8 +142,28 @@
     this.streams = new StreamExchange(self.boot(), ownStreams, coordinator.streams());
     this.statements = new EngineStatementExchange(self.boot(), engines);
     this.slots = slots;
-    coordinator.softwareHistory().setCurrent(() -> candidates.isInContact(self.id()));
+    coordinator.softwareHistory().setCurrent(this::knowsEngines);
     this.lastContactAt = clocks.instant();
+    this.heardAt = clocks.now();
+  }
+
+  /** Returns whether the engines known here are those that the store lists. */
+  private boolean knowsEngines() {
+    return candidates.isInContact(self.id()) && follower.isEngineListCurrent();
+  }
+
+  /**
+   * Records that this host learns of engines, from the store or from a host that does. Engines that
+   * came and went while it did neither may have begun streams at other hosts.
+   */
+  private void recordHeard() {
+    ClockReading now = clocks.now();
+    synchronized (this) {
+      if (now.elapsedSince(heardAt).compareTo(MAX_UNHEARD) > 0) {
+        coordinator.softwareHistory().restart(now.steady());
+      }
+      heardAt = now;
+    }
   }
 
   /** An attached host and the time of its last ping. */
@@ -147,6 +175,9 @@
    */
   public void updateAttachment() {
     Instant now = clocks.instant();
+    if (knowsEngines()) {
+      recordHeard();
+    }
     recordFirstTick(now);
     List<HostId> order = candidates.order();
     ownPingTicks = pingIntervalTicks(order);
@@ -278,6 +309,7 @@
 
   void onPong(HostId from, Pong pong) {
     Instant now = clocks.instant();
+    recordHeard();
     statements.apply(from, pong);
     candidates.recordPong(from, pong, now);
     quarantine.apply(from, pong);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/stream/SoftwareHistory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/SoftwareHistory.java
@@ -20,6 +20,7 @@
 public final class SoftwareHistory {
   private final Map<ServiceName, ServiceHistory> services = new HashMap<>();
   private volatile BooleanSupplier current = () -> true;
+  private Instant restartedAt = Instant.MIN;
 
   /** The software of one service. */
   private static final class ServiceHistory {
@@ -38,6 +39,11 @@
     current = newCurrent;
   }
 
+  /** Begins anew: engines may have come and gone unseen before {@code now}. */
+  public synchronized void restart(Instant now) {
+    restartedAt = now;
+  }
+
   /** Records the engines that are listed now. */
   public synchronized void update(Collection<EngineEntry> listed, Instant now) {
     for (ServiceHistory service : services.values()) {
@@ -58,7 +64,9 @@
    */
   public synchronized Option<SoftwareId> only(ServiceName service, Instant now) {
     ServiceHistory history = services.get(service);
-    if (history == null || !isOver(history.since, now) || !current.getAsBoolean()) {
+    boolean isLongEnough =
+        history != null && isOver(history.since, now) && isOver(restartedAt, now);
+    if (!isLongEnough || !current.getAsBoolean()) {
       return Option.none();
     }
     List<SoftwareId> recent =
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -123,6 +123,14 @@
     return readSchedule != null;
   }
 
+  /**
+   * Returns whether this host has read the engines itself since it began to follow the store, and
+   * has watched them since. What it had from other hosts before may lack the latest engines.
+   */
+  public synchronized boolean isEngineListCurrent() {
+    return readSchedule != null && engines.watch != null;
+  }
+
   /** Starts one read of the configuration now, unless one is in progress. */
   public void readConfiguration() {
     synchronized (this) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/stream/SoftwareHistoryTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/stream/SoftwareHistoryTest.java
@@ -71,6 +71,17 @@
         .isNotEqualTo(engine("e1", 2, Option.none()).software());
   }
 
+  /** Another version may have come, begun streams and gone while the host was cut off. */
+  @Test
+  void listThatWasNotFollowedForAWhileTellsNothing() {
+    list(engine("e1", "v1"));
+    now = now.plus(LONG);
+    history.restart(now);
+    assertThat(history.only(SERVICE, now)).isEmpty();
+    now = now.plus(LONG);
+    assertThat(history.only(SERVICE, now)).contains(engine("e1", "v1").software());
+  }
+
   @Test
   void listThatMayBeOutdatedTellsNothing() {
     list(engine("e1", "v1"));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreFollowerTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreFollowerTest.java
@@ -62,4 +62,17 @@
     follower.readConfiguration();
     assertThat(storeView.engineTable().entries()).hasSize(1);
   }
+
+  @Test
+  void enginesAreKnownOnceTheyHaveBeenReadAndWhileTheyAreWatched() {
+    assertThat(follower.isEngineListCurrent()).isFalse();
+    store.setFaults(StoreFaults.NONE);
+    follower.setFollowing(true);
+    assertThat(follower.isEngineListCurrent()).isTrue();
+    store.setFaults(StoreFaults.NONE.withOutage(StoreFaults.Outage.REFUSING));
+    assertThat(follower.isEngineListCurrent()).as("with a broken watch").isFalse();
+    store.setFaults(StoreFaults.NONE);
+    follower.setFollowing(false);
+    assertThat(follower.isEngineListCurrent()).as("when no longer followed").isFalse();
+  }
 }
