An unused grant does not change which software began a stream

Found with the users' report on streams: a host that attaches elsewhere has asked two coordinators for the same stream. The one it left recorded its late, unused grant in place of what the host had told with a ping; if it coordinated again, a caller's stream went on at the wrong version.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -450,7 +450,8 @@
             .setWaitedNanos(waited.toNanos());
     ListedEngine engine = listed.get(grant.engine());
     if (engine != null) {
-      request.stream().forEach(k -> streams.record(k, engine.entry.software(), clock.instant()));
+      request.stream()
+          .forEach(k -> streams.recordGrant(k, engine.entry.software(), clock.instant()));
     }
     if (engine != null && clock.instant().isBefore(engine.since.plus(LISTING_SPREAD))) {
       message.setEntry(FleetMessageConverter.encodeEngine(engine.entry));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamOrigins.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamOrigins.java
@@ -28,15 +28,38 @@
 
   private long lastVersion;
 
-  private record Origin(SoftwareId software, Deadline until, long version) {}
+  /**
+   * The software of one stream.
+   *
+   * @param begun whether it has sent events, rather than been granted
+   */
+  private record Origin(SoftwareId software, Deadline until, long version, boolean begun) {}
 
   /** A stream, the software that began it, and the number of the change that brought it here. */
   public record Change(StreamKey stream, SoftwareId software, long version) {}
 
-  /** Records the software that runs a stream, in place of what was recorded before. */
+  /** Records the software that has begun a stream, in place of what was recorded before. */
   public synchronized void record(StreamKey stream, SoftwareId software, Instant now) {
+    put(stream, software, true, now);
+  }
+
+  /**
+   * Records that a stream was granted an engine of a software. A grant may reach its host too late
+   * to be used, so it does not change which software is known to have begun the stream.
+   */
+  public synchronized void recordGrant(StreamKey stream, SoftwareId software, Instant now) {
+    Option<Origin> known = Option.of(origins.get(stream)).filter(o -> !o.until.isPast(now));
+    if (known.exists(o -> o.begun)) {
+      put(stream, known.get().software, true, now);
+    } else {
+      put(stream, software, false, now);
+    }
+  }
+
+  private void put(StreamKey stream, SoftwareId software, boolean begun, Instant now) {
     origins.remove(stream);
-    origins.put(stream, new Origin(software, Deadline.at(now.plus(RETENTION)), ++lastVersion));
+    Deadline until = Deadline.at(now.plus(RETENTION));
+    origins.put(stream, new Origin(software, until, ++lastVersion, begun));
     Iterator<Origin> oldest = origins.values().iterator();
     while (oldest.hasNext() && (oldest.next().until.isPast(now) || origins.size() > MAX_STREAMS)) {
       oldest.remove();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/stream/StreamOriginsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/stream/StreamOriginsTest.java
@@ -31,6 +31,23 @@
     assertThat(origins.find(STREAM, now)).contains(OLD);
   }
 
+  /** A coordinator that the host has left may still grant what the host asked it for. */
+  @Test
+  void grantThatComesTooLateDoesNotChangeWhatBeganAStream() {
+    origins.recordGrant(STREAM, NEW, now);
+    assertThat(origins.find(STREAM, now)).contains(NEW);
+    origins.record(STREAM, OLD, now);
+    origins.recordGrant(STREAM, NEW, now);
+    assertThat(origins.find(STREAM, now)).contains(OLD);
+  }
+
+  @Test
+  void laterGrantReplacesAnEarlierOneBeforeTheFirstEvent() {
+    origins.recordGrant(STREAM, OLD, now);
+    origins.recordGrant(STREAM, NEW, now);
+    assertThat(origins.find(STREAM, now)).contains(NEW);
+  }
+
   @Test
   void streamIsForgottenSomeTimeAfterItsLastSign() {
     origins.record(STREAM, OLD, now);
