A grant names the engine's software, which the host checks

It granted an engine that had started again under its id with another version, of which only the host had heard, and the host had nothing to compare with.

StreamVersionRunTest.grantForAnotherVersionThanIsKnownHereIsNotUsed failed before (the request was sent to engine-2) and passes. Grants of coordinators of earlier versions name none and count as before. All tests of fleet's packages online, coordinate and job pass (198).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -450,6 +450,7 @@
             .setWaitedNanos(waited.toNanos());
     ListedEngine engine = listed.get(grant.engine());
     if (engine != null) {
+      message.setSoftware(engine.entry.software().hash());
       request.stream()
           .forEach(k -> streams.recordGrant(k, engine.entry.software(), clock.instant()));
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import org.waxwingcourse.fleet.engine.EngineBoot;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
@@ -239,7 +240,9 @@
     }
     request.grantedAt = clock.instant();
     request.engine = UpstreamId.of(grant.getEngine());
-    request.listener.onGrant(request.engine, Duration.ofNanos(grant.getWaitedNanos()));
+    Option<SoftwareId> software =
+        Option.when(grant.getSoftware() != 0, () -> new SoftwareId(grant.getSoftware()));
+    request.listener.onGrant(request.engine, software, Duration.ofNanos(grant.getWaitedNanos()));
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotListener.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotListener.java
@@ -1,7 +1,9 @@
 package org.waxwingcourse.fleet.coordinate;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.RefusalCode;
 
@@ -12,8 +14,10 @@
   /**
    * Called when the slot on {@code engine} is granted, after the request waited {@code waited} at
    * the coordinator.
+   *
+   * @param software that of the engine as the coordinator knows it, none if it does not say
    */
-  void onGrant(UpstreamId engine, Duration waited);
+  void onGrant(UpstreamId engine, Option<SoftwareId> software, Duration waited);
 
   /** Called when the request is refused; it may be repeated at {@code retryAt}. */
   void onRefusal(RefusalCode code, Instant retryAt, String reason);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
@@ -72,6 +72,14 @@
         id, service, address, dataCentre, slots, leaving, startedAtMillis, named, version);
   }
 
+  /**
+   * Returns the software of the engine's process if its version is not certain; it is like no
+   * other.
+   */
+  public SoftwareId uncertainSoftware() {
+    return withVersion(Option.none()).software();
+  }
+
   /** Returns this entry as that of an engine whose software has the given version, or none. */
   public EngineEntry withVersion(Option<String> stated) {
     return new EngineEntry(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -170,9 +170,13 @@
   }
 
   private synchronized void handleGrant(
-      PendingSlot pendingSlot, UpstreamId engine, Duration slotWait) {
+      PendingSlot pendingSlot, UpstreamId engine, Option<SoftwareId> granted, Duration slotWait) {
     waited = waited.plus(slotWait);
-    Option<EngineEntry> entry = ports.engines().findUsable(engine, pendingSlot.service);
+    Option<EngineEntry> entry =
+        ports
+            .engines()
+            .findUsable(engine, pendingSlot.service)
+            .filter(e -> lastEventId.isEmpty() || granted.forAll(e.software()::equals));
     if (done || entry.isEmpty()) {
       ports.slots().endRun(pendingSlot.requestNumber, RunEnd.of(RunEnd.How.NOT_SENT));
       if (!done) {
@@ -308,8 +312,8 @@
     }
 
     @Override
-    public void onGrant(UpstreamId engine, Duration slotWait) {
-      handleGrant(this, engine, slotWait);
+    public void onGrant(UpstreamId engine, Option<SoftwareId> granted, Duration slotWait) {
+      handleGrant(this, engine, granted, slotWait);
     }
 
     @Override
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -195,7 +195,10 @@
   }
 
   private synchronized void handleGrant(
-      PendingSlot pendingSlot, UpstreamId engine, Duration coordinatorWait) {
+      PendingSlot pendingSlot,
+      UpstreamId engine,
+      Option<SoftwareId> granted,
+      Duration coordinatorWait) {
     if (done) {
       ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
       return;
@@ -212,7 +215,8 @@
       giveBack(pendingSlot, engine, "is not listed for " + service + " on this host");
       return;
     }
-    if (!mayGoOnAt(entry.get())) {
+    boolean isCertain = granted.forAll(entry.get().software()::equals);
+    if (!mayGoOnAt(entry.get(), isCertain)) {
       giveBack(pendingSlot, engine, "has another version than the one that began the stream");
       return;
     }
@@ -222,15 +226,20 @@
           RefusalCode.UNAVAILABLE, "the key could not be confirmed", now().plus(FULL_RETRY_DELAY));
       return;
     }
-    send(pendingSlot.number, entry.get());
+    send(
+        pendingSlot.number,
+        entry.get(),
+        isCertain ? entry.get().software() : entry.get().uncertainSoftware());
   }
 
   /**
-   * Returns whether the engine's software may send the next event. What this host knows of the
-   * engine may differ from what the coordinator knew as it granted the slot.
+   * Returns whether the engine may send the next event. What this host knows of the engine may
+   * differ from what the coordinator knew as it granted the slot; only the coordinator may know
+   * which software began the stream.
    */
-  private boolean mayGoOnAt(EngineEntry engine) {
-    return software.forAll(s -> s.equals(engine.software()));
+  private boolean mayGoOnAt(EngineEntry engine, boolean isCertain) {
+    boolean begun = takesUp || begunBy.isDefined();
+    return !begun || isCertain && software.forAll(engine.software()::equals);
   }
 
   /** Returns a slot on an engine that cannot be used from here, which counts as a send. */
@@ -264,11 +273,11 @@
     }
   }
 
-  private void send(long slot, EngineEntry engine) {
+  private void send(long slot, EngineEntry engine, SoftwareId engineSoftware) {
     sendCount++;
     triedEngines.add(engine.id());
     engineSequence.append(engineSequence.isEmpty() ? "" : ",").append(engine.id());
-    attempt = new Attempt(slot, engine);
+    attempt = new Attempt(slot, engine, engineSoftware);
     logContinuation(engine);
     EngineRequest call =
         new EngineRequest(
@@ -429,8 +438,8 @@
     private volatile long number;
 
     @Override
-    public void onGrant(UpstreamId engine, Duration coordinatorWait) {
-      handleGrant(this, engine, coordinatorWait);
+    public void onGrant(UpstreamId engine, Option<SoftwareId> granted, Duration coordinatorWait) {
+      handleGrant(this, engine, granted, coordinatorWait);
     }
 
     @Override
@@ -448,6 +457,7 @@
   private final class Attempt implements EngineListener {
     private final long slot;
     private final EngineEntry engine;
+    private final SoftwareId engineSoftware;
     private final Instant sentAt = now();
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -465,9 +475,10 @@
             action -> call.afterPendingInput(action),
             this::onSilence);
 
-    Attempt(long slot, EngineEntry engine) {
+    Attempt(long slot, EngineEntry engine, SoftwareId engineSoftware) {
       this.slot = slot;
       this.engine = engine;
+      this.engineSoftware = engineSoftware;
     }
 
     /** Frees the slot and reports the speed of the engine. */
@@ -624,7 +635,7 @@
       forwardHead();
       if (begunBy.isEmpty()) {
         begunBy = Option.some(engine);
-        software = Option.some(engine.software());
+        software = Option.some(engineSoftware);
         recordOrigin();
       }
       if (event.id() != ServerSentEventParser.NO_ID) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -95,7 +96,7 @@
         requirements,
         new SlotListener() {
           @Override
-          public void onGrant(UpstreamId engine, Duration waited) {
+          public void onGrant(UpstreamId engine, Option<SoftwareId> software, Duration waited) {
             granted.add(engine);
           }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -158,7 +159,7 @@
     private long number;
 
     @Override
-    public void onGrant(UpstreamId engine, Duration waited) {
+    public void onGrant(UpstreamId engine, Option<SoftwareId> software, Duration waited) {
       grants.put(number, engine);
     }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
@@ -72,7 +73,7 @@
         requirements,
         new SlotListener() {
           @Override
-          public void onGrant(UpstreamId engine, Duration waited) {
+          public void onGrant(UpstreamId engine, Option<SoftwareId> software, Duration waited) {
             calls.add("grant " + engine);
           }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/StreamVersionRunTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/StreamVersionRunTest.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.SlotAsk;
+import org.waxwingcourse.wire.fleet.SlotGrant;
 import org.waxwingcourse.wire.fleet.SlotRefusal;
 
 /** A stream went on at an engine of another software version than the one that began it. */
@@ -96,6 +97,22 @@
     assertThat(next.getSoftware()).isEqualTo(softwareOf(FIRST));
   }
 
+  /** The engine has started again with another version, of which only this host has heard yet. */
+  @Test
+  void grantForAnotherVersionThanIsKnownHereIsNotUsed() throws InterruptedException {
+    createService(RequestKind.STREAM);
+    serve("r-2", Option.some(2L), Option.some("r"));
+    SlotGrant.Builder grant =
+        SlotGrant.newBuilder()
+            .setNumber(nextAsk().getNumber())
+            .setEngine(SECOND.value())
+            .setSoftware(softwareOf(FIRST));
+    channel.onMessage(COORDINATOR, FleetMessage.newBuilder().setGrant(grant).build().toByteArray());
+    assertThat(received).isEmpty();
+    nextAskGrantedTo(FIRST);
+    assertThat(receivers()).containsExactly(FIRST);
+  }
+
   @Test
   void streamThatIsTakenUpAgainIsKnownByItsFirstRequest() throws InterruptedException {
     createService(RequestKind.STREAM);
