A grant that its host returns unused is not taken for a stream's beginning

LateGrantOfAStreamTest.grantThatWasReturnedUnusedIsNotTakenForTheBeginning failed before (engine-1 granted, expected a refusal) and passes; so do the tests of coordinate, stream and online.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -86,6 +86,7 @@
   private final PacedRequests pacedRequests = new PacedRequests();
   private final CrashScreening screening = new CrashScreening();
   private final StreamOrigins streams = new StreamOrigins();
+  private final GrantedStreams granted = new GrantedStreams(streams);
   private final SoftwareHistory softwareHistory = new SoftwareHistory();
   private volatile Option<Plan> plan = Option.none();
   private volatile double fleetShare;
@@ -192,6 +193,7 @@
   public void removeHost(HostId host) {
     pacedRequests.removeIf(id -> id.host().equals(host));
     screening.removeHost(host);
+    granted.removeHost(host);
     services.values().forEach(s -> execute(s.removeHost(host, clock.instant())));
   }
 
@@ -294,6 +296,7 @@
             end.getEvents());
     RunId id = new RunId(from, end.getNumber());
     Instant now = clock.instant();
+    granted.recordEnd(id, runEnd.how() == RunEnd.How.NOT_SENT);
     boolean refusesMore = false;
     if (end.getEngineBoot() != 0) {
       Option<RequestFingerprint> request =
@@ -439,6 +442,18 @@
     send(run.host(), FleetMessage.newBuilder().setYield(message));
   }
 
+  /** A request that may run on one software only continues a stream that this software began. */
+  private void recordStream(SlotRequest request, SoftwareId software) {
+    Instant now = clock.instant();
+    for (StreamKey stream : request.stream()) {
+      if (request.software().isDefined()) {
+        streams.record(stream, software, now);
+      } else {
+        granted.recordGrant(request.id(), stream, software, now);
+      }
+    }
+  }
+
   private void sendGrant(SlotDecision.Grant grant) {
     SlotRequest request = grant.request();
     screening.recordGrant(request, grant.engine(), clock.instant());
@@ -451,8 +466,7 @@
     ListedEngine engine = listed.get(grant.engine());
     if (engine != null) {
       message.setSoftware(engine.entry.software().hash());
-      request.stream()
-          .forEach(k -> streams.recordGrant(k, engine.entry.software(), clock.instant()));
+      recordStream(request, engine.entry.software());
     }
     if (engine != null && clock.instant().isBefore(engine.since.plus(LISTING_SPREAD))) {
       message.setEntry(FleetMessageConverter.encodeEngine(engine.entry));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamOrigins.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamOrigins.java
@@ -71,6 +71,13 @@
     return Option.of(origins.get(stream)).filter(o -> !o.until.isPast(now)).map(Origin::software);
   }
 
+  /** Forgets a stream that was granted and is not known to have begun. */
+  public synchronized void removeGrant(StreamKey stream) {
+    if (Option.of(origins.get(stream)).exists(o -> !o.begun)) {
+      origins.remove(stream);
+    }
+  }
+
   /** Forgets a stream that has reached its caller whole. */
   public synchronized void remove(StreamKey stream) {
     origins.remove(stream);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LateGrantOfAStreamTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LateGrantOfAStreamTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -28,6 +29,21 @@
         FleetFixtures.engineEntry("engine-2", 2, 8, false, 1, 1));
   }
 
+  /** Nobody has told yet what began the stream; an unused grant does not say it. */
+  @Test
+  void grantThatWasReturnedUnusedIsNotTakenForTheBeginning() {
+    Member front = members.get(3);
+    long unused = front.requestSlot(new StreamNeeds(Option.some(STREAM), false, Option.none()));
+    deliver();
+    front.slots.endRun(unused, RunEnd.of(RunEnd.How.NOT_SENT));
+    deliver();
+    long run =
+        members.get(2).requestSlot(new StreamNeeds(Option.some(STREAM), true, Option.none()));
+    deliver();
+    assertThat(grants).doesNotContainKey(run);
+    assertThat(refusals).hasSize(1);
+  }
+
   /** The unused grant replaced what the host had told, and the stream went on at its version. */
   @Test
   void streamGoesOnWhereItBeganThoughAnUnusedGrantComesLater() {
