--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -212,6 +212,7 @@
         ports.store().write(Transaction.builder().delete(StoreKeys.runnerKey(id)).build());
       }
       case END -> takeOvers.remove(id, takeOver);
+      default -> throw new IllegalStateException("unknown step " + next);
     }
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
@@ -70,6 +70,7 @@
       case NONE -> outcome = store.write(transaction);
       case ANSWER_LOST -> store.write(transaction).join();
       case LATE -> lateWrites.add(transaction);
+      default -> throw new AssertionError("unknown fault " + fault);
     }
     afterWrite.run();
     return outcome;
