Classes of Ratpack that need each other are initialized before event loops

Two event loops initialized ratpack.http.Status and its implementation DefaultStatus at the same time and waited for each other's class.

--- a/http/src/main/java/org/waxwingcourse/http/RatpackHttpClient.java
+++ b/http/src/main/java/org/waxwingcourse/http/RatpackHttpClient.java
@@ -60,6 +60,7 @@
 
   @Override
   public void start() {
+    RatpackClasses.initialize();
     controller = new DefaultExecController(threads);
     pooled = buildClient(POOL_SIZE);
     unpooled = buildClient(0);
--- a/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import org.waxwingcourse.http.RatpackClasses;
 import org.waxwingcourse.model.service.Service;
 import ratpack.error.ClientErrorHandler;
 import ratpack.error.ServerErrorHandler;
@@ -47,6 +48,7 @@
 
   @Override
   public void start() {
+    RatpackClasses.initialize();
     try {
       server =
           RatpackServer.start(
