--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/AnswerToEarlierProcessTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/AnswerToEarlierProcessTest.java
@@ -171,7 +171,7 @@
     List.copyOf(toAsking).forEach(m -> asking.onJobMessage(OTHER, m));
   }
 
-  /** A page with another job's results would show one tenant the texts of another one. */
+  /** A page with another job's results would show one organisation the texts of another one. */
   @Test
   void resultsForAnEarlierProcessAreNotReturnedForAnotherJob() {
     other.readResults(PARISH_JOB, PARISH, 0, Duration.ZERO).join();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobSupervisorTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobSupervisorTest.java
@@ -36,7 +36,7 @@
   private static final HostId LIVE = HostId.of("live");
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(1500);
 
-  /** Target: items of an open job wait no longer than the users' rule about lost items allows. */
+  /** Target: the longest time for which an accepted job may go unrun. */
   private static final Duration UNRUN_LIMIT = Duration.ofSeconds(15);
 
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
