One place for a failed step of a commit, for adopting stored results, and for closing admission

From reading the change once more; behaviour unchanged. RunningJob had the same error branch three times, ResultLog cut the stored results to the record's list in its constructor and again in adopt, and StopSchedule reopened and closed in one expression what never reopens.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/StopSchedule.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/StopSchedule.java
@@ -55,7 +55,7 @@
       return true;
     }
     boolean wasClosed = closed;
-    closed = callersGoneAt.isPast(now) && (closed || isIdle);
+    closed |= isIdle && callersGoneAt.isPast(now);
     return wasClosed && isIdle;
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ResultLog.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ResultLog.java
@@ -21,8 +21,8 @@
   private static final int MAX_PART_CHARS = 500_000;
 
   private final int itemCount;
-  private final List<Integer> listed;
-  private final List<JobResult> committed;
+  private final List<Integer> listed = new ArrayList<>();
+  private final List<JobResult> committed = new ArrayList<>();
   private final Map<Integer, JobResult> pending = new LinkedHashMap<>();
 
   /** The results of one commit with the indexes of their items. */
@@ -36,8 +36,7 @@
    */
   ResultLog(int itemCount, JobRecord record, List<JobResult> stored) {
     this.itemCount = itemCount;
-    listed = new ArrayList<>(record.getListedList());
-    committed = new ArrayList<>(stored.subList(0, Math.min(stored.size(), listed.size())));
+    adopt(record, stored);
   }
 
   /** Returns whether a record lists a result for each item. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -267,15 +267,8 @@
       }
       transaction = builder.build();
     }
-    ports
-        .store()
-        .write(transaction)
-        .thenAccept(outcome -> onCommitted(outcome, next, part))
-        .exceptionally(
-            e -> {
-              scheduleCommitRetry(e.toString());
-              return null;
-            });
+    retryOnError(
+        ports.store().write(transaction).thenAccept(outcome -> onCommitted(outcome, next, part)));
   }
 
   private void onCommitted(WriteOutcome outcome, JobRecord next, ResultLog.Part part) {
@@ -288,15 +281,11 @@
     } else if (outcome instanceof WriteOutcome.NotSent notSent) {
       scheduleCommitRetry(notSent.failure().message());
     } else {
-      ports
-          .store()
-          .readRecord(id)
-          .thenAccept(answer -> resolveCommit(outcome.toString(), answer))
-          .exceptionally(
-              e -> {
-                scheduleCommitRetry(e.toString());
-                return null;
-              });
+      retryOnError(
+          ports
+              .store()
+              .readRecord(id)
+              .thenAccept(answer -> resolveCommit(outcome.toString(), answer)));
     }
   }
 
@@ -320,15 +309,11 @@
     } else if (!ports.self().isRunnerOf(current.record())) {
       stop("host " + current.record().getRunner() + " now runs the job");
     } else if (isBehind(current.record())) {
-      ports
-          .store()
-          .readResults(id)
-          .thenAccept(storedResults -> adoptResults(outcome, current, storedResults))
-          .exceptionally(
-              e -> {
-                scheduleCommitRetry(e.toString());
-                return null;
-              });
+      retryOnError(
+          ports
+              .store()
+              .readResults(id)
+              .thenAccept(storedResults -> adoptResults(outcome, current, storedResults)));
     } else {
       synchronized (this) {
         stored = current;
@@ -377,6 +362,14 @@
     waiting.forEach(r -> r.complete(null));
   }
 
+  private void retryOnError(CompletableFuture<Void> step) {
+    step.exceptionally(
+        e -> {
+          scheduleCommitRetry(e.toString());
+          return null;
+        });
+  }
+
   private synchronized void scheduleCommitRetry(String reason) {
     LOG.write(Event.JOB_COMMIT_WAITS, id, reason, results.pendingCount());
     commitInProgress = false;
