--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
@@ -118,8 +118,7 @@
     if (route.isEmpty()) {
       return Either.left(denialIfCertain(RefusalCode.NOT_FOUND, "no route matches the request"));
     }
-    Deadline answerBy = Deadline.at(clocks.instant().plus(route.get().timeout()));
-    if (!endsBeforeStop.test(callerDeadline.map(answerBy::earlier).getOrElse(answerBy))) {
+    if (!endsBeforeStop.test(route.get().answerBy(clocks.instant(), callerDeadline))) {
       Instant at = clocks.instant().plus(OTHER_HOST_RETRY_DELAY);
       return Either.left(new Refusal(RefusalCode.STOPPING, "this node is shutting down", at));
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -38,7 +38,6 @@
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.request.WorkClass;
-import org.waxwingcourse.model.time.Deadline;
 
 /**
  * Runs one request from its admission to its final answer. The request is sent again only if no
@@ -128,9 +127,7 @@
     this.onDone = onDone;
     this.route = admitted.route();
     this.service = route.selectService(ports.random().nextDouble());
-    Deadline routeDeadline = Deadline.at(request.arrivedAt().plus(route.timeout()));
-    this.limits =
-        RunLimits.of(route, request.arrivedAt(), request.deadline().getOrElse(routeDeadline));
+    this.limits = RunLimits.of(route, request.arrivedAt(), request.deadline());
     this.lastEventId = request.resumeAfter();
     String organisation = admitted.organisation().map(o -> o.id().value()).getOrElse("");
     this.fingerprint = RequestFingerprint.of(organisation, request.target(), request.body());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/RunLimits.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/RunLimits.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.online;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import org.waxwingcourse.fleet.plan.Route;
@@ -40,8 +41,8 @@
   /** Longest pause of a healthy engine, for routes that state no objective for it. */
   private static final Duration DEFAULT_GAP_OBJECTIVE = Duration.ofMillis(500);
 
-  static RunLimits of(Route route, Instant arrivedAt, Deadline callerDeadline) {
-    Deadline answerBy = Deadline.at(arrivedAt.plus(route.timeout())).earlier(callerDeadline);
+  static RunLimits of(Route route, Instant arrivedAt, Option<Deadline> callerDeadline) {
+    Deadline answerBy = route.answerBy(arrivedAt, callerDeadline);
     Duration totalTime = Duration.between(arrivedAt, answerBy.at());
     Duration gap = route.gapObjective().isZero() ? DEFAULT_GAP_OBJECTIVE : route.gapObjective();
     return new RunLimits(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/Route.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/Route.java
@@ -2,8 +2,10 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import org.waxwingcourse.model.id.ServiceName;
+import org.waxwingcourse.model.time.Deadline;
 
 /**
  * The destination and rules of the requests for one host name and path prefix.
@@ -41,6 +43,17 @@
     services = List.copyOf(services);
   }
 
+  /**
+   * Returns when the final answer of a request is due that comes at {@code from}: at the end of the
+   * route's time or, if earlier, of the caller's.
+   *
+   * @param callerDeadline until when the caller waits, none if it does not say
+   */
+  public Deadline answerBy(Instant from, Option<Deadline> callerDeadline) {
+    Deadline own = Deadline.at(from.plus(timeout));
+    return callerDeadline.map(own::earlier).getOrElse(own);
+  }
+
   /** Returns whether a request may be sent again after it may have run. */
   public boolean isRepeatable() {
     return kind == RequestKind.IDEMPOTENT || kind == RequestKind.STREAM && resumable;
