The end of a job is logged at each step to its runner

That the messages to the runner were given up after 1.8 s left no line, nor did a job that was found closed, the message at the runner, its confirmation, and what was on engines then.

CloseNotifier, taken out of JobService, logs W632 and W633; W634 to W636 are the other steps. No change of behaviour.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -159,14 +159,16 @@
     slotNumber = pendingSlot.requestNumber;
   }
 
-  /** Stops the item without a result. */
-  synchronized void stop() {
+  /** Stops the item without a result. Returns whether it was running on an engine. */
+  synchronized boolean stop() {
     done = true;
-    if (attempt != null) {
+    boolean onEngine = attempt != null;
+    if (onEngine) {
       cancelAttempt(RunEnd.How.CANCELLED);
     } else if (slotNumber != 0) {
       ports.slots().withdrawRequest(slotNumber);
     }
+    return onEngine;
   }
 
   private synchronized void handleGrant(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -8,12 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -61,10 +57,6 @@
    */
   private static final Duration PEER_ANSWER_MARGIN = Duration.ofMillis(350);
 
-  /** Time within which the runner of a closed job must confirm before the message is sent again. */
-  private static final Duration CLOSE_CONFIRMATION_TIMEOUT = Duration.ofMillis(300);
-
-  private static final int MAX_CLOSE_MESSAGES = 6;
   private static final int MAX_CONFLICTS = 8;
 
   /** Maximum number of cached jobs; a few megabytes of results. */
@@ -99,8 +91,7 @@
             }
           });
   private final PendingAnswers<JobPage> pendingReads;
-  private final Set<Question> unconfirmedCloses = ConcurrentHashMap.newKeySet();
-  private final AtomicLong lastCloseNumber = new AtomicLong();
+  private final CloseNotifier closeNotifier;
 
   /**
    * The dependencies of the service.
@@ -139,6 +130,7 @@
     this.store = new JobStore(ports.store());
     this.forwarder = new JobForwarder(boot, this::send, ports.timer());
     this.pendingReads = new PendingAnswers<>(boot, ports.timer());
+    this.closeNotifier = new CloseNotifier(boot, this::send, ports.clock(), ports.timer());
     this.runner =
         new JobRunner(
             new JobRunner.Ports(
@@ -515,6 +507,7 @@
     JobRecord record = found.record();
     if (record.getClosed()) {
       // By a write of this host that was not answered, or by another host that may be gone.
+      LOG.write(Event.JOB_FOUND_CLOSED, job, organisation, record.getRunner());
       notifyRunner(job, HostId.of(record.getRunner()));
       return completed(new JobAnswer.Closed());
     }
@@ -549,46 +542,26 @@
   }
 
   private void notifyRunner(JobId job, HostId host) {
-    cachedJobs.remove(job);
-    runner.stopClosed(job);
+    stopClosed(job);
     if (!host.equals(self.host())) {
-      Question close =
-          new Question(host, self.boot(), lastCloseNumber.incrementAndGet(), job.value());
-      unconfirmedCloses.add(close);
-      sendCloseUntilConfirmed(close, MAX_CLOSE_MESSAGES);
-    }
-  }
-
-  private void sendCloseUntilConfirmed(Question close, int remainingMessages) {
-    if (remainingMessages == 0 || !unconfirmedCloses.contains(close)) {
-      unconfirmedCloses.remove(close);
-      return;
+      closeNotifier.notifyRunner(host, job);
     }
-    JobClosed.Builder message =
-        JobClosed.newBuilder().setJob(close.job()).setNumber(close.number()).setBoot(close.boot());
-    sendClosed(close.host(), message.build());
-    ports
-        .timer()
-        .schedule(
-            () -> sendCloseUntilConfirmed(close, remainingMessages - 1),
-            CLOSE_CONFIRMATION_TIMEOUT.toMillis(),
-            TimeUnit.MILLISECONDS);
   }
 
   private void onClosed(HostId from, JobClosed message) {
     if (message.getAnswer()) {
-      unconfirmedCloses.remove(
-          new Question(from, message.getBoot(), message.getNumber(), message.getJob()));
+      closeNotifier.onConfirmation(from, message);
       return;
     }
     JobId job = JobId.of(message.getJob());
-    cachedJobs.remove(job);
-    runner.stopClosed(job);
-    sendClosed(from, message.toBuilder().setAnswer(true).build());
+    LOG.write(Event.JOB_CLOSE_RECEIVED, from, job, runner.findJob(job).isDefined());
+    stopClosed(job);
+    send(from, FleetMessage.newBuilder().setJobClosed(message.toBuilder().setAnswer(true).build()));
   }
 
-  private void sendClosed(HostId to, JobClosed message) {
-    send(to, FleetMessage.newBuilder().setJobClosed(message));
+  private void stopClosed(JobId job) {
+    cachedJobs.remove(job);
+    runner.stopClosed(job);
   }
 
   private void send(HostId to, FleetMessage.Builder message) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -198,7 +198,8 @@
       waiting = List.copyOf(waitingReaders);
       waitingReaders.clear();
     }
-    runs.forEach(ItemRun::stop);
+    long onEngines = runs.stream().filter(ItemRun::stop).count();
+    LOG.write(Event.JOB_ITEMS_STOPPED, id, onEngines, runs.size());
     waiting.forEach(r -> r.complete(null));
   }
 
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -169,6 +169,15 @@
       Level.INFO,
       "an unanswered commit of job \"{}\" was executed after all, found after {}; {} results"),
   HOST_EMPTIED(630, Level.INFO, "host \"{}\" may be removed with its disk: {}"),
+  JOB_CLOSE_CONFIRMED(
+      632, Level.INFO, "host \"{}\" confirmed the end of job \"{}\" {} ms after it was told"),
+  JOB_CLOSE_UNCONFIRMED(
+      633, Level.WARN, "host \"{}\" did not confirm the end of job \"{}\" after {} messages"),
+  JOB_FOUND_CLOSED(
+      634, Level.INFO, "job \"{}\" of \"{}\" was closed before; runner \"{}\" is told again"),
+  JOB_CLOSE_RECEIVED(
+      635, Level.INFO, "host \"{}\" tells of the end of job \"{}\"; it runs here: {}"),
+  JOB_ITEMS_STOPPED(636, Level.INFO, "job \"{}\" was stopped with {} of {} items on engines"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
