An item is sent only if its job was seen open a short while ago

What callers saw: items of a job that they had ended reached engines seconds later.

Cause: the runner learned of an end by a message of the host that executed it, or with its next commit. If that host is lost, or the messages are given up after 1.8 s, or go to another host than the one that runs the job, nobody tells the runner; while all slots are taken it commits nothing, and its items run as slots become free.

Change: OpenJobCheck. Before an item is sent the record must have been read, or a commit must have succeeded, by a call sent at most 1.5 s before; else it is read, once for all items that are granted slots meanwhile. This holds whichever message is lost. A store that does not answer holds no item back. ItemRun gives a slot back that is granted and unused when the job stops.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -92,6 +92,10 @@
 
   private Attempt attempt;
   private long slotNumber;
+
+  /** Whether the slot is granted and the item not sent yet. */
+  private boolean slotUnused;
+
   private long planVersion;
   private int failures;
   private int yields;
@@ -165,25 +169,38 @@
     boolean onEngine = attempt != null;
     if (onEngine) {
       cancelAttempt(RunEnd.How.CANCELLED);
+    } else if (slotUnused) {
+      returnSlot(slotNumber);
     } else if (slotNumber != 0) {
       ports.slots().withdrawRequest(slotNumber);
     }
     return onEngine;
   }
 
-  private synchronized void handleGrant(
-      PendingSlot pendingSlot, UpstreamId engine, Option<SoftwareId> granted, Duration slotWait) {
+  private void returnSlot(long number) {
+    ports.slots().endRun(number, RunEnd.of(RunEnd.How.NOT_SENT));
+  }
+
+  private synchronized void handleGrant(PendingSlot pendingSlot, Duration slotWait) {
     waited = waited.plus(slotWait);
+    slotUnused = pendingSlot.requestNumber == slotNumber;
+  }
+
+  private synchronized void send(
+      PendingSlot pendingSlot, UpstreamId engine, Option<SoftwareId> granted) {
+    if (done || pendingSlot.requestNumber != slotNumber) {
+      returnSlot(pendingSlot.requestNumber);
+      return;
+    }
+    slotUnused = false;
     Option<EngineEntry> entry =
         ports
             .engines()
             .findUsable(engine, pendingSlot.service)
             .filter(e -> lastEventId.isEmpty() || granted.forAll(e.software()::equals));
-    if (done || entry.isEmpty()) {
-      ports.slots().endRun(pendingSlot.requestNumber, RunEnd.of(RunEnd.How.NOT_SENT));
-      if (!done) {
-        scheduleRetry();
-      }
+    if (entry.isEmpty()) {
+      returnSlot(pendingSlot.requestNumber);
+      scheduleRetry();
       return;
     }
     if (software.exists(s -> !s.equals(entry.get().software()))) {
@@ -256,6 +273,7 @@
       cancelAttempt(RunEnd.How.CANCELLED);
     }
     yields++;
+    slotUnused = false;
     requestSlot();
   }
 
@@ -315,7 +333,8 @@
 
     @Override
     public void onGrant(UpstreamId engine, Option<SoftwareId> granted, Duration slotWait) {
-      handleGrant(this, engine, granted, slotWait);
+      handleGrant(this, slotWait);
+      job.whenOpen(() -> send(this, engine, granted));
     }
 
     @Override
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -108,14 +108,21 @@
     return ports.registration().term();
   }
 
-  /** Starts a job that was accepted on this host and written in registration term {@code term}. */
-  void startAccepted(JobId id, JobStore.StoredRecord stored, List<JobItem> items, long term) {
-    startJob(id, stored, items, List.of(), term);
+  /**
+   * Starts a job that was accepted on this host.
+   *
+   * @param openAt when the write that accepted it was sent
+   * @param term the registration term of that write
+   */
+  void startAccepted(
+      JobId id, JobStore.StoredRecord stored, Instant openAt, List<JobItem> items, long term) {
+    startJob(id, stored, openAt, items, List.of(), term);
   }
 
   private void startJob(
       JobId id,
       JobStore.StoredRecord stored,
+      Instant openAt,
       List<JobItem> items,
       List<JobResult> results,
       long term) {
@@ -123,7 +130,7 @@
       return;
     }
     RunningJob job =
-        new RunningJob(id, stored, items, results, term, ports, () -> running.remove(id));
+        new RunningJob(id, stored, openAt, items, results, term, ports, () -> running.remove(id));
     if (running.putIfAbsent(id, job) == null) {
       ports.onStarted().accept(job);
       job.start();
@@ -191,7 +198,7 @@
                 answer -> {
                   TakeOver.Next next = takeOver.onRecord(answer, now);
                   String reason = answer.fold(StoreFailure::message, r -> UNANSWERED_WRITE);
-                  goOn(id, takeOver, next, answer.getOrElse(Option.none()), term, reason);
+                  goOn(id, takeOver, next, answer.getOrElse(Option.none()), now, term, reason);
                 }));
   }
 
@@ -200,11 +207,12 @@
       TakeOver takeOver,
       TakeOver.Next next,
       Option<JobStore.StoredRecord> stored,
+      Instant readAt,
       long term,
       String reason) {
     switch (next) {
-      case CLAIM -> claim(id, takeOver, stored.get(), term);
-      case RESUME -> resume(id, takeOver, stored.get(), term);
+      case CLAIM -> claim(id, takeOver, stored.get(), readAt, term);
+      case RESUME -> resume(id, takeOver, stored.get(), readAt, term);
       case READ -> readRecord(id, takeOver);
       case READ_LATER -> readLater(id, takeOver, reason);
       case REMOVE_ENTRY -> {
@@ -233,7 +241,8 @@
         });
   }
 
-  private void claim(JobId id, TakeOver takeOver, JobStore.StoredRecord stored, long term) {
+  private void claim(
+      JobId id, TakeOver takeOver, JobStore.StoredRecord stored, Instant readAt, long term) {
     JobRecord record = stored.record();
     JobRecord claimedRecord =
         record.toBuilder()
@@ -255,11 +264,16 @@
         ports
             .store()
             .write(claim)
-            .thenAccept(outcome -> onClaimed(id, takeOver, claimedRecord, term, outcome)));
+            .thenAccept(outcome -> onClaimed(id, takeOver, claimedRecord, readAt, term, outcome)));
   }
 
   private void onClaimed(
-      JobId id, TakeOver takeOver, JobRecord claimedRecord, long term, WriteOutcome outcome) {
+      JobId id,
+      TakeOver takeOver,
+      JobRecord claimedRecord,
+      Instant readAt,
+      long term,
+      WriteOutcome outcome) {
     if (outcome instanceof WriteOutcome.Unknown unknown) {
       LOG.write(Event.JOB_CLAIM_UNKNOWN, id, unknown.message());
     }
@@ -270,10 +284,18 @@
       claimed = Option.some(new JobStore.StoredRecord(claimedRecord, done.revision()));
     }
     TakeOver.Next next = takeOver.onClaimed(outcome, ports.clock().instant());
-    goOn(id, takeOver, next, claimed, term, "the claim was not answered as executed: " + outcome);
+    goOn(
+        id,
+        takeOver,
+        next,
+        claimed,
+        readAt,
+        term,
+        "the claim was not answered as executed: " + outcome);
   }
 
-  private void resume(JobId id, TakeOver takeOver, JobStore.StoredRecord stored, long term) {
+  private void resume(
+      JobId id, TakeOver takeOver, JobStore.StoredRecord stored, Instant readAt, long term) {
     goOnAfter(
         id,
         takeOver,
@@ -286,7 +308,7 @@
                   boolean isReadable =
                       items.isRight() && results.exists(r -> holdsAll(r, stored.record()));
                   if (isReadable) {
-                    startJob(id, stored, items.get(), results.get(), term);
+                    startJob(id, stored, readAt, items.get(), results.get(), term);
                   } else {
                     LOG.write(Event.JOB_UNREADABLE, id);
                   }
@@ -295,6 +317,7 @@
                       takeOver,
                       takeOver.onContent(isReadable),
                       Option.none(),
+                      readAt,
                       term,
                       "its items or results cannot be read");
                   return null;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -47,6 +48,7 @@
   private final List<JobItem> items;
   private final List<ItemRun> runs = new ArrayList<>();
   private final ResultLog results;
+  private final OpenJobCheck openCheck;
   private final List<CompletableFuture<Void>> waitingReaders = new ArrayList<>();
   private final Deadline due;
   private final Deadline giveUpAt;
@@ -56,9 +58,16 @@
   private boolean commitScheduled;
   private boolean ended;
 
+  /**
+   * Creates a job that is not started.
+   *
+   * @param stored the record, which shows the job open
+   * @param openAt when the call to the store that returned or wrote the record was sent
+   */
   RunningJob(
       JobId id,
       JobStore.StoredRecord stored,
+      Instant openAt,
       List<JobItem> items,
       List<JobResult> storedResults,
       long term,
@@ -71,6 +80,7 @@
     this.ports = ports;
     this.endListener = endListener;
     results = new ResultLog(items.size(), stored.record(), storedResults);
+    openCheck = new OpenJobCheck(openAt);
     due = deadline(stored.record().getDueMillis());
     giveUpAt = deadline(stored.record().getGiveUpMillis());
   }
@@ -132,6 +142,54 @@
     }
   }
 
+  /**
+   * Runs an action once the job is known to have been open a short while ago, or to be unknown to a
+   * store that does not answer. If the job is found closed, it stops before the action is run.
+   */
+  void whenOpen(Runnable action) {
+    Instant now = ports.clock().instant();
+    switch (openCheck.onAction(action, now)) {
+      case RUN -> action.run();
+      case READ ->
+          ports
+              .store()
+              .readRecord(id)
+              .exceptionally(e -> Either.left(unreadable(e)))
+              .thenAccept(answer -> onOpenRead(now, answer));
+      case WAIT -> {
+        // The read in progress runs the action.
+      }
+      default -> throw new IllegalStateException("unknown step");
+    }
+  }
+
+  private static StoreFailure unreadable(Throwable error) {
+    return new StoreFailure(StoreFailure.Kind.MALFORMED, error.toString());
+  }
+
+  private void onOpenRead(
+      Instant sentAt, Either<StoreFailure, Option<JobStore.StoredRecord>> answer) {
+    if (answer.isLeft()) {
+      LOG.write(Event.JOB_OPEN_UNKNOWN, id, answer.getLeft().message());
+    } else {
+      reasonToLeave(answer.get()).forEach(this::stop);
+    }
+    openCheck.onRead(sentAt).forEach(Runnable::run);
+  }
+
+  /** Returns why this host may no longer run the job, none if its record shows that it may. */
+  private Option<String> reasonToLeave(Option<JobStore.StoredRecord> current) {
+    if (current.isEmpty()) {
+      return Option.some("the job record was removed");
+    }
+    JobRecord record = current.get().record();
+    if (record.getClosed()) {
+      return Option.some("its record shows that the job was closed");
+    }
+    return Option.when(
+        !ports.self().isRunnerOf(record), () -> "host " + record.getRunner() + " now runs the job");
+  }
+
   Deadline due() {
     return due;
   }
@@ -268,12 +326,18 @@
       }
       transaction = builder.build();
     }
+    Instant sentAt = ports.clock().instant();
     retryOnError(
-        ports.store().write(transaction).thenAccept(outcome -> onCommitted(outcome, next, part)));
+        ports
+            .store()
+            .write(transaction)
+            .thenAccept(outcome -> onCommitted(outcome, next, part, sentAt)));
   }
 
-  private void onCommitted(WriteOutcome outcome, JobRecord next, ResultLog.Part part) {
+  private void onCommitted(
+      WriteOutcome outcome, JobRecord next, ResultLog.Part part, Instant sentAt) {
     if (outcome instanceof WriteOutcome.Done done) {
+      openCheck.confirmOpen(sentAt);
       synchronized (this) {
         stored = new JobStore.StoredRecord(next, done.revision());
         results.confirm(part);
@@ -300,16 +364,13 @@
       scheduleCommitRetry(outcome + "; " + answer.getLeft().message());
       return;
     }
-    if (answer.get().isEmpty()) {
-      stop("the job record was removed");
+    Option<String> reason = reasonToLeave(answer.get());
+    if (reason.isDefined()) {
+      stop(reason.get());
       return;
     }
     JobStore.StoredRecord current = answer.get().get();
-    if (current.record().getClosed()) {
-      stop("the job was closed");
-    } else if (!ports.self().isRunnerOf(current.record())) {
-      stop("host " + current.record().getRunner() + " now runs the job");
-    } else if (isBehind(current.record())) {
+    if (isBehind(current.record())) {
       retryOnError(
           ports
               .store()
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
@@ -27,6 +27,7 @@
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
+import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.StreamCall;
@@ -37,6 +38,7 @@
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.standin.store.MemoryStore;
+import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.JobItem;
 import org.waxwingcourse.wire.fleet.JobRecord;
@@ -131,8 +133,14 @@
             .setOrganisation("parish")
             .setDueMillis(clock.instant().plusSeconds(18).toEpochMilli())
             .setGiveUpMillis(clock.instant().plus(GIVE_UP_AFTER).toEpochMilli())
+            .setRunner(SELF.host().value())
+            .setRunnerBoot(SELF.boot())
             .build();
     MemoryStore store = MemoryStore.of(clock);
+    JobId job = JobId.of("job-1");
+    store
+        .write(Transaction.builder().put(StoreKeys.jobKey(job), record.toByteArray()).build())
+        .join();
     JobRunner.Ports ports =
         new JobRunner.Ports(
             SELF,
@@ -158,8 +166,9 @@
             headers -> List.of());
     slots.attachTo(COORDINATOR);
     new RunningJob(
-            JobId.of("job-1"),
+            job,
             new JobStore.StoredRecord(record, Revision.of(1)),
+            clock.instant(),
             List.of(JobItem.newBuilder().setId("item-1").build()),
             List.of(),
             1,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
@@ -20,13 +20,14 @@
 import org.waxwingcourse.store.WatchListener;
 import org.waxwingcourse.store.WriteOutcome;
 
-/** A store that loses the answers to chosen writes, or executes them later. */
+/** A store that loses the answers to chosen writes, executes them later, or answers reads later. */
 final class FaultyStore implements Store {
   private final MemoryStore store;
   private final Queue<WriteFault> writeFaults = new ArrayDeque<>();
   private final List<Transaction> lateWrites = new ArrayList<>();
   private Runnable afterWrite = () -> {};
   private Runnable afterRead = () -> {};
+  private CompletableFuture<Void> readGate = CompletableFuture.completedFuture(null);
 
   /** What happens to a write. */
   enum WriteFault {
@@ -55,6 +56,16 @@
     afterRead = action;
   }
 
+  /** Holds the answers to reads until {@link #answerReads}. */
+  void holdReads() {
+    readGate = new CompletableFuture<>();
+  }
+
+  /** Answers the reads that are held, and later ones at once. */
+  void answerReads() {
+    readGate.complete(null);
+  }
+
   /** Executes the writes that are late, if their conditions still hold. */
   void executeLateWrites() {
     lateWrites.forEach(store::write);
@@ -82,7 +93,7 @@
     Runnable action = afterRead;
     afterRead = () -> {};
     action.run();
-    return answer;
+    return readGate.thenCompose(open -> answer);
   }
 
   @Override
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
@@ -114,6 +114,7 @@
         new RunningJob(
             JobId.of("job-1"),
             new JobStore.StoredRecord(record, Revision.of(1)),
+            clock.instant(),
             List.of(item),
             List.of(),
             1,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
@@ -147,6 +147,7 @@
         new RunningJob(
             JobId.of("job-1"),
             new JobStore.StoredRecord(record, Revision.of(1)),
+            clock.instant(),
             List.of(item),
             List.of(),
             1,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
@@ -96,6 +96,7 @@
     return new RunningJob(
         JobId.of("job-1"),
         new JobStore.StoredRecord(record, Revision.of(1)),
+        clock.instant(),
         List.of(JobItem.newBuilder().setId("item-1").build()),
         List.of(),
         1,
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -178,6 +178,8 @@
   JOB_CLOSE_RECEIVED(
       635, Level.INFO, "host \"{}\" tells of the end of job \"{}\"; it runs here: {}"),
   JOB_ITEMS_STOPPED(636, Level.INFO, "job \"{}\" was stopped with {} of {} items on engines"),
+  JOB_OPEN_UNKNOWN(
+      637, Level.WARN, "the store does not tell whether job \"{}\" is open: {}; its items run on"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
