An end that the store does not take is tried again

What callers saw: a caller ends a job while the store does not answer, gets 503 and does not return; the items run to their end. The users' rule counts such an end as acknowledged after some seconds of steady state.

The answer to the caller stays 503, which it may still repeat.

ClosedJobTest.endThatTheStoreRefusedIsCarriedOutWhenItAnswers failed before and passes; the tests of fleet.job pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobAnswer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobAnswer.java
@@ -13,7 +13,8 @@
   record Closed() implements JobAnswer {}
 
   /**
-   * The call has no effect: nothing of the job runs because of it.
+   * The call has no effect now: nothing of the job runs because of it. The end of a job may still
+   * be carried out later.
    *
    * @param overLimit whether the limit on the organisation's waiting tokens is exceeded
    * @param retryAfter time after which the caller may retry
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -19,7 +19,6 @@
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
-import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -30,8 +29,6 @@
 import org.waxwingcourse.peer.PeerTransport;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.StoreFailure;
-import org.waxwingcourse.store.Transaction;
-import org.waxwingcourse.store.WriteOutcome;
 import org.waxwingcourse.wire.fleet.FleetMessage;
 import org.waxwingcourse.wire.fleet.ItemHeader;
 import org.waxwingcourse.wire.fleet.JobAnnounced;
@@ -57,8 +54,6 @@
    */
   private static final Duration PEER_ANSWER_MARGIN = Duration.ofMillis(350);
 
-  private static final int MAX_CONFLICTS = 8;
-
   /** Maximum number of cached jobs; a few megabytes of results. */
   private static final int MAX_CACHED_JOBS = 200;
 
@@ -92,6 +87,7 @@
           });
   private final PendingAnswers<JobPage> pendingReads;
   private final CloseNotifier closeNotifier;
+  private final JobCloser closer;
 
   /**
    * The dependencies of the service.
@@ -131,6 +127,9 @@
     this.forwarder = new JobForwarder(boot, this::send, ports.timer());
     this.pendingReads = new PendingAnswers<>(boot, ports.timer());
     this.closeNotifier = new CloseNotifier(boot, this::send, ports.clock(), ports.timer());
+    this.closer =
+        new JobCloser(
+            store, ports.clock(), ports.timer(), this::storeRetryDelay, this::notifyRunner);
     this.runner =
         new JobRunner(
             new JobRunner.Ports(
@@ -259,9 +258,9 @@
             });
   }
 
-  /** Closes a job. */
+  /** Closes a job. One that cannot be closed now is closed later, if the store answers by then. */
   public CompletableFuture<JobAnswer> closeJob(JobId job, OrganisationId organisation) {
-    return closeJob(job, organisation, 0);
+    return closer.close(job, organisation);
   }
 
   /** Returns the number of jobs that run here. */
@@ -486,61 +485,6 @@
     return owned ? answer.get().get().page(after) : new JobAnswer.NotFound();
   }
 
-  private CompletableFuture<JobAnswer> closeJob(
-      JobId job, OrganisationId organisation, int conflicts) {
-    return store
-        .readRecord(job)
-        .thenCompose(
-            answer -> {
-              if (answer.isLeft()) {
-                return completed(unavailable(answer.getLeft()));
-              }
-              if (!answer.get().exists(s -> belongsTo(s.record(), organisation))) {
-                return completed(new JobAnswer.NotFound());
-              }
-              return closeJob(job, organisation, answer.get().get(), conflicts);
-            });
-  }
-
-  private CompletableFuture<JobAnswer> closeJob(
-      JobId job, OrganisationId organisation, JobStore.StoredRecord found, int conflicts) {
-    JobRecord record = found.record();
-    if (record.getClosed()) {
-      // By a write of this host that was not answered, or by another host that may be gone.
-      LOG.write(Event.JOB_FOUND_CLOSED, job, organisation, record.getRunner());
-      notifyRunner(job, HostId.of(record.getRunner()));
-      return completed(new JobAnswer.Closed());
-    }
-    if (ResultLog.isComplete(record)) {
-      return completed(new JobAnswer.Closed());
-    }
-    JobRecord closed = record.toBuilder().setClosed(true).build();
-    Transaction transaction =
-        Transaction.builder()
-            .requireUnmodified(StoreKeys.jobKey(job), found.revision())
-            .put(StoreKeys.jobKey(job), closed.toByteArray())
-            .delete(StoreKeys.runnerKey(job))
-            .build();
-    return store
-        .write(transaction)
-        .thenCompose(
-            outcome -> {
-              if (outcome instanceof WriteOutcome.Done) {
-                LOG.write(Event.JOB_CLOSED, job, organisation, record.getRunner());
-                notifyRunner(job, HostId.of(record.getRunner()));
-                return completed(new JobAnswer.Closed());
-              }
-              if (outcome instanceof WriteOutcome.NotSent notSent) {
-                return completed(unavailable(notSent.failure()));
-              }
-              return conflicts < MAX_CONFLICTS
-                  ? closeJob(job, organisation, conflicts + 1)
-                  : completed(
-                      new JobAnswer.Unknown(
-                          "the job record was changed concurrently on every attempt"));
-            });
-  }
-
   private void notifyRunner(JobId job, HostId host) {
     stopClosed(job);
     if (!host.equals(self.host())) {
@@ -577,7 +521,7 @@
         .orElseGet(JobAnswer.NotFound::new);
   }
 
-  private static boolean belongsTo(JobRecord record, OrganisationId organisation) {
+  static boolean belongsTo(JobRecord record, OrganisationId organisation) {
     return record.getOrganisation().equals(organisation.value());
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ClosedJobTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ClosedJobTest.java
@@ -135,4 +135,25 @@
     timer.advance(MESSAGE_TIME);
     assertThat(hosts.get(RUNNER).countRunning()).isZero();
   }
+
+  /** A caller who asked once, while the store was away, had its items run to their end. */
+  @Test
+  void endThatTheStoreRefusedIsCarriedOutWhenItAnswers() {
+    storeOfCloser.failWrites(FaultyStore.WriteFault.REFUSED, FaultyStore.WriteFault.REFUSED);
+    CompletableFuture<JobAnswer> answer = hosts.get(CLOSER).closeJob(JOB, PARISH);
+    assertThat(answer.join()).isInstanceOf(JobAnswer.Refused.class);
+    assertThat(hosts.get(RUNNER).countRunning()).isOne();
+    timer.advance(Duration.ofSeconds(3));
+    assertThat(hosts.get(RUNNER).countRunning()).isZero();
+  }
+
+  /** The job is another organisation's, which may not end it at any time. */
+  @Test
+  void endOfAnotherOrganisationIsNotTriedAgain() {
+    CompletableFuture<JobAnswer> answer =
+        hosts.get(CLOSER).closeJob(JOB, OrganisationId.of("other"));
+    assertThat(answer.join()).isInstanceOf(JobAnswer.NotFound.class);
+    timer.advance(Duration.ofSeconds(3));
+    assertThat(hosts.get(RUNNER).countRunning()).isOne();
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
@@ -20,7 +20,7 @@
 import org.waxwingcourse.store.WatchListener;
 import org.waxwingcourse.store.WriteOutcome;
 
-/** A store that loses the answers to chosen writes, executes them later, or answers reads later. */
+/** A store that fails chosen writes, executes them later, or answers reads later. */
 final class FaultyStore implements Store {
   private final MemoryStore store;
   private final Queue<WriteFault> writeFaults = new ArrayDeque<>();
@@ -32,6 +32,8 @@
   /** What happens to a write. */
   enum WriteFault {
     NONE,
+    /** The write is not executed, and its caller is told so. */
+    REFUSED,
     ANSWER_LOST,
     /** There is no answer, and the write is executed with {@link #executeLateWrites}. */
     LATE
@@ -79,6 +81,11 @@
         CompletableFuture.completedFuture(new WriteOutcome.Unknown("the answer was lost"));
     switch (fault) {
       case NONE -> outcome = store.write(transaction);
+      case REFUSED ->
+          outcome =
+              CompletableFuture.completedFuture(
+                  new WriteOutcome.NotSent(
+                      new StoreFailure(StoreFailure.Kind.UNREACHABLE, "refused")));
       case ANSWER_LOST -> store.write(transaction).join();
       case LATE -> lateWrites.add(transaction);
       default -> throw new AssertionError("unknown fault " + fault);
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -180,6 +180,10 @@
   JOB_ITEMS_STOPPED(636, Level.INFO, "job \"{}\" was stopped with {} of {} items on engines"),
   JOB_OPEN_UNKNOWN(
       637, Level.WARN, "the store does not tell whether job \"{}\" is open: {}; its items run on"),
+  JOB_END_GIVEN_UP(
+      638,
+      Level.WARN,
+      "job \"{}\" could not be ended for \"{}\"; it runs on until it is asked again"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
