One value for the moment of a call to the store

Tidying, no change of behaviour: AskedAt holds the time and the registration term of a call, which were handed on side by side; StoredRecord tells whom a job belongs to. StoreRetryDelayTest hands its clock to the runner, which now reads it. The tests of fleet.job pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobCloser.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobCloser.java
@@ -126,7 +126,7 @@
               if (answer.isLeft()) {
                 return completed(refused(answer.getLeft()));
               }
-              if (!answer.get().exists(s -> JobService.belongsTo(s.record(), organisation))) {
+              if (!answer.get().exists(s -> s.belongsTo(organisation))) {
                 return completed(new JobAnswer.NotFound());
               }
               return tryClose(job, organisation, answer.get().get(), conflicts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -163,13 +163,11 @@
                       : refuseUnlessAccepted(job, recounted));
     }
     CountedTokens newCount = lastCount.with(job, record);
-    long term = runner.term();
-    Instant sentAt = clock.instant();
+    AskedAt askedAt = runner.now();
     return store
         .write(buildTransaction(job, record, parts, countKey, newCount))
         .thenCompose(
-            outcome ->
-                handleOutcome(job, record, parts, conflicts, newCount, sentAt, term, outcome));
+            outcome -> handleOutcome(job, record, parts, conflicts, newCount, askedAt, outcome));
   }
 
   private static boolean fits(JobSubmission job, CountedTokens lastCount, JobRecord record) {
@@ -183,8 +181,7 @@
       List<JobItems> parts,
       int conflicts,
       CountedTokens newCount,
-      Instant sentAt,
-      long term,
+      AskedAt askedAt,
       WriteOutcome outcome) {
     if (outcome instanceof WriteOutcome.Done || outcome instanceof WriteOutcome.Lost) {
       patience.recordAnswer();
@@ -193,7 +190,7 @@
       lastCounts.put(countKey(job), new CountedTokens(newCount.tokens(), done.revision()));
       LOG.write(Event.JOB_ACCEPTED, job.id(), job.organisation(), job.items().size(), job.tokens());
       JobStore.StoredRecord stored = new JobStore.StoredRecord(record, done.revision());
-      runner.startAccepted(job.id(), stored, sentAt, job.items(), term);
+      runner.startAccepted(job.id(), stored, job.items(), askedAt);
       return completed(new JobAnswer.Accepted());
     }
     if (outcome instanceof WriteOutcome.Lost lost) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -103,38 +103,31 @@
     return running.size();
   }
 
-  /** Returns the registration term under which a job that is written now is held. */
-  long term() {
-    return ports.registration().term();
+  /** Returns the present moment, for a call to the store that is sent now. */
+  AskedAt now() {
+    return new AskedAt(ports.clock().instant(), ports.registration().term());
   }
 
-  /**
-   * Starts a job that was accepted on this host.
-   *
-   * @param openAt when the write that accepted it was sent
-   * @param term the registration term of that write
-   */
-  void startAccepted(
-      JobId id, JobStore.StoredRecord stored, Instant openAt, List<JobItem> items, long term) {
-    startJob(id, stored, openAt, items, List.of(), term);
+  /** Starts a job that was accepted on this host by a write sent at {@code askedAt}. */
+  void startAccepted(JobId id, JobStore.StoredRecord stored, List<JobItem> items, AskedAt askedAt) {
+    startJob(id, stored, items, List.of(), askedAt);
   }
 
   private void startJob(
       JobId id,
       JobStore.StoredRecord stored,
-      Instant openAt,
       List<JobItem> items,
       List<JobResult> results,
-      long term) {
+      AskedAt askedAt) {
     if (stopped || isRecentlyClosed(id)) {
       return;
     }
     RunningJob job =
-        new RunningJob(id, stored, openAt, items, results, term, ports, () -> running.remove(id));
+        new RunningJob(id, stored, items, results, askedAt, ports, () -> running.remove(id));
     if (running.putIfAbsent(id, job) == null) {
       ports.onStarted().accept(job);
       job.start();
-      if (term != term()) {
+      if (askedAt.term() != ports.registration().term()) {
         job.confirmOwnership();
       }
       if (isRecentlyClosed(id)) {
@@ -186,8 +179,7 @@
       takeOvers.remove(id, takeOver);
       return;
     }
-    long term = term();
-    Instant now = ports.clock().instant();
+    AskedAt askedAt = now();
     goOnAfter(
         id,
         takeOver,
@@ -196,9 +188,9 @@
             .readRecord(id)
             .thenAccept(
                 answer -> {
-                  TakeOver.Next next = takeOver.onRecord(answer, now);
+                  TakeOver.Next next = takeOver.onRecord(answer, askedAt.instant());
                   String reason = answer.fold(StoreFailure::message, r -> UNANSWERED_WRITE);
-                  goOn(id, takeOver, next, answer.getOrElse(Option.none()), now, term, reason);
+                  goOn(id, takeOver, next, answer.getOrElse(Option.none()), askedAt, reason);
                 }));
   }
 
@@ -207,12 +199,11 @@
       TakeOver takeOver,
       TakeOver.Next next,
       Option<JobStore.StoredRecord> stored,
-      Instant readAt,
-      long term,
+      AskedAt askedAt,
       String reason) {
     switch (next) {
-      case CLAIM -> claim(id, takeOver, stored.get(), readAt, term);
-      case RESUME -> resume(id, takeOver, stored.get(), readAt, term);
+      case CLAIM -> claim(id, takeOver, stored.get(), askedAt);
+      case RESUME -> resume(id, takeOver, stored.get(), askedAt);
       case READ -> readRecord(id, takeOver);
       case READ_LATER -> readLater(id, takeOver, reason);
       case REMOVE_ENTRY -> {
@@ -241,8 +232,7 @@
         });
   }
 
-  private void claim(
-      JobId id, TakeOver takeOver, JobStore.StoredRecord stored, Instant readAt, long term) {
+  private void claim(JobId id, TakeOver takeOver, JobStore.StoredRecord stored, AskedAt askedAt) {
     JobRecord record = stored.record();
     JobRecord claimedRecord =
         record.toBuilder()
@@ -264,16 +254,11 @@
         ports
             .store()
             .write(claim)
-            .thenAccept(outcome -> onClaimed(id, takeOver, claimedRecord, readAt, term, outcome)));
+            .thenAccept(outcome -> onClaimed(id, takeOver, claimedRecord, askedAt, outcome)));
   }
 
   private void onClaimed(
-      JobId id,
-      TakeOver takeOver,
-      JobRecord claimedRecord,
-      Instant readAt,
-      long term,
-      WriteOutcome outcome) {
+      JobId id, TakeOver takeOver, JobRecord claimedRecord, AskedAt askedAt, WriteOutcome outcome) {
     if (outcome instanceof WriteOutcome.Unknown unknown) {
       LOG.write(Event.JOB_CLAIM_UNKNOWN, id, unknown.message());
     }
@@ -285,17 +270,10 @@
     }
     TakeOver.Next next = takeOver.onClaimed(outcome, ports.clock().instant());
     goOn(
-        id,
-        takeOver,
-        next,
-        claimed,
-        readAt,
-        term,
-        "the claim was not answered as executed: " + outcome);
+        id, takeOver, next, claimed, askedAt, "the claim was not answered as executed: " + outcome);
   }
 
-  private void resume(
-      JobId id, TakeOver takeOver, JobStore.StoredRecord stored, Instant readAt, long term) {
+  private void resume(JobId id, TakeOver takeOver, JobStore.StoredRecord stored, AskedAt askedAt) {
     goOnAfter(
         id,
         takeOver,
@@ -308,7 +286,7 @@
                   boolean isReadable =
                       items.isRight() && results.exists(r -> holdsAll(r, stored.record()));
                   if (isReadable) {
-                    startJob(id, stored, readAt, items.get(), results.get(), term);
+                    startJob(id, stored, items.get(), results.get(), askedAt);
                   } else {
                     LOG.write(Event.JOB_UNREADABLE, id);
                   }
@@ -317,8 +295,7 @@
                       takeOver,
                       takeOver.onContent(isReadable),
                       Option.none(),
-                      readAt,
-                      term,
+                      askedAt,
                       "its items or results cannot be read");
                   return null;
                 }));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -248,7 +248,7 @@
               if (answer.isLeft()) {
                 return completed(unavailable(answer.getLeft()));
               }
-              boolean owned = answer.get().exists(s -> belongsTo(s.record(), organisation));
+              boolean owned = answer.get().exists(s -> s.belongsTo(organisation));
               if (!owned || answer.get().get().record().getClosed()) {
                 return completed(new JobAnswer.NotFound());
               }
@@ -521,10 +521,6 @@
         .orElseGet(JobAnswer.NotFound::new);
   }
 
-  static boolean belongsTo(JobRecord record, OrganisationId organisation) {
-    return record.getOrganisation().equals(organisation.value());
-  }
-
   private JobAnswer unavailable(StoreFailure failure) {
     return new JobAnswer.Refused(false, storeRetryDelay(), failure.message());
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
@@ -39,7 +40,11 @@
    * @param record the record
    * @param revision the revision to compare with in the next compare-and-swap
    */
-  record StoredRecord(JobRecord record, Revision revision) {}
+  record StoredRecord(JobRecord record, Revision revision) {
+    boolean belongsTo(OrganisationId organisation) {
+      return record.getOrganisation().equals(organisation.value());
+    }
+  }
 
   /** Reads a job's record, none if there is no such job. */
   CompletableFuture<Either<StoreFailure, Option<StoredRecord>>> readRecord(JobId job) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -62,25 +62,24 @@
    * Creates a job that is not started.
    *
    * @param stored the record, which shows the job open
-   * @param openAt when the call to the store that returned or wrote the record was sent
+   * @param askedAt when the call to the store that returned or wrote the record was sent
    */
   RunningJob(
       JobId id,
       JobStore.StoredRecord stored,
-      Instant openAt,
       List<JobItem> items,
       List<JobResult> storedResults,
-      long term,
+      AskedAt askedAt,
       JobRunner.Ports ports,
       Runnable endListener) {
     this.id = id;
     this.stored = stored;
-    this.term = term;
+    this.term = askedAt.term();
     this.items = items;
     this.ports = ports;
     this.endListener = endListener;
     results = new ResultLog(items.size(), stored.record(), storedResults);
-    openCheck = new OpenJobCheck(openAt);
+    openCheck = new OpenJobCheck(askedAt.instant());
     due = deadline(stored.record().getDueMillis());
     giveUpAt = deadline(stored.record().getGiveUpMillis());
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
@@ -168,10 +168,9 @@
     new RunningJob(
             job,
             new JobStore.StoredRecord(record, Revision.of(1)),
-            clock.instant(),
             List.of(JobItem.newBuilder().setId("item-1").build()),
             List.of(),
-            1,
+            new AskedAt(clock.instant(), 1),
             ports,
             () -> {})
         .start();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
@@ -114,10 +114,9 @@
         new RunningJob(
             JobId.of("job-1"),
             new JobStore.StoredRecord(record, Revision.of(1)),
-            clock.instant(),
             List.of(item),
             List.of(),
-            1,
+            new AskedAt(clock.instant(), 1),
             ports,
             () -> {});
     return new ItemRun(0, item, job, ports, (run, completed, text) -> results.add(completed));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
@@ -147,10 +147,9 @@
         new RunningJob(
             JobId.of("job-1"),
             new JobStore.StoredRecord(record, Revision.of(1)),
-            clock.instant(),
             List.of(item),
             List.of(),
-            1,
+            new AskedAt(clock.instant(), 1),
             ports,
             () -> {});
     return new ItemRun(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
@@ -133,12 +133,11 @@
     return new RunningJob(
         JobId.of("job-1"),
         new JobStore.StoredRecord(record, Revision.of(1)),
-        clock.instant(),
         List.of(
             JobItem.newBuilder().setId("item-1").build(),
             JobItem.newBuilder().setId("item-2").build()),
         List.of(),
-        1,
+        new AskedAt(clock.instant(), 1),
         ports,
         () -> {});
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -126,7 +126,7 @@
                     null,
                     registration,
                     null,
-                    null,
+                    clock,
                     null,
                     null,
                     null,
