One check of whether a host may still run a job, one refusal, no state beside it

Found by reading the change once more; no change of behaviour. RunningJob.onConfirmed asked the same of the record as reasonToLeave, which it now calls; JobCloser built the refusal that JobService builds, and kept its retried ends in a map whose values nobody read; items were stopped as a side effect of a filter.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobCloser.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobCloser.java
@@ -2,13 +2,13 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -45,9 +45,9 @@
   private final JobStore store;
   private final InstantSource clock;
   private final ScheduledExecutorService timer;
-  private final Supplier<Duration> storeRetryDelay;
+  private final Function<StoreFailure, JobAnswer> refusal;
   private final BiConsumer<JobId, HostId> onClosed;
-  private final Map<JobId, RetriedEnd> retried = new ConcurrentHashMap<>();
+  private final Set<JobId> retried = ConcurrentHashMap.newKeySet();
 
   /** An end that the store has not taken yet. */
   private record RetriedEnd(OrganisationId organisation, Deadline until) {}
@@ -56,20 +56,19 @@
    * Creates a closer.
    *
    * @param clock the steady clock
-   * @param storeRetryDelay supplies the time after which a caller may retry if the store refused a
-   *     call
+   * @param refusal returns the answer to a caller whose call the store did not take
    * @param onClosed called with each job that is found closed and the runner that its record names
    */
   JobCloser(
       JobStore store,
       InstantSource clock,
       ScheduledExecutorService timer,
-      Supplier<Duration> storeRetryDelay,
+      Function<StoreFailure, JobAnswer> refusal,
       BiConsumer<JobId, HostId> onClosed) {
     this.store = store;
     this.clock = clock;
     this.timer = timer;
-    this.storeRetryDelay = storeRetryDelay;
+    this.refusal = refusal;
     this.onClosed = onClosed;
   }
 
@@ -90,7 +89,7 @@
   }
 
   private void retry(JobId job, RetriedEnd end) {
-    if (retried.size() < MAX_RETRIED && retried.putIfAbsent(job, end) == null) {
+    if (retried.size() < MAX_RETRIED && retried.add(job)) {
       scheduleRetry(job, end);
     }
   }
@@ -124,7 +123,7 @@
         .thenCompose(
             answer -> {
               if (answer.isLeft()) {
-                return completed(refused(answer.getLeft()));
+                return completed(refusal.apply(answer.getLeft()));
               }
               if (!answer.get().exists(s -> s.belongsTo(organisation))) {
                 return completed(new JobAnswer.NotFound());
@@ -162,7 +161,7 @@
                 return completed(new JobAnswer.Closed());
               }
               if (outcome instanceof WriteOutcome.NotSent notSent) {
-                return completed(refused(notSent.failure()));
+                return completed(refusal.apply(notSent.failure()));
               }
               return conflicts < MAX_CONFLICTS
                   ? tryClose(job, organisation, conflicts + 1)
@@ -172,10 +171,6 @@
             });
   }
 
-  private JobAnswer refused(StoreFailure failure) {
-    return new JobAnswer.Refused(false, storeRetryDelay.get(), failure.message());
-  }
-
   private static CompletableFuture<JobAnswer> completed(JobAnswer answer) {
     return CompletableFuture.completedFuture(answer);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -128,8 +128,7 @@
     this.pendingReads = new PendingAnswers<>(boot, ports.timer());
     this.closeNotifier = new CloseNotifier(boot, this::send, ports.clock(), ports.timer());
     this.closer =
-        new JobCloser(
-            store, ports.clock(), ports.timer(), this::storeRetryDelay, this::notifyRunner);
+        new JobCloser(store, ports.clock(), ports.timer(), this::unavailable, this::notifyRunner);
     this.runner =
         new JobRunner(
             new JobRunner.Ports(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -130,9 +130,7 @@
       ports
           .timer()
           .schedule(this::confirmOwnership, COMMIT_RETRY_DELAY.toNanos(), TimeUnit.NANOSECONDS);
-    } else if (answer
-        .get()
-        .exists(s -> ports.self().isRunnerOf(s.record()) && !s.record().getClosed())) {
+    } else if (reasonToLeave(answer.get()).isEmpty()) {
       synchronized (this) {
         term = current;
       }
@@ -255,7 +253,10 @@
       waiting = List.copyOf(waitingReaders);
       waitingReaders.clear();
     }
-    long onEngines = runs.stream().filter(ItemRun::stop).count();
+    int onEngines = 0;
+    for (ItemRun run : runs) {
+      onEngines += run.stop() ? 1 : 0;
+    }
     LOG.write(Event.JOB_ITEMS_STOPPED, id, onEngines, runs.size());
     waiting.forEach(r -> r.complete(null));
   }
