--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -237,14 +237,21 @@
           return;
         }
         if (answer.isLeft()) {
-          scheduleRetry(expectedGeneration);
+          scheduleRetry(expectedGeneration, answer.getLeft());
           return;
         }
         failures = 0;
       }
       Snapshot snapshot = answer.get();
-      boolean keepsMissing = isRecovering() && lacksKnownEntries(snapshot);
+      List<String> missing = isRecovering() ? knownEntriesMissingIn(snapshot) : List.of();
+      boolean keepsMissing = !missing.isEmpty();
+      LOG.write(
+          Event.STORE_RANGE_READ,
+          range.key(),
+          snapshot.revision().value(),
+          snapshot.entries().size());
       if (keepsMissing) {
+        logKept(snapshot.revision(), missing);
         table.applyChanges(snapshot.revision(), snapshot.entries(), List.of());
       } else {
         table.replaceFromRead(snapshot);
@@ -260,9 +267,17 @@
       }
     }
 
-    private boolean lacksKnownEntries(Snapshot snapshot) {
+    private List<String> knownEntriesMissingIn(Snapshot snapshot) {
       List<String> present = snapshot.entries().stream().map(Entry::key).toList();
-      return table.entries().stream().anyMatch(e -> !present.contains(e.key()));
+      return table.entries().stream()
+          .map(Entry::key)
+          .filter(key -> !present.contains(key))
+          .toList();
+    }
+
+    private void logKept(Revision revision, List<String> keys) {
+      LOG.write(
+          Event.STORE_ENTRIES_KEPT, revision.value(), REREGISTRATION_GRACE.toMillis(), keys);
     }
 
     private void restart() {
@@ -275,10 +290,11 @@
       open();
     }
 
-    private void scheduleRetry(long expectedGeneration) {
+    private void scheduleRetry(long expectedGeneration, StoreFailure failure) {
       waitsForRetry = true;
       Duration delay = WATCH_RETRY_DELAY.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
       failures++;
+      LOG.write(Event.STORE_WATCH_LOST, range.key(), failure.message(), delay.toMillis());
       timer.schedule(
           () -> {
             synchronized (StoreFollower.this) {
@@ -295,6 +311,7 @@
     @Override
     public void onChanges(Revision revision, List<Entry> puts, List<String> deletes) {
       if (!deletes.isEmpty() && isRecovering()) {
+        logKept(revision, deletes);
         table.applyChanges(revision, puts, List.of());
         timer.schedule(this::restart, REREGISTRATION_GRACE.toMillis(), TimeUnit.MILLISECONDS);
       } else {
@@ -310,7 +327,7 @@
         }
         watch = null;
         generation++;
-        scheduleRetry(generation);
+        scheduleRetry(generation, failure);
       }
     }
   }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -191,6 +191,14 @@
   STORE_UNFOLLOWED(703, Level.INFO, "this host no longer watches the store"),
   STORE_LOST(704, Level.WARN, "the store does not answer: {}"),
   STORE_REGAINED(705, Level.INFO, "the store answers again"),
+  STORE_RANGE_READ(
+      706, Level.INFO, "range \"{}\" is read at revision {} and watched from there: {} entries"),
+  STORE_WATCH_LOST(
+      707, Level.INFO, "the watch of range \"{}\" has failed: {}; it is read again in {} ms"),
+  STORE_ENTRIES_KEPT(
+      708,
+      Level.INFO,
+      "entries are gone from the store at revision {} and kept for {} ms, as it was down: {}"),
   // 800: caller interface
   REQUEST_FAILED(800, Level.ERROR, "internal error in request {}: {}"),
   REQUEST_DENIED(801, Level.INFO, "request {} is refused, {}: {}; configuration {}, evidence {}"),
