--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -276,8 +276,7 @@
     }
 
     private void logKept(Revision revision, List<String> keys) {
-      LOG.write(
-          Event.STORE_ENTRIES_KEPT, revision.value(), REREGISTRATION_GRACE.toMillis(), keys);
+      LOG.write(Event.STORE_ENTRIES_KEPT, revision.value(), REREGISTRATION_GRACE.toMillis(), keys);
     }
 
     private void restart() {
