--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LateCommitTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LateCommitTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.wire.fleet.JobResult;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Random;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
