Other hosts are told which entries are kept after an outage

Callers: an engine that died in an outage of the store could get requests from hosts that do not follow the store for as long as no other engine changed.

Cause: the follower kept the missing entry in its table at the revision of its first read, and removed it later by a read that may have the same revision. Other hosts are sent the table only if its revision is later than that of theirs.

Now a table is sent with the keys of the entries that are kept although they are gone, which is a change of its own, and each host removes them when, by its own signs, the store has recovered. That depends neither on a message nor on the host that kept them.

StoreTableTest: an entry found again by a read is a change, else other hosts would remove it.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
@@ -54,8 +54,10 @@
   }
 
   static Table encodeTable(StoreTable table) {
-    Table.Builder builder = Table.newBuilder().setRevision(table.revision().value());
-    for (Entry e : table.entries()) {
+    StoreTable.Content content = table.content();
+    Table.Builder builder =
+        Table.newBuilder().setRevision(content.revision().value()).addAllLapsed(content.lapsed());
+    for (Entry e : content.entries()) {
       builder.addEntries(
           TableEntry.newBuilder()
               .setKey(e.key())
@@ -82,7 +84,7 @@
                         Revision.of(e.getModified()),
                         LeaseId.NONE))
             .toList();
-    table.replaceFromPeer(revision, entries);
+    table.replaceFromPeer(revision, entries, message.getLapsedList());
   }
 
   static List<LeavingEngine> encodeBoots(Collection<EngineBoot> boots) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -38,6 +38,15 @@
   private final Function<Entry, Object> meaning;
   private Revision revision = Revision.NONE;
 
+  /**
+   * What a table contains at one time.
+   *
+   * @param revision the revision up to which the content is known to be current
+   * @param entries the entries in key order
+   * @param lapsed the keys of the entries that are kept although they are gone from the store
+   */
+  public record Content(Revision revision, List<Entry> entries, List<String> lapsed) {}
+
   /** An entry and what it means, which is read once only. */
   private record MeaningfulEntry(Entry entry, Object meaning) {}
 
@@ -75,9 +84,9 @@
     listeners.add(listener);
   }
 
-  /** Returns the keys of the entries that are kept although they are gone from the store. */
-  public synchronized List<String> lapsed() {
-    return List.copyOf(lapsed);
+  /** Returns all that other hosts are told of the table. */
+  public synchronized Content content() {
+    return new Content(revision, entries(), List.copyOf(lapsed));
   }
 
   /**
@@ -85,15 +94,21 @@
    * content has not changed.
    */
   public void replaceFromRead(Snapshot snapshot) {
-    replaceContent(snapshot.revision(), snapshot.entries(), false);
+    replaceContent(snapshot.revision(), snapshot.entries(), List.of(), false);
   }
 
-  /** Replaces the content by a copy of another host's table, unless this table is newer. */
-  public void replaceFromPeer(Revision asOf, Collection<Entry> peerEntries) {
-    replaceContent(asOf, peerEntries, true);
+  /**
+   * Replaces the content by a copy of another host's table, unless this table is newer.
+   *
+   * @param peerLapsed the keys of the entries that the other host keeps although they are gone
+   */
+  public void replaceFromPeer(
+      Revision asOf, Collection<Entry> peerEntries, Collection<String> peerLapsed) {
+    replaceContent(asOf, peerEntries, peerLapsed, true);
   }
 
-  private void replaceContent(Revision asOf, Collection<Entry> content, boolean alwaysAdvance) {
+  private void replaceContent(
+      Revision asOf, Collection<Entry> content, Collection<String> gone, boolean alwaysAdvance) {
     boolean changed;
     synchronized (this) {
       if (revision.isAfter(asOf)) {
@@ -101,10 +116,14 @@
       }
       Map<String, MeaningfulEntry> newEntries = new TreeMap<>();
       content.forEach(e -> newEntries.put(e.key(), read(e)));
-      changed = !meanings(newEntries).equals(meanings(entries)) || revision.equals(Revision.NONE);
+      changed =
+          !meanings(newEntries).equals(meanings(entries))
+              || !lapsed.equals(Set.copyOf(gone))
+              || revision.equals(Revision.NONE);
       entries.clear();
       entries.putAll(newEntries);
       lapsed.clear();
+      lapsed.addAll(gone);
       revision = changed || alwaysAdvance ? asOf : revision;
     }
     notifyListeners(changed);
@@ -147,7 +166,7 @@
   public void removeLapsed() {
     boolean changed = false;
     synchronized (this) {
-      for (String key : lapsed()) {
+      for (String key : List.copyOf(lapsed)) {
         changed |= remove(key);
       }
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/DepartureAfterOutageTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/DepartureAfterOutageTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import java.util.Random;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -82,7 +81,6 @@
   }
 
   /** Hosts are sent the table again only if its revision is later than that of what they have. */
-  @Tag("known-red")
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 3, 4})
   void otherHostsLearnThatAnEntryDoesNotComeBack(int seed) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/FollowedStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/FollowedStore.java
@@ -44,7 +44,7 @@
   private final ManualTimer timer = new ManualTimer(clock);
   private final MemoryStore memory = MemoryStore.of(clock);
   private final StoreView storeView = StoreView.of(document -> Either.left("none"), clocks);
-  private final StoreTable otherHost = new StoreTable();
+  private final StoreView otherHost = StoreView.of(document -> Either.left("none"), clocks);
   private final List<Engine> engines = new ArrayList<>();
   private final SilentStore store = new SilentStore();
   private final StoreFollower follower =
@@ -90,12 +90,23 @@
       if (!follower.isFollowing() && !silent) {
         storeView.evidence().recordPeerProof(clocks.now());
       }
-      StoreTable table = storeView.engineTable();
-      if (table.revision().isAfter(otherHost.revision())) {
-        otherHost.replaceFromPeer(table.revision(), table.entries());
-      }
-      smallestList = Math.min(smallestList, table.entries().size());
+      tellOtherHost();
+      smallestList = Math.min(smallestList, storeView.engineTable().entries().size());
+    }
+  }
+
+  /** Tells the other host what a pong brings. */
+  private void tellOtherHost() {
+    if (!silent) {
+      otherHost.evidence().recordPeerProof(clocks.now());
+    }
+    StoreTable.Content content = storeView.engineTable().content();
+    if (content.revision().isAfter(otherHost.engineTable().revision())) {
+      otherHost
+          .engineTable()
+          .replaceFromPeer(content.revision(), content.entries(), content.lapsed());
     }
+    otherHost.removeLapsed();
   }
 
   /** Lets the store answer no call for a time; leases run out meanwhile. */
@@ -125,7 +136,7 @@
   }
 
   boolean isListedAtOtherHost(String key) {
-    return otherHost.get(key).isDefined();
+    return otherHost.engineTable().get(key).isDefined();
   }
 
   /** Returns the smallest number of engines that were listed since they started. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
@@ -24,8 +24,8 @@
 
   @Test
   void olderContentIsIgnored() {
-    table.replaceFromPeer(Revision.of(9), List.of(entry("a", 9)));
-    table.replaceFromPeer(Revision.of(5), List.of());
+    table.replaceFromPeer(Revision.of(9), List.of(entry("a", 9)), List.of());
+    table.replaceFromPeer(Revision.of(5), List.of(), List.of());
     table.applyChanges(Revision.of(7), List.of(), List.of("a"));
     assertThat(table.entries()).hasSize(1);
     assertThat(table.revision()).isEqualTo(Revision.of(9));
@@ -44,13 +44,37 @@
 
   @Test
   void peerCopyOfEqualContentAdvancesTheRevision() {
-    table.replaceFromPeer(Revision.of(5), List.of(entry("a", 4)));
-    table.replaceFromPeer(Revision.of(8), List.of(entry("a", 4)));
+    table.replaceFromPeer(Revision.of(5), List.of(entry("a", 4)), List.of());
+    table.replaceFromPeer(Revision.of(8), List.of(entry("a", 4)), List.of());
     assertThat(table.revision())
         .as("otherwise the peer would send the table repeatedly")
         .isEqualTo(Revision.of(8));
   }
 
+  @Test
+  void entryThatIsKeptIsRemovedUnlessItIsWrittenAgain() {
+    table.replaceFromRead(new Snapshot(Revision.of(5), List.of(entry("a", 4), entry("b", 5))));
+    table.applyChanges(Revision.of(8), List.of(), List.of(), List.of("a", "b"));
+    assertThat(table.entries()).hasSize(2);
+    assertThat(table.content().lapsed()).containsExactly("a", "b");
+    assertThat(table.revision()).as("other hosts are told").isEqualTo(Revision.of(8));
+    table.applyChanges(Revision.of(9), List.of(entry("b", 9)), List.of());
+    table.removeLapsed();
+    assertThat(table.entries()).containsExactly(entry("b", 9));
+    assertThat(changes).hasValue(4);
+  }
+
+  /** An engine's entry means the same as before; without the news other hosts would remove it. */
+  @Test
+  void otherHostsAreToldThatAReadFoundALapsedEntryAgain() {
+    StoreTable engines = new StoreTable(e -> e.value()[0]);
+    engines.replaceFromRead(new Snapshot(Revision.of(5), List.of(valueEntry("a", 4, 1, 1))));
+    engines.applyChanges(Revision.of(6), List.of(), List.of(), List.of("a"));
+    engines.replaceFromRead(new Snapshot(Revision.of(8), List.of(valueEntry("a", 7, 1, 2))));
+    assertThat(engines.revision()).isEqualTo(Revision.of(8));
+    assertThat(engines.content().lapsed()).isEmpty();
+  }
+
   /** 29 engines that write every second would else send the table to 95 hosts all the time. */
   @Test
   void writeThatChangesNoMeaningKeepsTheRevision() {
