The recovery of the store ends only when the store answers

Now it takes a sign of the store after that time to end the recovery; a host that follows the store reads the configuration then, so that it costs a round trip and not the time to the next read.

A departure of an engine that has registered again has a test too.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/FreshnessEvidence.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/FreshnessEvidence.java
@@ -26,20 +26,22 @@
   /**
    * Records a successful read of the store by this host; {@code sentAt} is when the read was sent.
    */
-  public synchronized void recordOwnRead(ClockReading sentAt) {
-    ownRead = latest(ownRead, sentAt);
-    recordProof(sentAt);
+  public void recordOwnRead(ClockReading sentAt) {
+    synchronized (this) {
+      ownRead = latest(ownRead, sentAt);
+    }
+    recordPeerProof(sentAt);
   }
 
   /** Records that another host reported a proof of time {@code provenAt}. */
-  public synchronized void recordPeerProof(ClockReading provenAt) {
-    recordProof(provenAt);
-  }
-
-  private void recordProof(ClockReading provenAt) {
-    Option<ClockReading> known = latestProof;
-    latestProof = latest(known, provenAt);
-    if (!latestProof.equals(known)) {
+  public void recordPeerProof(ClockReading provenAt) {
+    boolean isNew;
+    synchronized (this) {
+      Option<ClockReading> known = latestProof;
+      latestProof = latest(known, provenAt);
+      isNew = !latestProof.equals(known);
+    }
+    if (isNew) {
       newProofListener.run();
     }
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreContact.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreContact.java
@@ -2,6 +2,8 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.store.StoreFailure;
@@ -27,6 +29,7 @@
   static final Duration REREGISTRATION_TIME = Duration.ofMillis(2300);
 
   private final Clocks clocks;
+  private final List<Runnable> returnListeners = new CopyOnWriteArrayList<>();
   private ClockReading lastSign;
   private ClockReading recoveredAt;
   private long outages;
@@ -45,16 +48,26 @@
     }
   }
 
+  /** Adds a listener that is called with the first sign after each outage. */
+  public void addReturnListener(Runnable listener) {
+    returnListeners.add(listener);
+  }
+
   /** Records that the store answers now. */
-  public synchronized void recordSign() {
-    ClockReading now = clocks.now();
-    Duration silence = now.elapsedSince(lastSign);
-    lastSign = now;
-    if (silence.compareTo(MAX_SILENCE) > 0) {
+  public void recordSign() {
+    Duration silence;
+    synchronized (this) {
+      ClockReading now = clocks.now();
+      silence = now.elapsedSince(lastSign);
+      lastSign = now;
+      if (silence.compareTo(MAX_SILENCE) <= 0) {
+        return;
+      }
       outages++;
       recoveredAt = now.plus(REREGISTRATION_TIME);
-      LOG.write(Event.STORE_RECOVERING, silence.toMillis(), REREGISTRATION_TIME.toMillis());
     }
+    LOG.write(Event.STORE_RECOVERING, silence.toMillis(), REREGISTRATION_TIME.toMillis());
+    returnListeners.forEach(Runnable::run);
   }
 
   /** Returns the number of outages that have ended. */
@@ -64,10 +77,10 @@
 
   /**
    * Returns whether entries that are gone from the store may be written again: the store is out of
-   * reach, or has been back for a short time only.
+   * reach, or has not shown yet that it answers since the recovery was to end.
    */
   public synchronized boolean isRecovering() {
-    ClockReading now = clocks.now();
-    return !now.hasReached(recoveredAt) || now.elapsedSince(lastSign).compareTo(MAX_SILENCE) > 0;
+    return !lastSign.hasReached(recoveredAt)
+        || clocks.now().elapsedSince(lastSign).compareTo(MAX_SILENCE) > 0;
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -90,6 +90,7 @@
     this.ordersListener = ordersListener;
     this.engines = new WatchedRange(sources.engines(), storeView.engineTable());
     this.hosts = new WatchedRange(KeyRange.ofPrefix(StoreKeys.HOSTS_PREFIX), storeView.hostTable());
+    storeView.contact().addReturnListener(this::scheduleRecoveryRead);
   }
 
   /** Switches following on or off. Does nothing if the state is the same already. */
@@ -140,6 +141,18 @@
     store.read(operators).thenAccept(answer -> onConfiguration(sentAt, answer));
   }
 
+  /** Reads when the recovery is to end, since it takes a sign of the store to end it. */
+  private void scheduleRecoveryRead() {
+    timer.schedule(
+        () -> {
+          if (isFollowing()) {
+            readConfiguration();
+          }
+        },
+        StoreContact.REREGISTRATION_TIME.toMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
   private void onConfiguration(ClockReading sentAt, Either<StoreFailure, Snapshot> answer) {
     boolean regained;
     storeView.contact().recordOutcome(answer);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/DepartureAfterOutageTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/DepartureAfterOutageTest.java
@@ -110,6 +110,35 @@
     }
   }
 
+  /** Its entry was written again, so what is gone then is not a consequence of the outage. */
+  @Test
+  void engineThatHasRegisteredAgainIsUnlistedAtOnceWhenItLeaves() {
+    try (FollowedStore store = new FollowedStore(new Random(4))) {
+      store.startEngines(4);
+      store.run(Duration.ofSeconds(5));
+      store.outage(Duration.ofSeconds(6));
+      store.run(StoreContact.REREGISTRATION_TIME.minusMillis(500));
+      assertThat(store.timeUntilUnlisted(store.leave(0))).isLessThan(Duration.ofMillis(300));
+    }
+  }
+
+  /** In the second outage the engines cannot write the entries that they lost in the first. */
+  @Test
+  void enginesStayListedWhenASecondOutageFollows() {
+    for (int seed = 0; seed < SEEDS; seed++) {
+      Random random = new Random(seed);
+      try (FollowedStore store = new FollowedStore(random)) {
+        store.startEngines(4);
+        store.run(Duration.ofMillis(5000 + random.nextInt(2000)));
+        store.outage(Duration.ofMillis(4500 + random.nextInt(4000)));
+        store.run(Duration.ofMillis(random.nextInt(1000)));
+        store.outage(Duration.ofMillis(2000 + random.nextInt(4000)));
+        store.run(Duration.ofSeconds(6));
+        assertThat(store.smallestList()).as("seed " + seed).isEqualTo(4);
+      }
+    }
+  }
+
   private static Duration max(Duration a, Duration b) {
     return a.compareTo(b) >= 0 ? a : b;
   }
