--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ViewExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ViewExchange.java
@@ -72,11 +72,12 @@
       storeView.applyIfNewer(
           new StoreView.ConfigurationDocument(revision, pong.getConfiguration().toByteArray()));
     }
+    boolean keepsLapsed = storeView.contact().isRecovering();
     if (pong.hasEngines()) {
-      FleetMessageConverter.applyTable(pong.getEngines(), storeView.engineTable());
+      FleetMessageConverter.applyTable(pong.getEngines(), storeView.engineTable(), keepsLapsed);
     }
     if (pong.hasHosts()) {
-      FleetMessageConverter.applyTable(pong.getHosts(), storeView.hostTable());
+      FleetMessageConverter.applyTable(pong.getHosts(), storeView.hostTable(), keepsLapsed);
     }
     boolean isBehind = revision.isAfter(storeView.planRevision());
     if (pong.getHasEvidence() && !isBehind) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/ViewExchangeTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/ViewExchangeTest.java
@@ -6,12 +6,16 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.ManualClock;
+import org.waxwingcourse.store.Entry;
+import org.waxwingcourse.store.LeaseId;
+import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.wire.fleet.Ping;
 import org.waxwingcourse.wire.fleet.Pong;
 
@@ -64,4 +68,16 @@
     receiver.apply(answer(true), clock.instant());
     assertThat(older.evidence().age()).isNotEmpty();
   }
+
+  /** The sender was cut off, so it cannot tell departures from entries that lapsed in an outage. */
+  @Test
+  void entriesThatAnotherHostKeepsAreLeftOutByAHostThatHasNoticedNoOutage() {
+    Entry left = new Entry("e/1", new byte[0], Revision.of(1), Revision.of(2), LeaseId.NONE);
+    Entry listed = new Entry("e/2", new byte[0], Revision.of(1), Revision.of(3), LeaseId.NONE);
+    newer.engineTable().replaceFromRead(new Snapshot(Revision.of(3), List.of(left, listed)));
+    newer.engineTable().applyChanges(Revision.of(4), List.of(), List.of(), List.of("e/1"));
+    receiver.apply(answer(true), clock.instant());
+    assertThat(older.engineTable().entries()).containsExactly(listed);
+    assertThat(older.engineTable().content().lapsed()).isEmpty();
+  }
 }
