--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageConverter.java
@@ -7,7 +7,6 @@
 import java.time.Instant;
 import java.util.Collection;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
@@ -69,16 +68,9 @@
     return builder.build();
   }
 
-  /** Applies a table of another host; entries that it keeps are left out if not kept here too. */
-  static void applyTable(Table message, StoreTable table, boolean keepsLapsed) {
-    Revision revision = Revision.of(message.getRevision());
-    if (!revision.isAfter(table.revision())) {
-      return;
-    }
-    Set<String> left = keepsLapsed ? Set.of() : Set.copyOf(message.getLapsedList());
+  static StoreTable.Content toContent(Table message) {
     List<Entry> entries =
         message.getEntriesList().stream()
-            .filter(e -> !left.contains(e.getKey()))
             .map(
                 e ->
                     new Entry(
@@ -88,8 +80,8 @@
                         Revision.of(e.getModified()),
                         LeaseId.NONE))
             .toList();
-    List<String> lapsed = keepsLapsed ? message.getLapsedList() : List.of();
-    table.replaceFromPeer(revision, entries, lapsed);
+    return new StoreTable.Content(
+        Revision.of(message.getRevision()), entries, message.getLapsedList());
   }
 
   static List<LeavingEngine> encodeBoots(Collection<EngineBoot> boots) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ViewExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ViewExchange.java
@@ -5,10 +5,12 @@
 import java.time.Instant;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
+import org.waxwingcourse.fleet.view.StoreTable;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.wire.fleet.Ping;
 import org.waxwingcourse.wire.fleet.Pong;
+import org.waxwingcourse.wire.fleet.Table;
 
 /**
  * The parts of pings and pongs by which hosts get the content of the store from one another: the
@@ -72,12 +74,11 @@
       storeView.applyIfNewer(
           new StoreView.ConfigurationDocument(revision, pong.getConfiguration().toByteArray()));
     }
-    boolean keepsLapsed = storeView.contact().isRecovering();
     if (pong.hasEngines()) {
-      FleetMessageConverter.applyTable(pong.getEngines(), storeView.engineTable(), keepsLapsed);
+      applyIfNewer(pong.getEngines(), storeView.engineTable());
     }
     if (pong.hasHosts()) {
-      FleetMessageConverter.applyTable(pong.getHosts(), storeView.hostTable(), keepsLapsed);
+      applyIfNewer(pong.getHosts(), storeView.hostTable());
     }
     boolean isBehind = revision.isAfter(storeView.planRevision());
     if (pong.getHasEvidence() && !isBehind) {
@@ -90,6 +91,14 @@
     return isBehind && mayAsk(now);
   }
 
+  /** Applies another host's table; what that host keeps is left out if not kept here too. */
+  private void applyIfNewer(Table message, StoreTable table) {
+    if (Revision.of(message.getRevision()).isAfter(table.revision())) {
+      StoreTable.Content content = FleetMessageConverter.toContent(message);
+      table.replaceFromPeer(storeView.contact().isRecovering() ? content : content.withoutLapsed());
+    }
+  }
+
   private synchronized boolean mayAsk(Instant now) {
     if (now.isBefore(viewsAskedAt.plus(VIEWS_TIMEOUT))) {
       return false;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/FreshnessEvidence.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/FreshnessEvidence.java
@@ -10,27 +10,25 @@
  */
 public final class FreshnessEvidence {
   private final Clocks clocks;
-  private final Runnable newProofListener;
+  private final Runnable peerProofListener;
   private Option<ClockReading> ownRead = Option.none();
   private Option<ClockReading> latestProof = Option.none();
 
   /**
-   * Creates a record without any proof. {@code newProofListener} is called after each proof that is
-   * later than all before.
+   * Creates a record without any proof. {@code peerProofListener} is called after each report of
+   * another host that is later than all proofs before.
    */
-  public FreshnessEvidence(Clocks clocks, Runnable newProofListener) {
+  public FreshnessEvidence(Clocks clocks, Runnable peerProofListener) {
     this.clocks = clocks;
-    this.newProofListener = newProofListener;
+    this.peerProofListener = peerProofListener;
   }
 
   /**
    * Records a successful read of the store by this host; {@code sentAt} is when the read was sent.
    */
-  public void recordOwnRead(ClockReading sentAt) {
-    synchronized (this) {
-      ownRead = latest(ownRead, sentAt);
-    }
-    recordPeerProof(sentAt);
+  public synchronized void recordOwnRead(ClockReading sentAt) {
+    ownRead = latest(ownRead, sentAt);
+    latestProof = latest(latestProof, sentAt);
   }
 
   /** Records that another host reported a proof of time {@code provenAt}. */
@@ -42,7 +40,7 @@
       isNew = !latestProof.equals(known);
     }
     if (isNew) {
-      newProofListener.run();
+      peerProofListener.run();
     }
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -194,8 +194,13 @@
   private final class WatchedRange implements WatchListener {
     private final KeyRange range;
     private final StoreTable table;
+
+    /** The keys of the entries that were written since the last outage. */
     private final Set<String> rewritten = new HashSet<>();
-    private long rewrittenSince;
+
+    /** The number of that outage. */
+    private long rewrittenSinceOutage;
+
     private Watch watch;
     private long generation;
     private int failures;
@@ -254,7 +259,6 @@
           snapshot.revision().value(),
           snapshot.entries().size());
       if (storeView.contact().isRecovering()) {
-        recordRewritten(snapshot.entries());
         applyWhileRecovering(snapshot.revision(), snapshot.entries(), keysMissingIn(snapshot));
       } else {
         table.replaceFromRead(snapshot);
@@ -272,12 +276,11 @@
       return table.entries().stream().map(Entry::key).filter(k -> !present.contains(k)).toList();
     }
 
-    /** Remembers the entries that were written since the last outage. */
-    private synchronized void recordRewritten(List<Entry> seen) {
+    private void recordRewritten(List<Entry> seen) {
       long outages = storeView.contact().outages();
-      if (outages != rewrittenSince) {
+      if (outages != rewrittenSinceOutage) {
         rewritten.clear();
-        rewrittenSince = outages;
+        rewrittenSinceOutage = outages;
       }
       seen.stream()
           .filter(e -> table.get(e.key()).forAll(k -> e.modified().isAfter(k.modified())))
@@ -290,6 +293,7 @@
      */
     private synchronized void applyWhileRecovering(
         Revision revision, List<Entry> puts, List<String> deletes) {
+      recordRewritten(puts);
       Map<Boolean, List<String>> deletesByRewritten =
           deletes.stream().collect(Collectors.partitioningBy(rewritten::contains));
       List<String> kept = deletesByRewritten.get(false);
@@ -322,7 +326,6 @@
     public void onChanges(Revision revision, List<Entry> puts, List<String> deletes) {
       storeView.contact().recordSign();
       if (storeView.contact().isRecovering()) {
-        recordRewritten(puts);
         applyWhileRecovering(revision, puts, deletes);
       } else {
         table.applyChanges(revision, puts, deletes);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -1,7 +1,6 @@
 package org.waxwingcourse.fleet.view;
 
 import io.vavr.control.Option;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,7 +44,14 @@
    * @param entries the entries in key order
    * @param lapsed the keys of the entries that are kept although they are gone from the store
    */
-  public record Content(Revision revision, List<Entry> entries, List<String> lapsed) {}
+  public record Content(Revision revision, List<Entry> entries, List<String> lapsed) {
+    /** Returns this content without the entries that are gone from the store. */
+    public Content withoutLapsed() {
+      Set<String> gone = Set.copyOf(lapsed);
+      List<Entry> left = entries.stream().filter(e -> !gone.contains(e.key())).toList();
+      return new Content(revision, left, List.of());
+    }
+  }
 
   /** An entry and what it means, which is read once only. */
   private record MeaningfulEntry(Entry entry, Object meaning) {}
@@ -94,37 +100,31 @@
    * content has not changed.
    */
   public void replaceFromRead(Snapshot snapshot) {
-    replaceContent(snapshot.revision(), snapshot.entries(), List.of(), false);
+    replaceContent(new Content(snapshot.revision(), snapshot.entries(), List.of()), false);
   }
 
-  /**
-   * Replaces the content by a copy of another host's table, unless this table is newer.
-   *
-   * @param peerLapsed the keys of the entries that the other host keeps although they are gone
-   */
-  public void replaceFromPeer(
-      Revision asOf, Collection<Entry> peerEntries, Collection<String> peerLapsed) {
-    replaceContent(asOf, peerEntries, peerLapsed, true);
+  /** Replaces the content by a copy of another host's table, unless this table is newer. */
+  public void replaceFromPeer(Content peer) {
+    replaceContent(peer, true);
   }
 
-  private void replaceContent(
-      Revision asOf, Collection<Entry> content, Collection<String> gone, boolean alwaysAdvance) {
+  private void replaceContent(Content content, boolean alwaysAdvance) {
     boolean changed;
     synchronized (this) {
-      if (revision.isAfter(asOf)) {
+      if (revision.isAfter(content.revision())) {
         return;
       }
       Map<String, MeaningfulEntry> newEntries = new TreeMap<>();
-      content.forEach(e -> newEntries.put(e.key(), read(e)));
+      content.entries().forEach(e -> newEntries.put(e.key(), read(e)));
       changed =
           !meanings(newEntries).equals(meanings(entries))
-              || !lapsed.equals(Set.copyOf(gone))
+              || !lapsed.equals(Set.copyOf(content.lapsed()))
               || revision.equals(Revision.NONE);
       entries.clear();
       entries.putAll(newEntries);
       lapsed.clear();
-      lapsed.addAll(gone);
-      revision = changed || alwaysAdvance ? asOf : revision;
+      lapsed.addAll(content.lapsed());
+      revision = changed || alwaysAdvance ? content.revision() : revision;
     }
     notifyListeners(changed);
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/FollowedStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/FollowedStore.java
@@ -102,9 +102,7 @@
     }
     StoreTable.Content content = storeView.engineTable().content();
     if (content.revision().isAfter(otherHost.engineTable().revision())) {
-      otherHost
-          .engineTable()
-          .replaceFromPeer(content.revision(), content.entries(), content.lapsed());
+      otherHost.engineTable().replaceFromPeer(content);
     }
     otherHost.removeLapsed();
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/LeavingEngineDirectoryTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/LeavingEngineDirectoryTest.java
@@ -87,7 +87,9 @@
     assertThat(isLeaving()).as("unlisted").isEmpty();
     read(entry(1, false, 1));
     assertThat(isLeaving()).as("listed again").contains(true);
-    table.replaceFromPeer(Revision.of(lastRevision + 1), List.of(entry(1, false, 1)), List.of());
+    table.replaceFromPeer(
+        new StoreTable.Content(
+            Revision.of(lastRevision + 1), List.of(entry(1, false, 1)), List.of()));
     assertThat(isLeaving()).as("a table of another host").contains(true);
     read();
     directory.learn(FleetFixtures.readEngine(entry(1, false, 1)).get());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
@@ -24,8 +24,9 @@
 
   @Test
   void olderContentIsIgnored() {
-    table.replaceFromPeer(Revision.of(9), List.of(entry("a", 9)), List.of());
-    table.replaceFromPeer(Revision.of(5), List.of(), List.of());
+    table.replaceFromPeer(
+        new StoreTable.Content(Revision.of(9), List.of(entry("a", 9)), List.of()));
+    table.replaceFromPeer(new StoreTable.Content(Revision.of(5), List.of(), List.of()));
     table.applyChanges(Revision.of(7), List.of(), List.of("a"));
     assertThat(table.entries()).hasSize(1);
     assertThat(table.revision()).isEqualTo(Revision.of(9));
@@ -44,8 +45,10 @@
 
   @Test
   void peerCopyOfEqualContentAdvancesTheRevision() {
-    table.replaceFromPeer(Revision.of(5), List.of(entry("a", 4)), List.of());
-    table.replaceFromPeer(Revision.of(8), List.of(entry("a", 4)), List.of());
+    table.replaceFromPeer(
+        new StoreTable.Content(Revision.of(5), List.of(entry("a", 4)), List.of()));
+    table.replaceFromPeer(
+        new StoreTable.Content(Revision.of(8), List.of(entry("a", 4)), List.of()));
     assertThat(table.revision())
         .as("otherwise the peer would send the table repeatedly")
         .isEqualTo(Revision.of(8));
