A request for a slot is granted or refused once, also by two coordinators at the same time

Cause: SlotClient.onGrant looked whether a request had been granted and noted the grant in two steps. Messages of two coordinators are read by the two threads of the peer transport, so two grants of one request, which a change of coordinator brings, could both pass the look; the request was then sent to both engines. A refusal beside a grant had the same gap.

Ruled out by reading: a second send within OnlineRun (each way to another slot counts the run first), a connection that writes a request twice, the caller's client (it does not repeat a POST that was sent).

Change: the request itself decides, under its lock, whether it is granted or refused.

Before, both new tests of SlotClientTest failed: ["grant e2", "grant e1"] and ["refusal", "grant e1"] where one decision was expected. They pass now, with the other tests of the class.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -37,7 +37,9 @@
  * another host becomes coordinator, it receives the list of the runs of this host and all requests
  * that are still waiting.
  *
- * <p>Listeners are called on network threads, never from within a method of this class.
+ * <p>Listeners are called on network threads, never from within a method of this class. Messages of
+ * several coordinators may arrive on different threads at the same time; a request is granted or
+ * refused once.
  */
 public final class SlotClient {
   /** Interval at which a request for a slot that is not decided is sent again. */
@@ -89,6 +91,7 @@
     private final SlotListener listener;
     private volatile Instant lastSentAt;
     private volatile boolean sentBefore;
+    private boolean refused;
     private volatile UpstreamId engine;
     private volatile Instant grantedAt;
 
@@ -97,6 +100,25 @@
       this.listener = listener;
       this.lastSentAt = lastSentAt;
     }
+
+    /** Records the grant of a slot; returns false if the request has been decided before. */
+    synchronized boolean grant(UpstreamId grantedEngine, Instant at) {
+      if (refused || engine != null) {
+        return false;
+      }
+      grantedAt = at;
+      engine = grantedEngine;
+      return true;
+    }
+
+    /** Records a refusal; returns false if the request has been decided before. */
+    synchronized boolean refuse() {
+      if (refused || engine != null) {
+        return false;
+      }
+      refused = true;
+      return true;
+    }
   }
 
   /** Requests a slot. Returns the number that identifies the request and the run that follows. */
@@ -230,7 +252,8 @@
 
   void onGrant(HostId from, SlotGrant grant) {
     PendingRequest request = pending.get(grant.getNumber());
-    if (request == null || request.engine != null) {
+    UpstreamId engine = UpstreamId.of(grant.getEngine());
+    if (request == null || !request.grant(engine, clock.instant())) {
       returnSlot(from, grant);
       return;
     }
@@ -238,11 +261,9 @@
     if (grant.hasEntry()) {
       engines.learn(FleetMessageConverter.toEngine(grant));
     }
-    request.grantedAt = clock.instant();
-    request.engine = UpstreamId.of(grant.getEngine());
     Option<SoftwareId> software =
         Option.when(grant.getSoftware() != 0, () -> new SoftwareId(grant.getSoftware()));
-    request.listener.onGrant(request.engine, software, Duration.ofNanos(grant.getWaitedNanos()));
+    request.listener.onGrant(engine, software, Duration.ofNanos(grant.getWaitedNanos()));
   }
 
   /**
@@ -251,7 +272,7 @@
    */
   private void returnSlot(HostId from, SlotGrant grant) {
     PendingRequest running = pending.get(grant.getNumber());
-    if (running != null && running.engine.value().equals(grant.getEngine())) {
+    if (running != null && UpstreamId.of(grant.getEngine()).equals(running.engine)) {
       return;
     }
     SlotEnd.Builder end =
@@ -265,7 +286,7 @@
 
   void onRefusal(SlotRefusal refusal) {
     PendingRequest request = pending.get(refusal.getNumber());
-    if (request != null && request.engine == null && pending.remove(refusal.getNumber()) != null) {
+    if (request != null && request.refuse() && pending.remove(refusal.getNumber()) != null) {
       Instant retryAt = clock.instant().plusNanos(refusal.getRetryAfterNanos());
       request.listener.onRefusal(codeOf(refusal), retryAt, refusal.getReason());
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -8,9 +8,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -25,7 +29,9 @@
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.peer.PeerTransport;
 import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.GrantedEngine;
 import org.waxwingcourse.wire.fleet.SlotGrant;
+import org.waxwingcourse.wire.fleet.SlotRefusal;
 
 /** Tests how a host compensates for lost messages. */
 class SlotClientTest {
@@ -93,6 +99,37 @@
     return sent.stream().filter(s -> s.message.hasAsk()).toList();
   }
 
+  /** Returns a client that runs an action on another thread just as it takes a grant. */
+  private SlotClient interruptedByNetworkThread(Runnable action) {
+    HostEngines engines =
+        new HostEngines() {
+          @Override
+          public List<UpstreamId> connected() {
+            return List.of();
+          }
+
+          @Override
+          public void learn(EngineEntry entry) {
+            CompletableFuture.runAsync(action).join();
+          }
+        };
+    SlotClient interrupted = new SlotClient(peers(), clock, DataCentreId.of("dc"), engines);
+    interrupted.attachTo(B);
+    return interrupted;
+  }
+
+  /** Returns a grant that describes its engine, as coordinators send it of recently listed ones. */
+  private static SlotGrant describedGrant(long number, String engine) {
+    GrantedEngine.Builder entry =
+        GrantedEngine.newBuilder()
+            .setService("s")
+            .setAddress("127.0.0.1")
+            .setPort(1)
+            .setDataCentre("dc")
+            .setSlots(8);
+    return grant(number, engine).toBuilder().setEntry(entry).build();
+  }
+
   private static SlotGrant grant(long number, String engine) {
     return SlotGrant.newBuilder().setNumber(number).setEngine(engine).build();
   }
@@ -165,6 +202,30 @@
     assertThat(calls).containsExactly("grant e1");
   }
 
+  /** A request that may run once ran twice: two coordinators' messages are read by two threads. */
+  @Test
+  void requestGrantedByTwoCoordinatorsAtTheSameTimeRunsOnce() {
+    AtomicLong number = new AtomicLong();
+    AtomicReference<SlotClient> host = new AtomicReference<>();
+    host.set(interruptedByNetworkThread(() -> host.get().onGrant(A, grant(number.get(), "e2"))));
+    number.set(requestSlot(host.get()));
+    host.get().onGrant(B, describedGrant(number.get(), "e1"));
+    assertThat(calls).hasSize(1);
+    assertThat(sent).filteredOn(s -> s.message.hasEnd()).hasSize(1);
+  }
+
+  @Test
+  void requestGrantedAndRefusedAtTheSameTimeIsDecidedOnce() {
+    AtomicLong number = new AtomicLong();
+    AtomicReference<SlotClient> host = new AtomicReference<>();
+    host.set(
+        interruptedByNetworkThread(
+            () -> host.get().onRefusal(SlotRefusal.newBuilder().setNumber(number.get()).build())));
+    number.set(requestSlot(host.get()));
+    host.get().onGrant(B, describedGrant(number.get(), "e1"));
+    assertThat(calls).hasSize(1);
+  }
+
   @Test
   void slotForAWithdrawnRequestIsReturned() {
     long number = requestSlot();
