Tests: one fixture for the engines that a host learns of with its grants

SlotClientTest built the same HostEngines as RecentlyListedEngineTest, and a described grant field by field where FleetMessageConverter.encodeEngine does it. FleetFixtures.learningEngines serves both.

--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.waxwingcourse.fleet.coordinate.HostEngines;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.plan.CallerLimits;
 import org.waxwingcourse.fleet.plan.JobTerms;
@@ -127,6 +129,21 @@
         OrganisationTable.of(List.of()));
   }
 
+  /** Returns a host's engines without idle connections; what the host learns is passed on. */
+  public static HostEngines learningEngines(Consumer<EngineEntry> onLearn) {
+    return new HostEngines() {
+      @Override
+      public List<UpstreamId> connected() {
+        return List.of();
+      }
+
+      @Override
+      public void learn(EngineEntry entry) {
+        onLearn.accept(entry);
+      }
+    };
+  }
+
   /** Returns the store's entry of an engine of service {@code s}, for {@link #readEngine}. */
   public static Entry engineEntry(
       String id, int port, int slots, boolean leaving, long startedAt, long revision) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
@@ -64,17 +64,7 @@
               }),
           clock,
           FleetFixtures.DATA_CENTRE,
-          new HostEngines() {
-            @Override
-            public List<UpstreamId> connected() {
-              return List.of();
-            }
-
-            @Override
-            public void learn(EngineEntry entry) {
-              directory.learn(entry);
-            }
-          });
+          FleetFixtures.learningEngines(directory::learn));
 
   private void requestSlot() {
     SlotRequirements requirements =
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -29,7 +29,6 @@
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.peer.PeerTransport;
 import org.waxwingcourse.wire.fleet.FleetMessage;
-import org.waxwingcourse.wire.fleet.GrantedEngine;
 import org.waxwingcourse.wire.fleet.SlotGrant;
 import org.waxwingcourse.wire.fleet.SlotRefusal;
 
@@ -102,17 +101,7 @@
   /** Returns a client that runs an action on another thread just as it takes a grant. */
   private SlotClient interruptedByNetworkThread(Runnable action) {
     HostEngines engines =
-        new HostEngines() {
-          @Override
-          public List<UpstreamId> connected() {
-            return List.of();
-          }
-
-          @Override
-          public void learn(EngineEntry entry) {
-            CompletableFuture.runAsync(action).join();
-          }
-        };
+        FleetFixtures.learningEngines(e -> CompletableFuture.runAsync(action).join());
     SlotClient interrupted = new SlotClient(peers(), clock, DataCentreId.of("dc"), engines);
     interrupted.attachTo(B);
     return interrupted;
@@ -120,14 +109,11 @@
 
   /** Returns a grant that describes its engine, as coordinators send it of recently listed ones. */
   private static SlotGrant describedGrant(long number, String engine) {
-    GrantedEngine.Builder entry =
-        GrantedEngine.newBuilder()
-            .setService("s")
-            .setAddress("127.0.0.1")
-            .setPort(1)
-            .setDataCentre("dc")
-            .setSlots(8);
-    return grant(number, engine).toBuilder().setEntry(entry).build();
+    EngineEntry entry =
+        FleetFixtures.readEngine(FleetFixtures.engineEntry(engine, 1, 8, false, 1, 1)).get();
+    return grant(number, engine).toBuilder()
+        .setEntry(FleetMessageConverter.encodeEngine(entry))
+        .build();
   }
 
   private static SlotGrant grant(long number, String engine) {
