Logs: which events each run of a request was asked for and sent

Both now name for each run the event after which it was asked to go on and the first and last event that it sent; in W802 in the order in which the runs were sent, where connections stood in the order in which they ended. No further line is written.

OnlineRun and ItemRun ask for slots through the interface SlotSource, which SlotClient implements, so that a test can make a decision that SlotClient would not. No change of behaviour.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -41,7 +41,7 @@
  * several coordinators may arrive on different threads at the same time; a request is granted or
  * refused once.
  */
-public final class SlotClient {
+public final class SlotClient implements SlotSource {
   /** Interval at which a request for a slot that is not decided is sent again. */
   private static final Duration RESEND_INTERVAL = Duration.ofMillis(300);
 
@@ -121,7 +121,7 @@
     }
   }
 
-  /** Requests a slot. Returns the number that identifies the request and the run that follows. */
+  @Override
   public long requestSlot(SlotRequirements requirements, SlotListener listener) {
     long number = lastNumber.incrementAndGet();
     PendingRequest request = new PendingRequest(requirements, listener, clock.instant());
@@ -130,17 +130,14 @@
     return number;
   }
 
-  /** Reports the end of a run and frees its slot. */
+  @Override
   public void endRun(long number, RunEnd end) {
     if (pending.remove(number) != null) {
       send(FleetMessage.newBuilder().setEnd(buildEnd(number, end)));
     }
   }
 
-  /**
-   * Reports the end of a run and frees its slot; if the engine closed the connection, also which of
-   * its processes did so under which request.
-   */
+  @Override
   public void endRun(long number, RunEnd end, EngineBoot engine) {
     PendingRequest ended = pending.remove(number);
     if (ended == null) {
@@ -176,19 +173,19 @@
     };
   }
 
-  /** Withdraws a request that has not been granted. */
+  @Override
   public void withdrawRequest(long number) {
     if (pending.remove(number) != null) {
       send(FleetMessage.newBuilder().setWithdraw(SlotWithdraw.newBuilder().setNumber(number)));
     }
   }
 
-  /** Reports that a run received no byte from its engine for longer than a healthy engine takes. */
+  @Override
   public void reportSilence(long number) {
     send(FleetMessage.newBuilder().setSilence(SlotSilence.newBuilder().setNumber(number)));
   }
 
-  /** Returns the coordinator, none before one is known. */
+  @Override
   public Option<HostId> coordinator() {
     return coordinator;
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.stream.StreamRun;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.Header;
@@ -352,6 +353,7 @@
   private final class Attempt implements EngineListener {
     private final long requestNumber;
     private final Instant sentAt = ports.clock().instant();
+    private final StreamRun run = new StreamRun(lastEventId);
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final EngineEntry entry;
     private final UpstreamId engine;
@@ -389,7 +391,8 @@
           call.connection().map(ConnectionUse::toString).getOrElse("none"),
           Duration.between(sentAt, ports.clock().instant()).toMillis(),
           receivedEvents,
-          planVersion);
+          planVersion,
+          run);
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
       RunEnd end = new RunEnd(outcomeKind, first, meanGap(), eventData.size());
@@ -472,6 +475,7 @@
       lastActivityAt = ports.clock().instant();
       firstEventAt = firstEventAt == null ? lastActivityAt : firstEventAt;
       receivedEvents++;
+      run.recordReceived(event.id());
       silenceWatch.recordActivity(SILENCE_LIMIT);
       boolean alreadyReceived =
           event.id() != ServerSentEventParser.NO_ID && lastEventId.exists(l -> event.id() <= l);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -14,7 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -85,7 +85,7 @@
       StoreView storeView,
       EngineDirectory engines,
       EngineSender calls,
-      SlotClient slots,
+      SlotSource slots,
       BatchRunTimes times,
       Consumer<RunningJob> onStarted,
       Consumer<RunningJob> onFinished,
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -14,7 +14,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
-import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -116,7 +116,7 @@
       StoreView storeView,
       EngineDirectory engines,
       EngineSender calls,
-      SlotClient slots,
+      SlotSource slots,
       Function<List<ItemHeader>, List<Long>> promptParts) {}
 
   /** Creates the service of one process. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -4,10 +4,14 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.waxwingcourse.fleet.coordinate.SlotListener;
 import org.waxwingcourse.fleet.coordinate.SlotRequirements;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
@@ -24,6 +28,7 @@
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
+import org.waxwingcourse.fleet.stream.StreamRun;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.ConnectionUse;
 import org.waxwingcourse.http.StreamCall;
@@ -81,8 +86,10 @@
   private final RunLimits limits;
   private final RequestFingerprint fingerprint;
   private final Set<UpstreamId> triedEngines = new HashSet<>();
-  private final StringBuilder engineSequence = new StringBuilder();
-  private final StringBuilder connectionSequence = new StringBuilder();
+
+  /** All attempts, in the order in which they were sent. */
+  private final List<Attempt> attempts = new ArrayList<>();
+
   private Option<Long> lastEventId;
   private ScheduledFuture<?> answerTimeout;
   private Attempt attempt;
@@ -273,8 +280,8 @@
   private void send(long slot, EngineEntry engine, SoftwareId engineSoftware) {
     sendCount++;
     triedEngines.add(engine.id());
-    engineSequence.append(engineSequence.isEmpty() ? "" : ",").append(engine.id());
     attempt = new Attempt(slot, engine, engineSoftware);
+    attempts.add(attempt);
     logContinuation(engine);
     EngineRequest call =
         new EngineRequest(
@@ -397,8 +404,9 @@
         admitted.organisation().map(o -> o.id().value()).getOrElse("none"),
         route.name(),
         route.kind(),
-        engineSequence,
-        connectionSequence,
+        describeAttempts(a -> a.engine.id()),
+        describeAttempts(Attempt::connection),
+        describeAttempts(a -> a.run),
         totalWait.toMillis(),
         firstEventAt == null
             ? "none"
@@ -413,6 +421,10 @@
     onDone.run();
   }
 
+  private String describeAttempts(Function<Attempt, Object> property) {
+    return attempts.stream().map(property).map(Object::toString).collect(Collectors.joining(","));
+  }
+
   /** Remembers which software began the stream if its caller may take it up from here on. */
   private void updateOrigin() {
     if (whole) {
@@ -456,6 +468,7 @@
     private final EngineEntry engine;
     private final SoftwareId engineSoftware;
     private final Instant sentAt = now();
+    private final StreamRun run = new StreamRun(lastEventId);
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private StreamCall call;
@@ -485,9 +498,6 @@
       }
       slotReleased = true;
       silenceWatch.stop();
-      connectionSequence
-          .append(connectionSequence.isEmpty() ? "" : ",")
-          .append(call.connection().map(ConnectionUse::toString).getOrElse("none"));
       Duration first =
           firstEventReceivedAt == null
               ? Duration.ZERO
@@ -500,6 +510,10 @@
       reportEnd(new RunEnd(outcomeKind, first, gap, 0));
     }
 
+    String connection() {
+      return call.connection().map(ConnectionUse::toString).getOrElse("none");
+    }
+
     private void reportEnd(RunEnd end) {
       if (end.how() == RunEnd.How.ENGINE_BROKE_OFF) {
         ports
@@ -623,6 +637,7 @@
       firstEventReceivedAt = firstEventReceivedAt == null ? receivedAt : firstEventReceivedAt;
       lastActivityAt = receivedAt;
       receivedEvents++;
+      run.recordReceived(event.id());
       silenceWatch.recordActivity(limits.gapLimit());
       boolean alreadyForwarded =
           event.id() != ServerSentEventParser.NO_ID && lastEventId.exists(l -> event.id() <= l);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineService.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
-import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
@@ -48,7 +48,7 @@
       StoreView storeView,
       EngineDirectory engines,
       EngineSender calls,
-      SlotClient slots,
+      SlotSource slots,
       CrashingRequests crashingRequests,
       StreamOrigins streams,
       MetricRegistry metrics) {}
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -153,7 +153,7 @@
       626,
       Level.INFO,
       "item {} of job \"{}\": run on engine \"{}\" ends, {}; connection {}, {} ms, {} events,"
-          + " version {}"),
+          + " version {}, run {}"),
   ITEM_BEGINS_ANEW(
       627,
       Level.INFO,
@@ -209,7 +209,7 @@
   REQUEST_ENDED(
       802,
       Level.INFO,
-      "request {} of {} on {} ({}): engines {}, connections {}, waited {} ms, first {} ms,"
+      "request {} of {} on {} ({}): engines {}, connections {}, runs {}, waited {} ms, first {} ms,"
           + " total {} ms, {} events, version {}, coordinator {}: {}"),
   REQUEST_MOVED(
       803, Level.INFO, "request {} goes on elsewhere or ends: {}; last event {}, run {} of {}"),
