--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -107,13 +107,10 @@
     return interrupted;
   }
 
-  /** Returns a grant that describes its engine, as coordinators send it of recently listed ones. */
   private static SlotGrant describedGrant(long number, String engine) {
     EngineEntry entry =
         FleetFixtures.readEngine(FleetFixtures.engineEntry(engine, 1, 8, false, 1, 1)).get();
-    return grant(number, engine).toBuilder()
-        .setEntry(FleetMessageConverter.encodeEngine(entry))
-        .build();
+    return DescribedGrant.of(number, entry);
   }
 
   private static SlotGrant grant(long number, String engine) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -14,11 +14,13 @@
 import java.util.Random;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
+import org.waxwingcourse.fleet.RecordedSlots;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
+import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -58,6 +60,14 @@
   /** The runs that reached the engine, by item; a later run of an item replaces the earlier one. */
   final Map<String, EngineListener> runs = new HashMap<>();
 
+  /** The requests that the engine received, in order. */
+  final List<EngineRequest> received = new ArrayList<>();
+
+  /** Receive the answers to these requests. */
+  final List<EngineListener> answers = new ArrayList<>();
+
+  final RecordedSlots recordedSlots;
+
   /** The slots that were given back unused. */
   final List<Long> unusedSlots = new ArrayList<>();
 
@@ -89,6 +99,7 @@
             FleetFixtures.DATA_CENTRE,
             List::of);
     slots.attachTo(COORDINATOR);
+    recordedSlots = new RecordedSlots(slots);
     channel = new FleetMessageRouter(null, null, slots, (from, m) -> {});
     runner =
         new JobRunner(
@@ -110,9 +121,11 @@
                 engines,
                 (request, listener) -> {
                   runs.put(request.id().value(), listener);
+                  received.add(request);
+                  answers.add(listener);
                   return () -> {};
                 },
-                slots,
+                recordedSlots,
                 new BatchRunTimes(),
                 job -> {},
                 job -> {},
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -16,9 +16,11 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
+import org.waxwingcourse.fleet.RecordedSlots;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
@@ -63,9 +65,17 @@
   final List<FleetMessage> sent = new ArrayList<>();
   final List<EngineRequest> received = new ArrayList<>();
   final List<EngineListener> answers = new ArrayList<>();
+
+  /** Runs while the host takes a grant that describes its engine. */
+  Consumer<EngineEntry> onLearn = e -> {};
+
   private final SlotClient slots =
       new SlotClient(
-          FleetFixtures.recordingPeers(this::onSent), clock, FleetFixtures.DATA_CENTRE, List::of);
+          FleetFixtures.recordingPeers(this::onSent),
+          clock,
+          FleetFixtures.DATA_CENTRE,
+          FleetFixtures.learningEngines(e -> onLearn.accept(e)));
+  final RecordedSlots recordedSlots = new RecordedSlots(slots);
   final FleetMessageRouter channel = new FleetMessageRouter(null, null, slots, (from, m) -> {});
   final CrashingRequests crashingRequests = new CrashingRequests();
   final StreamOrigins streams = new StreamOrigins();
@@ -130,7 +140,7 @@
                     },
                     engines,
                     clock),
-                slots,
+                recordedSlots,
                 crashingRequests,
                 streams,
                 new MetricRegistry()));
@@ -190,7 +200,11 @@
   }
 
   static byte[] event(int id) {
-    return ("id: " + id + "\ndata: w\n\n").getBytes(StandardCharsets.UTF_8);
+    return event(id, "w");
+  }
+
+  static byte[] event(int id, String data) {
+    return ("id: " + id + "\ndata: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
   }
 
   static final class RecordingSink implements AnswerSink {
