One class joins the events of a stream from its runs, in sequence

An event after a gap was passed on; a run that began before the event after which it was asked was joined as soon as it was ahead, and so was a second copy of the answer to an earlier run, which has the same request id.

Change: JoinedStream alone decides which run may append the next event: the one begun last, with the event after the last, of the software that began the stream. It holds the position and the software for both. An event out of place ends its run like bytes that are no event (W508); another engine is asked for the events after the last that was passed on. An item whose run does not begin where it was asked to begins anew.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -22,6 +22,8 @@
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.stream.JoinedStream;
+import org.waxwingcourse.fleet.stream.OutOfPlace;
 import org.waxwingcourse.fleet.stream.StreamRun;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.ConnectionUse;
@@ -86,11 +88,7 @@
   private final ResultListener listener;
   private final Set<UpstreamId> failedOn = new HashSet<>();
   private final List<String> eventData = new ArrayList<>();
-  private Option<Long> lastEventId = Option.none();
-
-  /** The software that sent the events received so far. */
-  private Option<SoftwareId> software = Option.none();
-
+  private final JoinedStream joined = JoinedStream.empty();
   private Attempt attempt;
   private long slotNumber;
 
@@ -158,7 +156,7 @@
             Option.some(new BatchWork(job.due(), eventData.size())),
             Option.none(),
             Option.none(),
-            software);
+            joined.software());
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
@@ -206,14 +204,16 @@
         ports
             .engines()
             .findUsable(engine, pendingSlot.service)
-            .filter(e -> lastEventId.isEmpty() || granted.forAll(e.software()::equals));
+            .filter(e -> joined.eventCount() == 0 || granted.forAll(e.software()::equals));
     if (entry.isEmpty()) {
       returnSlot(pendingSlot.requestNumber);
       scheduleRetry();
       return;
     }
-    if (software.exists(s -> !s.equals(entry.get().software()))) {
-      beginAnew(entry.get());
+    if (joined.software().exists(s -> !s.equals(entry.get().software()))) {
+      beginAnew(
+          "engine %s of version %s goes on"
+              .formatted(engine, entry.get().version().getOrElse("none")));
     }
     Deadline until = Deadline.after(ports.clock(), RUN_LIMIT).earlier(job.giveUpAt());
     attempt = new Attempt(pendingSlot.requestNumber, entry.get());
@@ -230,24 +230,17 @@
                     headers(),
                     item.getBody().toByteArray(),
                     Option.some(job.organisation()),
-                    lastEventId,
+                    sent.run.askedAfter(),
                     until),
                 sent);
     sent.silenceWatch.start(SILENCE_LIMIT);
   }
 
-  /** Drops the events received so far, which another version of the software cannot go on with. */
-  private void beginAnew(EngineEntry engine) {
-    LOG.write(
-        Event.ITEM_BEGINS_ANEW,
-        item.getId(),
-        job.id(),
-        eventData.size(),
-        engine.id(),
-        engine.version().getOrElse("none"));
+  /** Drops the events received so far, since no engine can go on with them. */
+  private void beginAnew(String reason) {
+    LOG.write(Event.ITEM_BEGINS_ANEW, item.getId(), job.id(), eventData.size(), reason);
     eventData.clear();
-    lastEventId = Option.none();
-    software = Option.none();
+    joined.clear();
   }
 
   private List<Header> headers() {
@@ -363,7 +356,7 @@
   private final class Attempt implements EngineListener {
     private final long requestNumber;
     private final Instant sentAt = ports.clock().instant();
-    private final StreamRun run = new StreamRun(lastEventId);
+    private final StreamRun run;
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final EngineEntry entry;
     private final UpstreamId engine;
@@ -384,6 +377,7 @@
       this.requestNumber = requestNumber;
       this.entry = entry;
       this.engine = entry.id();
+      this.run = joined.beginRun(entry.software());
     }
 
     void releaseSlot(RunEnd.How outcomeKind) {
@@ -425,7 +419,12 @@
 
     private void moveToAnotherEngine(RunEnd.How outcomeKind, String reason) {
       LOG.write(
-          Event.ITEM_MOVED, item.getId(), job.id(), engine, reason, lastEventId.getOrElse(0L));
+          Event.ITEM_MOVED,
+          item.getId(),
+          job.id(),
+          engine,
+          reason,
+          joined.lastEventId().getOrElse(0L));
       failedOn.add(engine);
       moves++;
       boolean brokeOff = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF;
@@ -445,7 +444,7 @@
     @Override
     public void onHead(EngineAnswer answer) {
       synchronized (ItemRun.this) {
-        if (slotReleased) {
+        if (slotReleased || attempt != this) {
           return;
         }
         head = answer;
@@ -474,29 +473,52 @@
       synchronized (ItemRun.this) {
         if (!slotReleased && head != null && head.isSuccess()) {
           parser.parse(bytes).forEach(this::onEvent);
-          parser
-              .malformation()
-              .forEach(sent -> moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "it sent " + sent));
+          parser.malformation().forEach(this::onMalformation);
         }
       }
     }
 
     private void onEvent(ServerSentEventParser.ServerSentEvent event) {
+      if (slotReleased) {
+        return;
+      }
       lastActivityAt = ports.clock().instant();
       firstEventAt = firstEventAt == null ? lastActivityAt : firstEventAt;
       receivedEvents++;
-      run.recordReceived(event.id());
       silenceWatch.recordActivity(SILENCE_LIMIT);
-      boolean alreadyReceived =
-          event.id() != ServerSentEventParser.NO_ID && lastEventId.exists(l -> event.id() <= l);
-      if (alreadyReceived) {
+      Option<OutOfPlace> outOfPlace = run.append(event);
+      if (outOfPlace.isDefined()) {
+        onEventOutOfPlace(event, outOfPlace.get());
+      } else {
+        eventData.add(event.data());
+      }
+    }
+
+    private void onMalformation(String sent) {
+      if (!slotReleased) {
+        moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "it sent " + sent);
+      }
+    }
+
+    private void onEventOutOfPlace(
+        ServerSentEventParser.ServerSentEvent event, OutOfPlace outOfPlace) {
+      LOG.write(
+          Event.EVENT_OUT_OF_PLACE,
+          engine,
+          event.id(),
+          item.getId(),
+          outOfPlace,
+          call.connection().map(ConnectionUse::toString).getOrElse("none"),
+          run);
+      if (attempt != this) {
+        releaseSlot(RunEnd.How.CANCELLED);
+        call.cancel();
         return;
       }
-      if (event.id() != ServerSentEventParser.NO_ID) {
-        lastEventId = Option.some(event.id());
+      if (!run.hasAppended()) {
+        beginAnew("engine " + engine + " did not go on where it was asked to");
       }
-      software = Option.some(entry.software());
-      eventData.add(event.data());
+      moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "event out of place: " + outOfPlace);
     }
 
     @Override
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -26,6 +26,8 @@
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.stream.JoinedStream;
+import org.waxwingcourse.fleet.stream.OutOfPlace;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.fleet.stream.StreamRun;
@@ -90,7 +92,7 @@
   /** All attempts, in the order in which they were sent. */
   private final List<Attempt> attempts = new ArrayList<>();
 
-  private Option<Long> lastEventId;
+  private final JoinedStream joined;
   private ScheduledFuture<?> answerTimeout;
   private Attempt attempt;
 
@@ -99,7 +101,6 @@
 
   private int sendCount;
   private int runCount;
-  private int eventCount;
   private boolean headForwarded;
 
   /** The stream of the answer; none if it is no stream, or if its caller does not name it. */
@@ -111,9 +112,6 @@
   /** The engine that sent the first event of the answer. */
   private Option<EngineEntry> begunBy = Option.none();
 
-  /** The software that sent the events that the caller has, as far as it is known. */
-  private Option<SoftwareId> software = Option.none();
-
   private boolean done;
 
   /** Whether the caller has been sent the complete answer. */
@@ -138,7 +136,6 @@
     this.route = admitted.route();
     this.service = route.selectService(ports.random().nextDouble());
     this.limits = RunLimits.of(route, request.arrivedAt(), request.deadline());
-    this.lastEventId = request.resumeAfter();
     String organisation = admitted.organisation().map(o -> o.id().value()).getOrElse("");
     this.fingerprint = RequestFingerprint.of(organisation, request.target(), request.body());
     boolean isStream = route.kind() == RequestKind.STREAM;
@@ -148,9 +145,10 @@
         first
             .filter(id -> isStream && id.length() <= StreamKey.MAX_ID_LENGTH)
             .map(id -> StreamKey.of(organisation, id));
-    if (takesUp) {
-      software = stream.flatMap(k -> ports.streams().find(k, request.arrivedAt()));
-    }
+    Option<SoftwareId> beganBefore =
+        Option.when(takesUp, stream)
+            .flatMap(key -> key.flatMap(k -> ports.streams().find(k, request.arrivedAt())));
+    this.joined = JoinedStream.after(request.resumeAfter(), beganBefore);
   }
 
   synchronized void start() {
@@ -198,7 +196,8 @@
 
   private Option<StreamNeeds> streamNeeds() {
     boolean begun = takesUp || begunBy.isDefined();
-    return Option.when(begun || stream.isDefined(), () -> new StreamNeeds(stream, begun, software));
+    return Option.when(
+        begun || stream.isDefined(), () -> new StreamNeeds(stream, begun, joined.software()));
   }
 
   private synchronized void handleGrant(
@@ -251,7 +250,7 @@
    */
   private boolean mayGoOnAt(EngineEntry engine, boolean isCertain) {
     boolean begun = takesUp || begunBy.isDefined();
-    return !begun || isCertain && software.forAll(engine.software()::equals);
+    return !begun || isCertain && joined.software().forAll(engine.software()::equals);
   }
 
   /** Returns a slot on an engine that cannot be used from here, which counts as a send. */
@@ -300,7 +299,7 @@
             request.headers(),
             request.body(),
             admitted.organisation().map(OrganisationPlan::id),
-            lastEventId,
+            attempt.run.askedAfter(),
             limits.answerBy());
     Attempt sent = attempt;
     sent.call = ports.calls().send(call, sent);
@@ -308,11 +307,11 @@
   }
 
   private void logContinuation(EngineEntry engine) {
-    if (lastEventId.isDefined()) {
+    for (long last : joined.lastEventId()) {
       LOG.write(
           Event.STREAM_CONTINUED,
           request.id(),
-          lastEventId.get(),
+          last,
           engine.id(),
           engine.version().getOrElse("none"),
           begunBy.isEmpty()
@@ -394,7 +393,7 @@
         Event.REQUEST_MOVED,
         request.id(),
         reason,
-        lastEventId.map(Object::toString).getOrElse("none"),
+        joined.lastEventId().map(Object::toString).getOrElse("none"),
         runCount,
         route.maxAttempts());
   }
@@ -418,7 +417,7 @@
             ? "none"
             : Duration.between(request.arrivedAt(), firstEventAt).toMillis(),
         total.toMillis(),
-        eventCount,
+        joined.eventCount(),
         admitted.plan().version(),
         ports.slots().coordinator().map(Object::toString).getOrElse("none"),
         outcome);
@@ -441,7 +440,7 @@
   }
 
   private void recordOrigin() {
-    stream.forEach(k -> software.forEach(s -> ports.streams().record(k, s, now())));
+    stream.forEach(k -> joined.software().forEach(s -> ports.streams().record(k, s, now())));
   }
 
   private Instant now() {
@@ -473,9 +472,8 @@
   private final class Attempt implements EngineListener {
     private final long slot;
     private final EngineEntry engine;
-    private final SoftwareId engineSoftware;
+    private final StreamRun run;
     private final Instant sentAt = now();
-    private final StreamRun run = new StreamRun(lastEventId);
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private StreamCall call;
@@ -495,7 +493,7 @@
     Attempt(long slot, EngineEntry engine, SoftwareId engineSoftware) {
       this.slot = slot;
       this.engine = engine;
-      this.engineSoftware = engineSoftware;
+      this.run = joined.beginRun(engineSoftware);
     }
 
     /** Frees the slot and reports the speed of the engine. */
@@ -560,7 +558,7 @@
     @Override
     public void onHead(EngineAnswer answer) {
       synchronized (OnlineRun.this) {
-        if (slotReleased || done) {
+        if (slotReleased || done || attempt != this) {
           return;
         }
         head = answer;
@@ -640,30 +638,45 @@
     }
 
     private void onEvent(ServerSentEventParser.ServerSentEvent event) {
+      if (slotReleased || done) {
+        return;
+      }
       Instant receivedAt = now();
       firstEventReceivedAt = firstEventReceivedAt == null ? receivedAt : firstEventReceivedAt;
       lastActivityAt = receivedAt;
       receivedEvents++;
-      run.recordReceived(event.id());
       silenceWatch.recordActivity(limits.gapLimit());
-      boolean alreadyForwarded =
-          event.id() != ServerSentEventParser.NO_ID && lastEventId.exists(l -> event.id() <= l);
-      if (alreadyForwarded) {
+      Option<OutOfPlace> outOfPlace = run.append(event);
+      if (outOfPlace.isDefined()) {
+        onEventOutOfPlace(event, outOfPlace.get());
         return;
       }
       forwardHead();
       if (begunBy.isEmpty()) {
         begunBy = Option.some(engine);
-        software = Option.some(engineSoftware);
         recordOrigin();
       }
-      if (event.id() != ServerSentEventParser.NO_ID) {
-        lastEventId = Option.some(event.id());
-      }
-      eventCount++;
       sink.onBytes(event.bytes());
     }
 
+    private void onEventOutOfPlace(
+        ServerSentEventParser.ServerSentEvent event, OutOfPlace outOfPlace) {
+      LOG.write(
+          Event.EVENT_OUT_OF_PLACE,
+          engine.id(),
+          event.id(),
+          request.id(),
+          outOfPlace,
+          connection(),
+          run);
+      if (attempt == this) {
+        breakOff("event " + event.id() + " out of place: " + outOfPlace);
+      } else {
+        releaseSlot(RunEnd.How.CANCELLED);
+        call.cancel();
+      }
+    }
+
     private void forwardHead() {
       if (!headForwarded) {
         headForwarded = true;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamRun.java
@@ -2,24 +2,47 @@
 
 import io.vavr.control.Option;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
+import org.waxwingcourse.fleet.engine.ServerSentEventParser.ServerSentEvent;
+import org.waxwingcourse.fleet.engine.SoftwareId;
 
 /** What one run of a request was asked for, and which events of it were received. */
 public final class StreamRun {
+  private final JoinedStream stream;
   private final Option<Long> askedAfter;
+  private final SoftwareId software;
   private Option<Long> first = Option.none();
   private Option<Long> last = Option.none();
+  private boolean appended;
 
-  /** Creates a run that was asked for the events after {@code askedAfter}, none for all events. */
-  public StreamRun(Option<Long> askedAfter) {
+  StreamRun(JoinedStream stream, Option<Long> askedAfter, SoftwareId software) {
+    this.stream = stream;
     this.askedAfter = askedAfter;
+    this.software = software;
   }
 
-  /** Records the id of an event that the engine sent. */
-  public void recordReceived(long id) {
-    if (id != ServerSentEventParser.NO_ID) {
-      first = first.orElse(Option.some(id));
-      last = Option.some(id);
+  SoftwareId software() {
+    return software;
+  }
+
+  /** Returns the event after which the run is asked to go on, none to begin with the first. */
+  public Option<Long> askedAfter() {
+    return askedAfter;
+  }
+
+  /** Returns whether an event of the run has become part of the stream. */
+  public boolean hasAppended() {
+    return appended;
+  }
+
+  /** Appends an event to the stream; returns why it is out of place, none if it was appended. */
+  public Option<OutOfPlace> append(ServerSentEvent event) {
+    if (event.id() != ServerSentEventParser.NO_ID) {
+      first = first.orElse(Option.some(event.id()));
+      last = Option.some(event.id());
     }
+    Option<OutOfPlace> outOfPlace = stream.append(this, event);
+    appended |= outOfPlace.isEmpty();
+    return outOfPlace;
   }
 
   /** Returns {@code ASKED_AFTER>FIRST-LAST} for logs, without the last two before any event. */
