--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -273,7 +273,7 @@
    */
   private void returnSlot(HostId from, SlotGrant grant) {
     PendingRequest running = pending.get(grant.getNumber());
-    if (running != null) {
+    if (running != null && running.engine != null) {
       if (UpstreamId.of(grant.getEngine()).equals(running.engine)) {
         return;
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -89,8 +89,8 @@
   private final RequestFingerprint fingerprint;
   private final Set<UpstreamId> triedEngines = new HashSet<>();
 
-  /** All attempts, in the order in which they were sent. */
-  private final List<Attempt> attempts = new ArrayList<>();
+  /** What was sent to engines, in order. */
+  private final List<SentRun> sentRuns = new ArrayList<>();
 
   private final JoinedStream joined;
   private ScheduledFuture<?> answerTimeout;
@@ -288,7 +288,7 @@
     sendCount++;
     triedEngines.add(engine.id());
     attempt = new Attempt(slot, engine, engineSoftware);
-    attempts.add(attempt);
+    sentRuns.add(attempt.sentRun);
     logContinuation(engine);
     EngineRequest call =
         new EngineRequest(
@@ -413,9 +413,9 @@
         admitted.organisation().map(o -> o.id().value()).getOrElse("none"),
         route.name(),
         route.kind(),
-        describeAttempts(a -> a.engine.id()),
-        describeAttempts(Attempt::connection),
-        describeAttempts(a -> a.run),
+        describeSentRuns(r -> r.engine),
+        describeSentRuns(r -> r.connection),
+        describeSentRuns(r -> r.run),
         totalWait.toMillis(),
         firstEventAt == null
             ? "none"
@@ -430,8 +430,8 @@
     onDone.run();
   }
 
-  private String describeAttempts(Function<Attempt, Object> property) {
-    return attempts.stream().map(property).map(Object::toString).collect(Collectors.joining(","));
+  private String describeSentRuns(Function<SentRun, Object> property) {
+    return sentRuns.stream().map(property).map(Object::toString).collect(Collectors.joining(","));
   }
 
   /** Remembers which software began the stream if its caller may take it up from here on. */
@@ -472,11 +472,24 @@
     }
   }
 
+  /** What the log tells of an attempt after its end. */
+  private static final class SentRun {
+    private final UpstreamId engine;
+    private final StreamRun run;
+    private String connection = "none";
+
+    SentRun(UpstreamId engine, StreamRun run) {
+      this.engine = engine;
+      this.run = run;
+    }
+  }
+
   /** One attempt to run the request on an engine. */
   private final class Attempt implements EngineListener {
     private final long slot;
     private final EngineEntry engine;
     private final StreamRun run;
+    private final SentRun sentRun;
     private final Instant sentAt = now();
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -498,6 +511,7 @@
       this.slot = slot;
       this.engine = engine;
       this.run = joined.beginRun(engineSoftware);
+      this.sentRun = new SentRun(engine.id(), run);
     }
 
     /** Frees the slot and reports the speed of the engine. */
@@ -507,6 +521,7 @@
       }
       slotReleased = true;
       silenceWatch.stop();
+      sentRun.connection = connection();
       Duration first =
           firstEventReceivedAt == null
               ? Duration.ZERO
@@ -519,7 +534,7 @@
       reportEnd(new RunEnd(outcomeKind, first, gap, 0));
     }
 
-    String connection() {
+    private String connection() {
       return call.connection().map(ConnectionUse::toString).getOrElse("none");
     }
 
