A comment of an engine is no event of a stream or item

An item got an empty line into its text, and one whose engine sent a comment before it began at the wrong place kept events that no engine went on with. commentOfAnEngineIsNoPartOfTheText and itemBeginsAnewThoughACommentComesBeforeTheCopy failed before. JoinedStreamTest also begins streams without a position.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/ServerSentEventParser.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/ServerSentEventParser.java
@@ -40,7 +40,12 @@
    * @param data its data lines, joined by line feeds
    * @param bytes the bytes as received, with the empty line that ends the event
    */
-  public record ServerSentEvent(long id, String data, byte[] bytes) {}
+  public record ServerSentEvent(long id, String data, byte[] bytes) {
+    /** Returns whether it carries nothing for the receiver of the stream, as a comment does. */
+    public boolean isBlank() {
+      return id == NO_ID && data.isEmpty();
+    }
+  }
 
   /**
    * Parses the next bytes of the stream and returns the events that they complete, possibly none.
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -492,7 +492,7 @@
       Option<OutOfPlace> outOfPlace = run.append(event);
       if (outOfPlace.isDefined()) {
         onEventOutOfPlace(event, outOfPlace.get());
-      } else {
+      } else if (!event.isBlank()) {
         eventData.add(event.data());
       }
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -671,7 +671,7 @@
         return;
       }
       forwardHead();
-      if (begunBy.isEmpty()) {
+      if (begunBy.isEmpty() && run.hasAppended()) {
         begunBy = Option.some(engine);
         recordOrigin();
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/stream/JoinedStream.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/JoinedStream.java
@@ -78,7 +78,7 @@
     numbered = true;
   }
 
-  /** Appends an event of a run; returns why it is out of place, none if it was appended. */
+  /** Appends an event of a run unless it is blank; returns why it is out of place, if it is. */
   Option<OutOfPlace> append(StreamRun run, ServerSentEvent event) {
     if (!current.contains(run)) {
       return Option.some(OutOfPlace.REPLACED_RUN);
@@ -86,13 +86,16 @@
     if (software.exists(s -> !s.equals(run.software()))) {
       return Option.some(OutOfPlace.OTHER_SOFTWARE);
     }
+    if (event.isBlank()) {
+      return Option.none();
+    }
     boolean hasId = event.id() != ServerSentEventParser.NO_ID;
     if (hasId && numbered && lastEventId.exists(last -> event.id() != last + 1)) {
       return Option.some(OutOfPlace.NOT_NEXT);
     }
     software = Option.some(run.software());
     lastEventId = hasId ? Option.some(event.id()) : lastEventId;
-    numbered &= hasId || event.data().isEmpty();
+    numbered &= hasId;
     eventCount++;
     return Option.none();
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/stream/StreamRun.java
@@ -34,14 +34,16 @@
     return appended;
   }
 
-  /** Appends an event to the stream; returns why it is out of place, none if it was appended. */
+  /**
+   * Appends an event to the stream unless it is blank; returns why it is out of place, if it is.
+   */
   public Option<OutOfPlace> append(ServerSentEvent event) {
     if (event.id() != ServerSentEventParser.NO_ID) {
       first = first.orElse(Option.some(event.id()));
       last = Option.some(event.id());
     }
     Option<OutOfPlace> outOfPlace = stream.append(this, event);
-    appended |= outOfPlace.isEmpty();
+    appended |= outOfPlace.isEmpty() && !event.isBlank();
     return outOfPlace;
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemOfTwoRunsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemOfTwoRunsTest.java
@@ -106,6 +106,32 @@
     assertThat(results()).containsExactly("first1\nfirst2\nsecond3\nsecond4");
   }
 
+  @Test
+  void commentOfAnEngineIsNoPartOfTheText() {
+    fixture.grantAll();
+    EngineListener first = answerOf(0);
+    send(first, "first", 1, 1);
+    first.onBytes(": still here\n\n".getBytes(StandardCharsets.US_ASCII));
+    send(first, "first", 2, 2);
+    first.onEnd(Option.none());
+    assertThat(results()).containsExactly("first1\nfirst2");
+  }
+
+  /** A comment before the first event made the item keep events that no engine goes on with. */
+  @Test
+  void itemBeginsAnewThoughACommentComesBeforeTheCopy() {
+    fixture.grantAll();
+    EngineListener first = answerOf(0);
+    send(first, "first", 1, 2);
+    lose(first);
+    grantAgain();
+    EngineListener copy = answerOf(1);
+    copy.onBytes(": still here\n\n".getBytes(StandardCharsets.US_ASCII));
+    send(copy, "copy", 1, 1);
+    grantAgain();
+    assertThat(fixture.received.get(2).resumeAfter()).isEmpty();
+  }
+
   /** Nobody can ask an engine for the events after one that has no id. */
   @Test
   void itemBeginsAnewAfterAnEventWithoutId() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/stream/JoinedStreamTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/stream/JoinedStreamTest.java
@@ -32,8 +32,9 @@
   void eventsFollowEachOtherAndEachRunGoesOnWhereItWasAskedTo() {
     for (int seed = 0; seed < SEEDS; seed++) {
       Random random = new Random(seed);
-      JoinedStream stream = JoinedStream.after(Option.some(1L + random.nextInt(5)), Option.none());
-      long start = stream.lastEventId().get();
+      Option<Long> position = Option.some((long) random.nextInt(5)).filter(n -> n > 0);
+      JoinedStream stream = JoinedStream.after(position, Option.none());
+      long start = position.getOrElse(0L);
       List<Sender> senders = new ArrayList<>();
       List<Long> text = new ArrayList<>();
       for (int step = 0; step < STEPS; step++) {
@@ -43,7 +44,7 @@
         }
         int newest = senders.size() - 1;
         Sender sender = senders.get(random.nextInt(3) == 0 ? random.nextInt(newest + 1) : newest);
-        long id = stream.lastEventId().get() + random.nextInt(4) - 1;
+        long id = stream.lastEventId().map(n -> n + random.nextInt(4) - 1).getOrElse(1L);
         if (sender.run.append(event(id)).isEmpty()) {
           text.add(id);
           sender.appended.add(id);
@@ -57,7 +58,7 @@
         if (!sender.appended.isEmpty()) {
           assertThat(sender.appended.get(0))
               .as("seed " + seed)
-              .isEqualTo(sender.run.askedAfter().get() + 1);
+              .isEqualTo(sender.run.askedAfter().getOrElse(0L) + 1);
         }
       }
       assertThat(senders.stream().filter(s -> !s.appended.isEmpty()).map(s -> s.run.software()))
