An item whose runs are out of place is tried more and more rarely

Such runs now count like runs that break off before an event: from the second on in a row the item waits 1 s, then twice as long each time up to 16 s. A slot that waits to be used is no longer forgotten when an earlier grant of the item comes late.

itemWhoseRunsAreOutOfPlaceIsTriedMoreAndMoreRarely failed before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -64,8 +64,8 @@
   private static final Duration QUARANTINE_RETRY_DELAY = Duration.ofSeconds(3);
 
   /**
-   * Delay before an item is tried again whose last two runs broke off before an event; it doubles
-   * with each further one, since the item itself may crash the engines.
+   * Delay before an item is tried again whose last two runs broke off before an event, or sent one
+   * out of place; it doubles with each further one, since the item itself may be the cause.
    */
   private static final Duration CRASH_RETRY_DELAY = Duration.ofSeconds(1);
 
@@ -100,10 +100,10 @@
   private int yields;
   private int moves;
 
-  /** Runs in a row that lost their engine before an event. */
+  /** Runs in a row that lost their engine before an event, or sent one out of place. */
   private int losses;
 
-  /** Those of them that the engine broke off. */
+  /** Those of them that the next engine may end in the same way. */
   private int breaks;
 
   private Duration waited = Duration.ZERO;
@@ -192,7 +192,7 @@
     }
     pendingSlot.granted = true;
     waited = waited.plus(slotWait);
-    slotUnused = pendingSlot.requestNumber == slotNumber;
+    slotUnused |= pendingSlot.requestNumber == slotNumber;
     return true;
   }
 
@@ -421,6 +421,18 @@
     }
 
     private void moveToAnotherEngine(RunEnd.How outcomeKind, String reason) {
+      boolean brokeOff = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF;
+      moveToAnotherEngine(outcomeKind, reason, firstEventAt == null, brokeOff);
+    }
+
+    /**
+     * Moves the item.
+     *
+     * @param isVain whether the run has brought nothing
+     * @param isRepeatable whether the next run may end in the same way, because of the item
+     */
+    private void moveToAnotherEngine(
+        RunEnd.How outcomeKind, String reason, boolean isVain, boolean isRepeatable) {
       LOG.write(
           Event.ITEM_MOVED,
           item.getId(),
@@ -430,11 +442,10 @@
           joined.lastEventId().getOrElse(0L));
       failedOn.add(engine);
       moves++;
-      boolean brokeOff = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF;
-      losses = firstEventAt == null ? losses + 1 : 0;
-      breaks = firstEventAt == null ? breaks + (brokeOff ? 1 : 0) : 0;
+      losses = isVain ? losses + 1 : 0;
+      breaks = isVain ? breaks + (isRepeatable ? 1 : 0) : 0;
       cancelAttempt(outcomeKind);
-      if (brokeOff && breaks >= 2) {
+      if (isRepeatable && breaks >= 2) {
         int doublings = Math.min(breaks - 2, MAX_DOUBLINGS);
         scheduleRetry(CRASH_RETRY_DELAY.multipliedBy(1L << doublings));
       } else if (losses >= 2) {
@@ -521,7 +532,7 @@
       if (!run.hasAppended()) {
         beginAnew("engine " + engine + " did not go on where it was asked to");
       }
-      moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "event out of place: " + outOfPlace);
+      moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "event out of place: " + outOfPlace, true, true);
     }
 
     @Override
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemOfTwoRunsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemOfTwoRunsTest.java
@@ -106,6 +106,21 @@
     assertThat(results()).containsExactly("first1\nfirst2\nsecond3\nsecond4");
   }
 
+  /** Engines that never go on where they are asked to were tried again without a pause. */
+  @Test
+  void itemWhoseRunsAreOutOfPlaceIsTriedMoreAndMoreRarely() {
+    fixture.grantAll();
+    for (int i = 0; i < 20; i++) {
+      int attempt = fixture.received.size() - 1;
+      EngineListener answer = answerOf(attempt);
+      send(answer, "w", 1, 2);
+      send(answer, "w", 4, 4);
+      fixture.timer.advance(Duration.ofSeconds(1));
+      fixture.grantAll();
+    }
+    assertThat(fixture.received).hasSizeBetween(4, 8);
+  }
+
   @Test
   void commentOfAnEngineIsNoPartOfTheText() {
     fixture.grantAll();
