--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -80,7 +80,8 @@
   EVENT_OUT_OF_PLACE(
       508,
       Level.WARN,
-      "engine \"{}\" sent event {} for request {}, which is not passed on: {}; connection {}, run {}"),
+      "engine \"{}\" sent event {} for request {}, which is not passed on: {};"
+          + " connection {}, run {}"),
   SLOT_GRANTED_TWICE(
       509, Level.INFO, "request {} was granted a second slot, on engine \"{}\", which is not used"),
   PROMPT_QUARANTINED(
