A job that is stopped before its start does not start

Seen if it happens: the items of a job that its caller has ended run on engines to their end, and their results are thrown away.

Cause: JobRunner enters a job among those that run and then starts it. A message that the job is closed, or the host's stop, on another thread in between marks the job as ended; the start did not look and asked for slots for all items. The stop that follows the start, and each read of the record that finds the job closed, did nothing, as the job had ended already.

The test closes the job in the listener that is called between the two steps; it failed before: "Expecting empty but was: {item-0=..., item-1=..., item-2=..., item-3=...}".

The start looks under the job's lock. A stop that comes after the items are listed marks each as done, and such an item asks for no slot.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -89,8 +89,12 @@
     return Deadline.at(ports.clock().instant().plusMillis(left));
   }
 
+  /** Starts all items that have no result, unless the job was stopped before. */
   void start() {
     synchronized (this) {
+      if (ended) {
+        return;
+      }
       Set<Integer> listedIndexes = new HashSet<>(stored.record().getListedList());
       for (int i = 0; i < items.size(); i++) {
         if (!listedIndexes.contains(i)) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/EndedJobTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/EndedJobTest.java
@@ -112,4 +112,14 @@
     assertThat(fixture.grantAll()).hasSize(1);
     assertThat(fixture.runs).hasSize(1);
   }
+
+  /** The job was stopped between its entry among the running jobs and its start, then started. */
+  @Test
+  void noItemIsSentIfTheJobIsStoppedJustBeforeItStarts() {
+    fixture.onStarted = () -> fixture.runner.stopClosed(RunnerFixture.JOB);
+    fixture.runJob(ITEMS);
+    fixture.grantAll();
+    assertThat(fixture.runs).isEmpty();
+    assertThat(fixture.runner.countRunning()).isZero();
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -72,6 +72,10 @@
   final List<Long> unusedSlots = new ArrayList<>();
 
   final JobRunner runner;
+
+  /** Runs just before a job starts, when it is known to other threads already. */
+  Runnable onStarted = () -> {};
+
   private final List<Long> asks = new ArrayList<>();
   private final FleetMessageRouter channel;
 
@@ -127,7 +131,7 @@
                 },
                 recordedSlots,
                 new BatchRunTimes(),
-                job -> {},
+                job -> onStarted.run(),
                 job -> {},
                 headers -> List.of()));
   }
