A slot that is granted while its request is withdrawn is returned

Seen if it happens: the slot stays taken until a report of runs frees it; a report within the first second does not, and a host without other runs sends no further one.

Cause: a grant is noted, then its listener waits for the lock of the request, which the thread that withdraws holds. Withdrawing removed the request and told the coordinator to forget one that waits, of which it knows none; the listener then returned the slot by a number that was no longer known, so that nothing was sent.

The test withdraws between the grant and its listener; it failed before: "Expected size: 1 but was: 0" ends sent.

Withdrawing decides under the request's lock, as grants and refusals do: a request that was granted before is returned, a grant that comes after is returned to its coordinator. Only requests that were not sent to an engine are withdrawn, so the slot is unused.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -115,7 +115,7 @@
       return true;
     }
 
-    /** Records a refusal; returns false if the request has been decided before. */
+    /** Records a refusal or withdrawal; returns false if the request has been decided before. */
     synchronized boolean refuse() {
       if (refused || engine != null) {
         return false;
@@ -179,8 +179,15 @@
 
   @Override
   public void withdrawRequest(long number) {
-    if (pending.remove(number) != null) {
+    PendingRequest withdrawn = pending.remove(number);
+    if (withdrawn == null) {
+      return;
+    }
+    if (withdrawn.refuse()) {
       send(FleetMessage.newBuilder().setWithdraw(SlotWithdraw.newBuilder().setNumber(number)));
+    } else if (withdrawn.engine != null) {
+      // The grant has been taken, and its listener waits for the thread that withdraws.
+      send(FleetMessage.newBuilder().setEnd(buildEnd(number, RunEnd.of(RunEnd.How.NOT_SENT))));
     }
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -230,4 +230,16 @@
     client.resendLostMessages();
     assertThat(sent.get(sent.size() - 1).message.getRunning().getRunsCount()).isZero();
   }
+
+  /** The grant has been taken, and its receiver waits for the thread that withdraws the request. */
+  @Test
+  void slotIsReturnedIfItsRequestIsWithdrawnWhileItIsGranted() {
+    AtomicLong number = new AtomicLong();
+    AtomicReference<SlotClient> host = new AtomicReference<>();
+    host.set(interruptedByNetworkThread(() -> host.get().withdrawRequest(number.get())));
+    number.set(requestSlot(host.get()));
+    host.get().onGrant(B, describedGrant(number.get(), "e1"));
+    host.get().endRun(number.get(), RunEnd.of(RunEnd.How.NOT_SENT));
+    assertThat(sent).filteredOn(s -> s.message.hasEnd()).hasSize(1);
+  }
 }
