Of two shares of the fleet set at the same time the later holds

Seen if it happens: a coordinator admits by a share of the fleet that is too small, or too large, until the share or the configuration changes: callers are refused with slots free, or rates are exceeded.

Cause: hosts attach by pings that two threads read; each sets the share, and the timer sets it too. The share was noted in one step and passed on to rates and queues in others, so that the earlier could be passed on last. The timer's next call then found the noted share equal and passed on nothing. The configuration and restored levels pass the share on in the same way.

The test sets the second share as the first is passed on; it failed before: "Expected size: 8 but was: 4" grants.

All three hold the coordinator's lock. Nothing that they call takes the lock of the link or of the view.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -62,6 +62,9 @@
 /**
  * Grants the slots of all engines to the hosts that have chosen this host as coordinator. It keeps
  * no durable state: each host reports its runs when it attaches.
+ *
+ * <p>Safe for use by several threads. The configuration and the share of the fleet are passed on to
+ * rates and queues under this object's lock, so that all end with the latest.
  */
 public final class Coordinator {
   private static final EventLog LOG = EventLog.of(Coordinator.class);
@@ -103,7 +106,7 @@
   }
 
   /** Sets the configuration in force. */
-  public void setPlan(Plan next) {
+  public synchronized void setPlan(Plan next) {
     plan = Option.some(next);
     rates.update(next.organisations(), fleetShare, clock.instant());
   }
@@ -159,7 +162,7 @@
   }
 
   /** Sets the share of the fleet that is attached here, in [0, 1]. */
-  public void setFleetShare(double newFleetShare) {
+  public synchronized void setFleetShare(double newFleetShare) {
     if (newFleetShare == fleetShare) {
       return;
     }
@@ -169,7 +172,7 @@
   }
 
   /** Restores the levels of the token buckets that the previous coordinator reported. */
-  public void restoreRateLevels(Map<OrganisationId, Long> levels) {
+  public synchronized void restoreRateLevels(Map<OrganisationId, Long> levels) {
     rates.restoreLevels(levels);
     plan.forEach(p -> rates.update(p.organisations(), fleetShare, clock.instant()));
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -170,6 +170,18 @@
             Long.parseLong(fields[3])));
   }
 
+  /**
+   * Runs an action on another thread until it has ended, or waits for a lock that the caller holds.
+   */
+  public static Thread runBeside(Runnable action) {
+    Thread beside = new Thread(action, "beside");
+    beside.start();
+    while (beside.isAlive() && beside.getState() != Thread.State.BLOCKED) {
+      Thread.onSpinWait();
+    }
+    return beside;
+  }
+
   /** Returns a configuration whose only route is {@link #jobRoute()}. */
   public static Plan jobPlan() {
     return planOf(jobRoute());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorStartTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorStartTest.java
@@ -5,8 +5,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
@@ -43,16 +45,18 @@
   }
 
   private void ask(long number, Duration patience) {
-    coordinator.onAsk(
-        HOST,
-        SlotAsk.newBuilder()
-            .setNumber(number)
-            .setRequest("r" + number)
-            .setService("s")
-            .setDataCentre("a")
-            .setStartWithinNanos(patience.toNanos())
-            .setGiveUpWithinNanos(patience.toNanos())
-            .build());
+    coordinator.onAsk(HOST, askOf(number, patience));
+  }
+
+  private static SlotAsk askOf(long number, Duration patience) {
+    return SlotAsk.newBuilder()
+        .setNumber(number)
+        .setRequest("r" + number)
+        .setService("s")
+        .setDataCentre("a")
+        .setStartWithinNanos(patience.toNanos())
+        .setGiveUpWithinNanos(patience.toNanos())
+        .build();
   }
 
   private void pass(Duration span) {
@@ -80,4 +84,31 @@
     ask(2, Duration.ofSeconds(5));
     assertThat(sent).hasSize(2).allMatch(FleetMessage::hasRefusal);
   }
+
+  /** Returns a coordinator that runs an action as it next reads the clock. */
+  private Coordinator interrupted(AtomicReference<Runnable> action) {
+    InstantSource interrupted =
+        () -> {
+          action.getAndSet(() -> {}).run();
+          return clock.instant();
+        };
+    return new Coordinator(FleetFixtures.recordingPeers((to, m) -> sent.add(m)), interrupted);
+  }
+
+  /** Hosts that attach at the same time are read by two threads. */
+  @Test
+  void laterOfTwoSharesThatAreSetAtTheSameTimeHolds() throws InterruptedException {
+    AtomicReference<Runnable> beside = new AtomicReference<>(() -> {});
+    Coordinator starting = interrupted(beside);
+    starting.setEngines(List.of(ENGINE));
+    AtomicReference<Thread> other = new AtomicReference<>();
+    beside.set(() -> other.set(FleetFixtures.runBeside(() -> starting.setFleetShare(1))));
+    starting.setFleetShare(0.5);
+    other.get().join();
+    starting.setFleetShare(1);
+    for (int i = 1; i <= 8; i++) {
+      starting.onAsk(HOST, askOf(i, Duration.ofSeconds(5)));
+    }
+    assertThat(sent).filteredOn(FleetMessage::hasGrant).hasSize(8);
+  }
 }
