A listener that copies a table of the store ends with its latest content

Seen if it happens: a host's list of hosts goes back to the one before, until the next change of hosts: callers are sent to a host that is gone, and as coordinator it takes the runner of a job for alive that is not.

Cause: the table called its listeners after each change by the thread that made it: the watch, the two threads that read pongs, the timer. The list of hosts is made by reading the table and then set; of two threads the one that read first could set last.

The test changes the table between a listener's read and its copy; it failed before: "Expecting empty but was: [Entry[a@4, 1 B]]".

Listeners are called by one thread at a time, so that the one that sets last has read last. The directory of engines did so already for its own listeners. No listener changes a table.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -25,7 +25,8 @@
  * new sequence number; if each write counted, the whole table would be sent to every host each
  * time.
  *
- * <p>Listeners are called after each change, outside the lock, by the thread that made the change.
+ * <p>Listeners are called after each change, outside the lock of the content, by the thread that
+ * made the change, one thread at a time: a listener that copies the content ends with the latest.
  */
 public final class StoreTable {
   private final Map<String, MeaningfulEntry> entries = new TreeMap<>();
@@ -34,6 +35,7 @@
   private final Set<String> lapsed = new TreeSet<>();
 
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+  private final Object notification = new Object();
   private final Function<Entry, Object> meaning;
   private Revision revision = Revision.NONE;
 
@@ -194,7 +196,9 @@
 
   private void notifyListeners(boolean changed) {
     if (changed) {
-      listeners.forEach(Runnable::run);
+      synchronized (notification) {
+        listeners.forEach(Runnable::run);
+      }
     }
   }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/StoreTableTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
+import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.LeaseId;
@@ -100,4 +103,24 @@
     byte[] value = {(byte) meaning, (byte) sequence};
     return new Entry(key, value, Revision.of(1), Revision.of(revision), LeaseId.NONE);
   }
+
+  /** The list of hosts went back to the one before if two threads changed the table together. */
+  @Test
+  void listenerThatCopiesTheTableEndsWithItsLatestContent() throws InterruptedException {
+    AtomicReference<List<Entry>> copy = new AtomicReference<>();
+    AtomicReference<Thread> other = new AtomicReference<>();
+    AtomicBoolean first = new AtomicBoolean(true);
+    Runnable change = () -> table.applyChanges(Revision.of(7), List.of(), List.of("a"));
+    table.addListener(
+        () -> {
+          List<Entry> read = table.entries();
+          if (first.getAndSet(false)) {
+            other.set(FleetFixtures.runBeside(change));
+          }
+          copy.set(read);
+        });
+    table.replaceFromRead(new Snapshot(Revision.of(5), List.of(entry("a", 4))));
+    other.get().join();
+    assertThat(copy.get()).isEmpty();
+  }
 }
