A service that is met for the first time gets the present share

Cause: the queues of a service are made by its first request, with the share read at the start. A share set meanwhile is passed on to the services that exist; the map does not show one that is being made. Hosts attach and first requests come in the same moments. Engines listed meanwhile had the same gap if the service has none left.

Queues are made under the coordinator's lock, and a new list of engines is put in place under it. Known services are found without it.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -115,10 +115,12 @@
   public void setEngines(Collection<EngineEntry> entries) {
     softwareHistory.update(entries, clock.instant());
     Set<UpstreamId> before = listed.keySet();
-    listed = listEngines(entries);
-    before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
     Set<ServiceName> names = entries.stream().map(EngineEntry::service).collect(Collectors.toSet());
-    names.addAll(services.keySet());
+    synchronized (this) {
+      listed = listEngines(entries);
+      names.addAll(services.keySet());
+    }
+    before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
     for (ServiceName name : names) {
       execute(scheduler(name).setEngines(enginesOf(name), defaultSlots(name), clock.instant()));
     }
@@ -397,6 +399,12 @@
   }
 
   private SlotScheduler scheduler(ServiceName service) {
+    SlotScheduler known = services.get(service);
+    return known == null ? addScheduler(service) : known;
+  }
+
+  /** Holds the lock, so that no change of the share or of the engines misses the new scheduler. */
+  private synchronized SlotScheduler addScheduler(ServiceName service) {
     return services.computeIfAbsent(
         service,
         name -> {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorStartTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorStartTest.java
@@ -111,4 +111,22 @@
     }
     assertThat(sent).filteredOn(FleetMessage::hasGrant).hasSize(8);
   }
+
+  /** A service's first request comes while hosts attach. */
+  @Test
+  void shareThatIsSetWhileAServiceIsMetForTheFirstTimeHolds() throws InterruptedException {
+    AtomicReference<Runnable> beside = new AtomicReference<>(() -> {});
+    Coordinator starting = interrupted(beside);
+    starting.setFleetShare(0.5);
+    AtomicReference<Thread> other = new AtomicReference<>();
+    beside.set(() -> other.set(FleetFixtures.runBeside(() -> starting.setFleetShare(1))));
+    starting.load(ENGINE.service());
+    other.get().join();
+    starting.setEngines(List.of(ENGINE));
+    starting.setFleetShare(1);
+    for (int i = 1; i <= 8; i++) {
+      starting.onAsk(HOST, askOf(i, Duration.ofSeconds(5)));
+    }
+    assertThat(sent).filteredOn(FleetMessage::hasGrant).hasSize(8);
+  }
 }
