A host reports that it has no runs until its last grant is old enough

Seen if it happens: the slot of a short run whose end was lost stays taken until its host has another run, on a quiet host for long.

Cause: a coordinator keeps a run granted within the last second though a report lacks it. A host without runs sent one report without any and then none; after a pause that report goes out within a tick of the grant and changes nothing. The note that there had been runs was also read and written back in two steps by the timer, so that a grant in between could be forgotten.

The test ends a run, loses nothing but that message, and waits for a report that is old enough to count; it failed before: "Expected size: 1 but was: 0".

A host reports for three seconds after it last had a run, which is at least one report that counts, and then falls silent as before. The time of the last run is only ever set to the present.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -13,6 +13,7 @@
 import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.slot.SlotScheduler;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -54,11 +55,15 @@
   /** Maximum number of engines that a request names for their idle connections. */
   private static final int MAX_CONNECTED_ENGINES = 24;
 
+  /** Interval at which all runs of this host are reported to the coordinator. */
+  private static final Duration RUN_REPORT_INTERVAL = Duration.ofSeconds(1);
+
   /**
-   * Interval at which all runs of this host are reported to the coordinator, unless there was none
-   * since the last report.
+   * Time after the last run for which a host reports that it has none. A coordinator keeps a run
+   * that it granted lately though a report lacks it, so one report more is needed.
    */
-  private static final Duration RUN_REPORT_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration LAST_REPORTS =
+      SlotScheduler.GRANT_ROUND_TRIP.plus(RUN_REPORT_INTERVAL.multipliedBy(2));
 
   private final PeerTransport peers;
   private final InstantSource clock;
@@ -75,7 +80,9 @@
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
   private volatile Option<HostId> coordinator = Option.none();
   private volatile Instant runsReportedAt = Instant.MIN;
-  private volatile boolean hadRuns;
+
+  /** When this host last had a run, as far as it has noted. */
+  private volatile Instant lastRunAt = Instant.MIN;
 
   /**
    * Creates a client for a host in {@code dataCentre}; no coordinator is known yet.
@@ -220,7 +227,8 @@
             resendRequest(number, request);
           }
         });
-    if (hadRuns && now.isAfter(runsReportedAt.plus(RUN_REPORT_INTERVAL))) {
+    if (now.isBefore(lastRunAt.plus(LAST_REPORTS))
+        && now.isAfter(runsReportedAt.plus(RUN_REPORT_INTERVAL))) {
       reportRuns();
     }
   }
@@ -245,7 +253,7 @@
   }
 
   private void reportRuns() {
-    hadRuns = false;
+    Instant now = clock.instant();
     RunningList.Builder running = RunningList.newBuilder();
     pending.forEach(
         (number, request) -> {
@@ -253,8 +261,10 @@
             running.addRuns(buildRunning(number, request));
           }
         });
-    hadRuns |= running.getRunsCount() > 0;
-    runsReportedAt = clock.instant();
+    if (running.getRunsCount() > 0) {
+      lastRunAt = now;
+    }
+    runsReportedAt = now;
     send(FleetMessage.newBuilder().setRunning(running));
   }
 
@@ -265,7 +275,7 @@
       returnSlot(from, grant);
       return;
     }
-    hadRuns = true;
+    lastRunAt = clock.instant();
     if (grant.hasEntry()) {
       engines.learn(FleetMessageConverter.toEngine(grant));
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -17,6 +17,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.slot.SlotScheduler;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -242,4 +243,25 @@
     host.get().endRun(number.get(), RunEnd.of(RunEnd.How.NOT_SENT));
     assertThat(sent).filteredOn(s -> s.message.hasEnd()).hasSize(1);
   }
+
+  /** A coordinator keeps runs that it granted lately though a report lacks them. */
+  @Test
+  void endThatWasLostIsReportedAfterTheGrantIsOldEnoughToCount() {
+    clock.advance(Duration.ofSeconds(10));
+    long number = requestSlot();
+    client.onGrant(A, grant(number, "e1"));
+    client.endRun(number, RunEnd.of(RunEnd.How.WHOLE));
+    clock.advance(Duration.ofMillis(150));
+    client.resendLostMessages();
+    sent.clear();
+    Instant counts = clock.instant().plus(SlotScheduler.GRANT_ROUND_TRIP);
+    while (!clock.instant().isAfter(counts)) {
+      clock.advance(Duration.ofMillis(150));
+      client.resendLostMessages();
+    }
+    assertThat(sent).hasSize(1).allMatch(s -> s.message.hasRunning());
+    clock.advance(Duration.ofSeconds(10));
+    client.resendLostMessages();
+    assertThat(sent).as("no reports of an idle host").hasSize(1);
+  }
 }
