Runs are reported after a request is withdrawn

Seen if it happens: a slot that a coordinator has granted by a message that was lost, for a request that its host then withdraws, stays taken until the host has another run.

Cause: a withdrawal removes only requests that wait, and a host that never heard of the grant reported no runs, as it had none.

The test withdraws a request after a pause and waits for a report that counts; it failed before: "Expected size: 1 but was: 0".

A withdrawal counts as a run for the time in which reports are sent.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -81,7 +81,7 @@
   private volatile Option<HostId> coordinator = Option.none();
   private volatile Instant runsReportedAt = Instant.MIN;
 
-  /** When this host last had a run, as far as it has noted. */
+  /** When this host last had a run, or may have had one at the coordinator. */
   private volatile Instant lastRunAt = Instant.MIN;
 
   /**
@@ -190,6 +190,8 @@
     if (withdrawn == null) {
       return;
     }
+    // The coordinator may have granted it by a message that was lost.
+    lastRunAt = clock.instant();
     if (withdrawn.refuse()) {
       send(FleetMessage.newBuilder().setWithdraw(SlotWithdraw.newBuilder().setNumber(number)));
     } else if (withdrawn.engine != null) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -264,4 +264,15 @@
     client.resendLostMessages();
     assertThat(sent).as("no reports of an idle host").hasSize(1);
   }
+
+  /** The coordinator has granted it, and that message was lost. */
+  @Test
+  void runsAreReportedAfterARequestIsWithdrawn() {
+    clock.advance(Duration.ofSeconds(10));
+    client.withdrawRequest(requestSlot());
+    sent.clear();
+    clock.advance(SlotScheduler.GRANT_ROUND_TRIP.plusMillis(150));
+    client.resendLostMessages();
+    assertThat(sent).hasSize(1).allMatch(s -> s.message.hasRunning());
+  }
 }
