--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -13,6 +13,7 @@
 import org.waxwingcourse.fleet.quarantine.CrashRecordCodec;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.slot.SlotScheduler;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -54,11 +55,15 @@
   /** Maximum number of engines that a request names for their idle connections. */
   private static final int MAX_CONNECTED_ENGINES = 24;
 
+  /** Interval at which all runs of this host are reported to the coordinator. */
+  private static final Duration RUN_REPORT_INTERVAL = Duration.ofSeconds(1);
+
   /**
-   * Interval at which all runs of this host are reported to the coordinator, unless there was none
-   * since the last report.
+   * Time after the last run for which a host reports that it has none. A coordinator keeps a run
+   * that it granted lately though a report lacks it, so one report more is needed.
    */
-  private static final Duration RUN_REPORT_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration LAST_REPORTS =
+      SlotScheduler.GRANT_ROUND_TRIP.plus(RUN_REPORT_INTERVAL.multipliedBy(2));
 
   private final PeerTransport peers;
   private final InstantSource clock;
@@ -75,7 +80,9 @@
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
   private volatile Option<HostId> coordinator = Option.none();
   private volatile Instant runsReportedAt = Instant.MIN;
-  private volatile boolean hadRuns;
+
+  /** When this host last had a run, or may have had one at the coordinator. */
+  private volatile Instant lastRunAt = Instant.MIN;
 
   /**
    * Creates a client for a host in {@code dataCentre}; no coordinator is known yet.
@@ -115,7 +122,7 @@
       return true;
     }
 
-    /** Records a refusal; returns false if the request has been decided before. */
+    /** Records a refusal or withdrawal; returns false if the request has been decided before. */
     synchronized boolean refuse() {
       if (refused || engine != null) {
         return false;
@@ -179,8 +186,17 @@
 
   @Override
   public void withdrawRequest(long number) {
-    if (pending.remove(number) != null) {
+    PendingRequest withdrawn = pending.remove(number);
+    if (withdrawn == null) {
+      return;
+    }
+    // The coordinator may have granted it by a message that was lost.
+    lastRunAt = clock.instant();
+    if (withdrawn.refuse()) {
       send(FleetMessage.newBuilder().setWithdraw(SlotWithdraw.newBuilder().setNumber(number)));
+    } else if (withdrawn.engine != null) {
+      // The grant has been taken, and its listener waits for the thread that withdraws.
+      send(FleetMessage.newBuilder().setEnd(buildEnd(number, RunEnd.of(RunEnd.How.NOT_SENT))));
     }
   }
 
@@ -213,7 +229,8 @@
             resendRequest(number, request);
           }
         });
-    if (hadRuns && now.isAfter(runsReportedAt.plus(RUN_REPORT_INTERVAL))) {
+    if (now.isBefore(lastRunAt.plus(LAST_REPORTS))
+        && now.isAfter(runsReportedAt.plus(RUN_REPORT_INTERVAL))) {
       reportRuns();
     }
   }
@@ -238,7 +255,7 @@
   }
 
   private void reportRuns() {
-    hadRuns = false;
+    Instant now = clock.instant();
     RunningList.Builder running = RunningList.newBuilder();
     pending.forEach(
         (number, request) -> {
@@ -246,8 +263,10 @@
             running.addRuns(buildRunning(number, request));
           }
         });
-    hadRuns |= running.getRunsCount() > 0;
-    runsReportedAt = clock.instant();
+    if (running.getRunsCount() > 0) {
+      lastRunAt = now;
+    }
+    runsReportedAt = now;
     send(FleetMessage.newBuilder().setRunning(running));
   }
 
@@ -258,7 +277,7 @@
       returnSlot(from, grant);
       return;
     }
-    hadRuns = true;
+    lastRunAt = clock.instant();
     if (grant.hasEntry()) {
       engines.learn(FleetMessageConverter.toEngine(grant));
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -17,6 +17,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.slot.RunEnd;
+import org.waxwingcourse.fleet.slot.SlotScheduler;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -230,4 +231,48 @@
     client.resendLostMessages();
     assertThat(sent.get(sent.size() - 1).message.getRunning().getRunsCount()).isZero();
   }
+
+  /** The grant has been taken, and its receiver waits for the thread that withdraws the request. */
+  @Test
+  void slotIsReturnedIfItsRequestIsWithdrawnWhileItIsGranted() {
+    AtomicLong number = new AtomicLong();
+    AtomicReference<SlotClient> host = new AtomicReference<>();
+    host.set(interruptedByNetworkThread(() -> host.get().withdrawRequest(number.get())));
+    number.set(requestSlot(host.get()));
+    host.get().onGrant(B, describedGrant(number.get(), "e1"));
+    host.get().endRun(number.get(), RunEnd.of(RunEnd.How.NOT_SENT));
+    assertThat(sent).filteredOn(s -> s.message.hasEnd()).hasSize(1);
+  }
+
+  /** A coordinator keeps runs that it granted lately though a report lacks them. */
+  @Test
+  void endThatWasLostIsReportedAfterTheGrantIsOldEnoughToCount() {
+    clock.advance(Duration.ofSeconds(10));
+    long number = requestSlot();
+    client.onGrant(A, grant(number, "e1"));
+    client.endRun(number, RunEnd.of(RunEnd.How.WHOLE));
+    clock.advance(Duration.ofMillis(150));
+    client.resendLostMessages();
+    sent.clear();
+    Instant counts = clock.instant().plus(SlotScheduler.GRANT_ROUND_TRIP);
+    while (!clock.instant().isAfter(counts)) {
+      clock.advance(Duration.ofMillis(150));
+      client.resendLostMessages();
+    }
+    assertThat(sent).hasSize(1).allMatch(s -> s.message.hasRunning());
+    clock.advance(Duration.ofSeconds(10));
+    client.resendLostMessages();
+    assertThat(sent).as("no reports of an idle host").hasSize(1);
+  }
+
+  /** The coordinator has granted it, and that message was lost. */
+  @Test
+  void runsAreReportedAfterARequestIsWithdrawn() {
+    clock.advance(Duration.ofSeconds(10));
+    client.withdrawRequest(requestSlot());
+    sent.clear();
+    clock.advance(SlotScheduler.GRANT_ROUND_TRIP.plusMillis(150));
+    client.resendLostMessages();
+    assertThat(sent).hasSize(1).allMatch(s -> s.message.hasRunning());
+  }
 }
