A copy of an answer is not taken for that to the same request sent again

Callers would see: a 500 of an earlier run, or "not executed", for a request that the engine is running; an item counts a second failure.

Cause: copies are known by the request's id, which all sendings share, and only the previous exchange was compared. 503 and 429 not-run were not affected: their runs close the connection at the head.

Fix: a connection remembers the identities of its last 64 requests; it is not used again for one of them, and answers naming one are dropped. The predicate of ExchangeRequest became a header; tests changed so.

--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -113,7 +113,7 @@
       return;
     }
     sentAt = clock.instant();
-    connectionUse = channel.pipeline().get(ExchangeHandler.class).countRequest();
+    connectionUse = channel.pipeline().get(ExchangeHandler.class).countRequest(request.identity());
     expectResponse();
     channel.writeAndFlush(requestMessage());
   }
@@ -208,7 +208,7 @@
         new BufferedHttpResponse(head.status().code(), headers, new byte[0]);
     closeDelimited = response.isCloseDelimited() && !isHeadRequest();
     keepAlive = HttpUtil.isKeepAlive(head) && !closeDelimited ? idleTimeout(head) : Duration.ZERO;
-    foreign = foreignResponses < MAX_FOREIGN_RESPONSES && belongsToPrevious(response);
+    foreign = foreignResponses < MAX_FOREIGN_RESPONSES && belongsToEarlier(response);
     if (foreign) {
       foreignResponses++;
       return;
@@ -217,13 +217,18 @@
     listener.onHead(response);
   }
 
-  /** Returns whether the upstream has responded to the connection's previous request once more. */
-  private boolean belongsToPrevious(BufferedHttpResponse response) {
-    Exchange previous = connection.pipeline().get(ExchangeHandler.class).previous();
-    return previous != null
-        && !keepAlive.isZero()
-        && request.isForeignResponse().test(response)
-        && !previous.request.isForeignResponse().test(response);
+  /** Returns whether the upstream has responded to an earlier request once more. */
+  private boolean belongsToEarlier(BufferedHttpResponse response) {
+    ExchangeHandler exchanges = connection.pipeline().get(ExchangeHandler.class);
+    return !keepAlive.isZero()
+        && request
+            .identity()
+            .flatMap(own -> findIdentity(response, own.name()))
+            .exists(named -> !request.identity().contains(named) && exchanges.hasSent(named));
+  }
+
+  private static Option<Header> findIdentity(BufferedHttpResponse response, String name) {
+    return Option.ofOptional(response.header(name)).map(value -> Header.of(name, value));
   }
 
   void onContent(ByteBuf bytes) {
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
@@ -8,32 +8,46 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.vavr.control.Option;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.ConnectionUse;
+import org.waxwingcourse.http.Header;
 
 /** Passes the messages that arrive on a connection to the exchange that is bound to it, if any. */
 final class ExchangeHandler extends SimpleChannelInboundHandler<HttpObject> {
   private static final String CLOSED_EARLY = "connection closed before the response was complete";
 
+  /** Requests after which the upstream is taken to send no second response to one any more. */
+  private static final int MAX_REMEMBERED = 64;
+
   private final long number;
+  private final Set<Header> sent = new LinkedHashSet<>();
   private int sentRequests;
   private Exchange exchange;
-  private Exchange previous;
 
   /** Creates the handler of the connection with a number that is unique within the process. */
   ExchangeHandler(long number) {
     this.number = number;
   }
 
-  /** Counts the next request that is sent on the connection. */
-  ConnectionUse countRequest() {
+  /** Counts the next request that is sent on the connection, and remembers its identity. */
+  ConnectionUse countRequest(Option<Header> identity) {
     sentRequests++;
+    identity.forEach(sent::add);
+    if (sent.size() > MAX_REMEMBERED) {
+      sent.remove(sent.iterator().next());
+    }
     return new ConnectionUse(number, sentRequests);
   }
 
-  /** Returns the exchange that the connection has served last, null before the first has ended. */
-  Exchange previous() {
-    return previous;
+  /**
+   * Returns whether a request with this identity is among the last that were sent on the
+   * connection; called on its event loop, or while it is idle.
+   */
+  boolean hasSent(Header identity) {
+    return sent.contains(identity);
   }
 
   /** Binds the connection to its next exchange; called on the connection's event loop. */
@@ -85,9 +99,6 @@
     if (message instanceof LastHttpContent) {
       exchange = null;
       current.onComplete();
-      if (exchange == null) {
-        previous = current;
-      }
     }
   }
 
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeRequest.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeRequest.java
@@ -1,9 +1,8 @@
 package org.waxwingcourse.upstream.exchange;
 
+import io.vavr.control.Option;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.function.Predicate;
-import org.waxwingcourse.http.BufferedHttpResponse;
 import org.waxwingcourse.http.Header;
 
 /**
@@ -14,9 +13,10 @@
  * @param target the path and query, sent unchanged
  * @param headers the headers, sent in this order; the framing headers are added
  * @param body the whole body, empty for none
- * @param isForeignResponse recognises from its head a response to another request. If that is the
- *     previous request on the connection, the response is read to its end and dropped, and the
- *     response to this request is expected after it.
+ * @param identity the header by which the head of a response names this request, none if responses
+ *     name none. A response that names an earlier request of the connection is read to its end and
+ *     dropped, and the response to this request is expected after it. So that the two can be told
+ *     apart, a connection is not used again for an identity among its last requests.
  */
 public record ExchangeRequest(
     InetSocketAddress address,
@@ -24,7 +24,7 @@
     String target,
     List<Header> headers,
     byte[] body,
-    Predicate<BufferedHttpResponse> isForeignResponse) {
+    Option<Header> identity) {
   /** Copies the headers. */
   public ExchangeRequest {
     headers = List.copyOf(headers);
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/IdleConnectionPool.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/IdleConnectionPool.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.upstream.exchange;
 
 import io.netty.channel.Channel;
+import io.vavr.control.Option;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -8,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.waxwingcourse.http.Header;
 import org.waxwingcourse.model.time.Deadline;
 
 /**
@@ -35,21 +38,31 @@
     this.clock = clock;
   }
 
-  private record IdleConnection(Channel connection, Deadline expiry) {}
+  /** Keeps the handler, which a connection that is being closed loses. */
+  private record IdleConnection(Channel connection, ExchangeHandler exchanges, Deadline expiry) {}
 
-  /** Returns an open connection, or null if none can be used for another request. */
-  Channel acquire(InetSocketAddress upstream) {
+  /**
+   * Returns an open connection that has no request with this identity among its last, or null if
+   * there is none.
+   */
+  Channel acquire(InetSocketAddress upstream, Option<Header> identity) {
     Deque<IdleConnection> idle = byUpstream.get(upstream);
     if (idle == null) {
       return null;
     }
     synchronized (idle) {
-      while (!idle.isEmpty()) {
-        IdleConnection last = idle.pollLast();
-        if (last.connection.isActive() && !last.expiry.isPast(clock.instant())) {
-          return last.connection;
+      Iterator<IdleConnection> lastFirst = idle.descendingIterator();
+      while (lastFirst.hasNext()) {
+        IdleConnection next = lastFirst.next();
+        boolean open = next.connection.isActive() && !next.expiry.isPast(clock.instant());
+        if (open && identity.exists(next.exchanges::hasSent)) {
+          continue;
+        }
+        lastFirst.remove();
+        if (open) {
+          return next.connection;
         }
-        last.connection.close();
+        next.connection.close();
       }
     }
     return null;
@@ -59,7 +72,8 @@
   void release(InetSocketAddress upstream, Channel connection, Duration keepAlive) {
     Deque<IdleConnection> idle = byUpstream.computeIfAbsent(upstream, a -> new ArrayDeque<>());
     synchronized (idle) {
-      idle.addLast(new IdleConnection(connection, Deadline.after(clock, keepAlive)));
+      ExchangeHandler exchanges = connection.pipeline().get(ExchangeHandler.class);
+      idle.addLast(new IdleConnection(connection, exchanges, Deadline.after(clock, keepAlive)));
       if (idle.size() > MAX_PER_UPSTREAM) {
         idle.pollFirst().connection.close();
       }
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -20,9 +20,9 @@
 /**
  * Sends HTTP/1.1 requests to upstreams, one at a time on a connection. A connection is kept for
  * another request only after a complete response, within the idle timeout that the upstream
- * announced, and only while it receives no data: any unsolicited byte closes it. Cancelling a
- * request closes its connection at once, which tells the upstream that the response is no longer
- * needed.
+ * announced, and only while it receives no data: any unsolicited byte closes it. A request is not
+ * sent again on a connection that has it among its last requests. Cancelling a request closes its
+ * connection at once, which tells the upstream that the response is no longer needed.
  *
  * <p>Listeners are called on network threads and must not block.
  */
@@ -51,7 +51,7 @@
   /** Sends a request; the listener receives the response and exactly one end. */
   public StreamCall send(ExchangeRequest request, StreamListener listener) {
     Exchange exchange = new Exchange(request, listener, idleConnections, clock);
-    Channel idle = idleConnections.acquire(request.address());
+    Channel idle = idleConnections.acquire(request.address(), request.identity());
     if (idle != null) {
       idle.eventLoop().execute(() -> sendOnIdle(idle, request.address(), exchange));
     } else {
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/CloseDelimitedResponseTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/CloseDelimitedResponseTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Option;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.time.Clock;
@@ -69,7 +70,7 @@
 
   private StreamCall start(RawUpstream upstream, byte[] body, ReceivedResponse received) {
     return client.send(
-        new ExchangeRequest(upstream.address(), "POST", "/", List.of(), body, head -> false),
+        new ExchangeRequest(upstream.address(), "POST", "/", List.of(), body, Option.none()),
         received);
   }
 
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/EndlessResponseTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/EndlessResponseTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.time.Clock;
@@ -11,12 +12,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.waxwingcourse.http.BufferedHttpResponse;
+import org.waxwingcourse.http.Header;
 
 /**
  * Upstreams that sent interim responses, another protocol or a byte now and then in place of a head
@@ -68,13 +68,17 @@
   }
 
   private ReceivedResponse send(RawUpstream upstream) {
-    return send(upstream, head -> false);
+    return send(upstream, Option.none());
   }
 
-  private ReceivedResponse send(RawUpstream upstream, Predicate<BufferedHttpResponse> isForeign) {
+  private static Option<Header> identity(String id) {
+    return Option.some(Header.of("id", id));
+  }
+
+  private ReceivedResponse send(RawUpstream upstream, Option<Header> identity) {
     ReceivedResponse received = new ReceivedResponse();
     client.send(
-        new ExchangeRequest(upstream.address(), "GET", "/", List.of(), new byte[0], isForeign),
+        new ExchangeRequest(upstream.address(), "GET", "/", List.of(), new byte[0], identity),
         received);
     return received;
   }
@@ -196,8 +200,8 @@
                 writeForEver(out, repeated, block("x"));
               }
             })) {
-      assertThat(send(upstream, head -> false).await()).isEqualTo("ok|COMPLETE");
-      assertThat(send(upstream, head -> true).await()).isEqualTo("|MALFORMED");
+      assertThat(send(upstream, identity("a")).await()).isEqualTo("ok|COMPLETE");
+      assertThat(send(upstream, identity("b")).await()).isEqualTo("|MALFORMED");
     }
   }
 
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/ResponseSplitPropertyTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/ResponseSplitPropertyTest.java
@@ -74,7 +74,7 @@
             "/",
             List.of(),
             new byte[0],
-            head -> false);
+            Option.none());
     new Exchange(request, transcript, new IdleConnectionPool(Clock.systemUTC()), Clock.systemUTC())
         .sendOn(channel);
     int from = 0;
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/SentBytesTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/SentBytesTest.java
@@ -58,7 +58,7 @@
     InetSocketAddress address =
         new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
     client.send(
-        new ExchangeRequest(address, method, target, headers, body, head -> false),
+        new ExchangeRequest(address, method, target, headers, body, Option.none()),
         new StreamListener() {
           @Override
           public void onHead(BufferedHttpResponse head) {}
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClientTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.http.BufferedHttpResponse;
 import org.waxwingcourse.http.CallFailure;
+import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.http.StreamListener;
 import org.waxwingcourse.model.time.ManualClock;
@@ -128,12 +129,7 @@
         new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
     ExchangeRequest request =
         new ExchangeRequest(
-            address,
-            "GET",
-            "/" + id,
-            List.of(),
-            new byte[0],
-            head -> head.header("id").filter(h -> !h.equals(id)).isPresent());
+            address, "GET", "/" + id, List.of(), new byte[0], Option.some(Header.of("id", id)));
     return client.send(request, listener);
   }
 
@@ -184,6 +180,42 @@
     assertThat(connections).hasValue(1);
   }
 
+  @Test
+  void repeatedResponseIsDroppedAlsoAfterAnotherRequest() throws Exception {
+    serve((n, id) -> (n == 3 ? response("a", "body a") : "") + response(id, "body " + id));
+    assertThat(call("a")).isEqualTo("body a");
+    assertThat(call("b")).isEqualTo("body b");
+    assertThat(call("c")).isEqualTo("body c");
+    assertThat(connections).hasValue(1);
+  }
+
+  @Test
+  void repeatedResponseWasTakenForThatToTheSameRequestSentAgain() throws Exception {
+    serve(
+        (n, id) ->
+            (n == 2 && connections.get() == 1 ? response(id, "first") : "")
+                + response(id, n == 1 ? "first" : "second"));
+    assertThat(call("a")).isEqualTo("first");
+    assertThat(call("a")).isEqualTo("second");
+  }
+
+  /** The connection that cannot be used for one request is kept for the others. */
+  @Test
+  void repeatedResponseWasTakenForThatToTheSameRequestSentAgainAfterAnother() throws Exception {
+    serve(
+        (n, id) ->
+            (n == 3 && connections.get() == 1 ? response(id, "first") : "")
+                + response(id, n == 1 ? "first" : "later"));
+    assertThat(call("a")).isEqualTo("first");
+    assertThat(call("b")).isEqualTo("later");
+    assertThat(call("a")).isEqualTo("later");
+    for (int i = 0; i < 4; i++) {
+      assertThat(call("c" + i)).isEqualTo("later");
+    }
+    assertThat(call("a")).isEqualTo("later");
+    assertThat(connections).hasValue(3);
+  }
+
   /** Nothing shows that the own response would follow. */
   @Test
   void responseToAnUnknownRequestIsPassedOn() throws Exception {
