--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -103,6 +103,11 @@
 
   /** Returns a keyless route for requests of the given kind to service {@code s}. */
   public static Route onlineRoute(RequestKind kind) {
+    return onlineRoute(kind, 2);
+  }
+
+  /** Returns such a route whose requests run up to {@code maxAttempts} times. */
+  public static Route onlineRoute(RequestKind kind, int maxAttempts) {
     return new Route(
         "online",
         "h",
@@ -113,7 +118,7 @@
         Duration.ofSeconds(5),
         0,
         List.of(new WeightedService(ServiceName.of("s"), 1)),
-        2,
+        maxAttempts,
         true,
         true,
         Option.none());
--- a/fleet/src/test/java/org/waxwingcourse/fleet/RecordedSlots.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/RecordedSlots.java
@@ -14,6 +14,7 @@
 public final class RecordedSlots implements SlotSource {
   private final SlotSource slots;
   private final Map<Long, SlotListener> listeners = new ConcurrentHashMap<>();
+  private final Map<Long, SlotRequirements> requirements = new ConcurrentHashMap<>();
 
   /** Records the requests that are passed on to {@code slots}. */
   public RecordedSlots(SlotSource slots) {
@@ -25,10 +26,16 @@
     return listeners.get(number);
   }
 
+  /** Returns what a request asks for. */
+  public SlotRequirements requirementsOf(long number) {
+    return requirements.get(number);
+  }
+
   @Override
-  public long requestSlot(SlotRequirements requirements, SlotListener listener) {
-    long number = slots.requestSlot(requirements, listener);
+  public long requestSlot(SlotRequirements required, SlotListener listener) {
+    long number = slots.requestSlot(required, listener);
     listeners.put(number, listener);
+    requirements.put(number, required);
     return number;
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.RecordedSlots;
@@ -27,6 +29,7 @@
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.fleet.view.StoreView;
+import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.Revision;
@@ -66,11 +69,21 @@
   /** Receive the answers to these requests. */
   final List<EngineListener> answers = new ArrayList<>();
 
+  final SlotClient slots;
   final RecordedSlots recordedSlots;
 
   /** The slots that were given back unused. */
   final List<Long> unusedSlots = new ArrayList<>();
 
+  /** Called with each message to a coordinator. */
+  Consumer<FleetMessage> onSent = m -> {};
+
+  /** Called with each request to the engine; returns the call. */
+  BiFunction<EngineRequest, EngineListener, StreamCall> onRequest = (r, l) -> () -> {};
+
+  /** Number of times that an item of the next job may fail; 0 stands for one. */
+  int maxAttempts;
+
   final JobRunner runner;
   private final List<Long> asks = new ArrayList<>();
   private final FleetMessageRouter channel;
@@ -92,7 +105,7 @@
             8,
             false,
             0));
-    SlotClient slots =
+    slots =
         new SlotClient(
             FleetFixtures.recordingPeers((to, message) -> onSent(message)),
             clock,
@@ -123,7 +136,7 @@
                   runs.put(request.id().value(), listener);
                   received.add(request);
                   answers.add(listener);
-                  return () -> {};
+                  return onRequest.apply(request, listener);
                 },
                 recordedSlots,
                 new BatchRunTimes(),
@@ -133,6 +146,7 @@
   }
 
   private void onSent(FleetMessage message) {
+    onSent.accept(message);
     if (message.hasAsk()) {
       asks.add(message.getAsk().getNumber());
     } else if (message.hasEnd() && message.getEnd().getUnsent()) {
@@ -147,6 +161,7 @@
             .setOrganisation("parish")
             .setRoute("jobs")
             .setItemParts(1)
+            .setMaxAttempts(maxAttempts)
             .setDueMillis(clock.instant().plusSeconds(60).toEpochMilli())
             .setGiveUpMillis(clock.instant().plusSeconds(90).toEpochMilli())
             .setRunner(SELF.host().value())
@@ -207,7 +222,12 @@
   }
 
   private void receive(FleetMessage.Builder message) {
-    channel.onMessage(COORDINATOR, message.build().toByteArray());
+    receive(COORDINATOR, message.build());
+  }
+
+  /** Receives a message of a coordinator. */
+  void receive(HostId from, FleetMessage message) {
+    channel.onMessage(from, message.toByteArray());
   }
 
   /** Finishes an item on the engine. Items whose engine has been silent for long ask again. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
@@ -28,12 +29,14 @@
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.plan.RequestKind;
+import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
+import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.Revision;
@@ -60,7 +63,7 @@
 
   final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   final Clocks clocks = new Clocks(clock, clock);
-  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  final ScheduledExecutorService timer;
   final BlockingQueue<SlotAsk> asks = new LinkedBlockingQueue<>();
   final List<FleetMessage> sent = new ArrayList<>();
   final List<EngineRequest> received = new ArrayList<>();
@@ -69,7 +72,7 @@
   /** Runs while the host takes a grant that describes its engine. */
   Consumer<EngineEntry> onLearn = e -> {};
 
-  private final SlotClient slots =
+  final SlotClient slots =
       new SlotClient(
           FleetFixtures.recordingPeers(this::onSent),
           clock,
@@ -84,7 +87,26 @@
   AdmissionGate gate;
   OnlineService service;
 
+  /** Creates a host whose timer is a thread. */
+  OnlineRunFixture() {
+    this(clock -> Executors.newSingleThreadScheduledExecutor());
+  }
+
+  /** Creates a host with a timer. */
+  OnlineRunFixture(Function<ManualClock, ScheduledExecutorService> timerOf) {
+    timer = timerOf.apply(clock);
+  }
+
+  /** Called with each message to a coordinator. */
+  void onMessage(FleetMessage message) {}
+
+  /** Called with each request to an engine; returns the call. */
+  StreamCall onRequest(EngineRequest request, EngineListener listener) {
+    return () -> {};
+  }
+
   private void onSent(HostId to, FleetMessage message) {
+    onMessage(message);
     synchronized (sent) {
       sent.add(message);
     }
@@ -104,11 +126,13 @@
   }
 
   final void createService(RequestKind kind) {
+    createService(FleetFixtures.onlineRoute(kind));
+  }
+
+  final void createService(Route route) {
     storeView =
         StoreView.of(
-            document -> Either.right(FleetFixtures.planOf(FleetFixtures.onlineRoute(kind))),
-            clocks,
-            this::readEngine);
+            document -> Either.right(FleetFixtures.planOf(route)), clocks, this::readEngine);
     engines = new EngineDirectory(storeView.engineTable(), this::readEngine);
     storeView.applyIfNewer(
         new StoreView.ConfigurationDocument(
@@ -136,7 +160,7 @@
                     (request, listener) -> {
                       received.add(request);
                       answers.add(listener);
-                      return () -> {};
+                      return onRequest(request, listener);
                     },
                     engines,
                     clock),
