Runs: what awaits a decision, and what ended a run, stand once

OnlineRun kept beside the request that it awaits whether that was granted, which follows from it. ItemRun handed two flags to a method that can tell both from the attempt, and wrote the connection out twice. SlotClient asked twice whether a request is decided. The cases of two grants in StreamOfTwoRunsTest share their answers; assertions are as before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -112,9 +112,13 @@
       this.lastSentAt = lastSentAt;
     }
 
+    private boolean isDecided() {
+      return refused || engine != null;
+    }
+
     /** Records the grant of a slot; returns false if the request has been decided before. */
     synchronized boolean grant(UpstreamId grantedEngine, Instant at) {
-      if (refused || engine != null) {
+      if (isDecided()) {
         return false;
       }
       grantedAt = at;
@@ -124,7 +128,7 @@
 
     /** Records a refusal or withdrawal; returns false if the request has been decided before. */
     synchronized boolean refuse() {
-      if (refused || engine != null) {
+      if (isDecided()) {
         return false;
       }
       refused = true;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -103,7 +103,7 @@
   /** Runs in a row that lost their engine before an event, or sent one out of place. */
   private int losses;
 
-  /** Those of them that the next engine may end in the same way. */
+  /** Those of them that the next engine may end in the same way, because of the item. */
   private int breaks;
 
   private Duration waited = Duration.ZERO;
@@ -368,6 +368,7 @@
     private Instant firstEventAt;
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
+    private boolean endedOutOfPlace;
     private boolean slotReleased;
     private final SilenceWatch silenceWatch =
         new SilenceWatch(
@@ -395,7 +396,7 @@
           job.id(),
           engine,
           outcomeKind,
-          call.connection().map(ConnectionUse::toString).getOrElse("none"),
+          connection(),
           Duration.between(sentAt, ports.clock().instant()).toMillis(),
           receivedEvents,
           planVersion,
@@ -406,6 +407,10 @@
       ports.slots().endRun(requestNumber, end, entry.boot());
     }
 
+    private String connection() {
+      return call.connection().map(ConnectionUse::toString).getOrElse("none");
+    }
+
     private Duration meanGap() {
       return receivedEvents < 2
           ? Duration.ZERO
@@ -421,18 +426,8 @@
     }
 
     private void moveToAnotherEngine(RunEnd.How outcomeKind, String reason) {
-      boolean brokeOff = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF;
-      moveToAnotherEngine(outcomeKind, reason, firstEventAt == null, brokeOff);
-    }
-
-    /**
-     * Moves the item.
-     *
-     * @param isVain whether the run has brought nothing
-     * @param isRepeatable whether the next run may end in the same way, because of the item
-     */
-    private void moveToAnotherEngine(
-        RunEnd.How outcomeKind, String reason, boolean isVain, boolean isRepeatable) {
+      boolean inVain = firstEventAt == null || endedOutOfPlace;
+      boolean mayRecur = outcomeKind == RunEnd.How.ENGINE_BROKE_OFF || endedOutOfPlace;
       LOG.write(
           Event.ITEM_MOVED,
           item.getId(),
@@ -442,10 +437,10 @@
           joined.lastEventId().getOrElse(0L));
       failedOn.add(engine);
       moves++;
-      losses = isVain ? losses + 1 : 0;
-      breaks = isVain ? breaks + (isRepeatable ? 1 : 0) : 0;
+      losses = inVain ? losses + 1 : 0;
+      breaks = inVain ? breaks + (mayRecur ? 1 : 0) : 0;
       cancelAttempt(outcomeKind);
-      if (isRepeatable && breaks >= 2) {
+      if (mayRecur && breaks >= 2) {
         int doublings = Math.min(breaks - 2, MAX_DOUBLINGS);
         scheduleRetry(CRASH_RETRY_DELAY.multipliedBy(1L << doublings));
       } else if (losses >= 2) {
@@ -522,7 +517,7 @@
           event.id(),
           item.getId(),
           outOfPlace,
-          call.connection().map(ConnectionUse::toString).getOrElse("none"),
+          connection(),
           run);
       if (attempt != this) {
         releaseSlot(RunEnd.How.CANCELLED);
@@ -532,7 +527,8 @@
       if (!run.hasAppended()) {
         beginAnew("engine " + engine + " did not go on where it was asked to");
       }
-      moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "event out of place: " + outOfPlace, true, true);
+      endedOutOfPlace = true;
+      moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "event out of place: " + outOfPlace);
     }
 
     @Override
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -145,10 +145,9 @@
         first
             .filter(id -> isStream && id.length() <= StreamKey.MAX_ID_LENGTH)
             .map(id -> StreamKey.of(organisation, id));
-    Option<SoftwareId> beganBefore =
-        Option.when(takesUp, stream)
-            .flatMap(key -> key.flatMap(k -> ports.streams().find(k, request.arrivedAt())));
-    this.joined = JoinedStream.after(request.resumeAfter(), beganBefore);
+    Option<SoftwareId> begunWith =
+        stream.filter(k -> takesUp).flatMap(k -> ports.streams().find(k, request.arrivedAt()));
+    this.joined = JoinedStream.after(request.resumeAfter(), begunWith);
   }
 
   synchronized void start() {
@@ -205,13 +204,12 @@
       UpstreamId engine,
       Option<SoftwareId> granted,
       Duration coordinatorWait) {
-    if (pendingSlot.granted) {
-      LOG.write(Event.SLOT_GRANTED_TWICE, request.id(), engine);
+    if (done) {
+      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
       return;
     }
-    pendingSlot.granted = true;
-    if (done || !awaited.contains(pendingSlot)) {
-      ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
+    if (!awaited.contains(pendingSlot)) {
+      LOG.write(Event.SLOT_GRANTED_TWICE, request.id(), engine);
       return;
     }
     rateCharged = true;
@@ -454,7 +452,6 @@
   /** Receives the decision about one request for a slot. */
   private final class PendingSlot implements SlotListener {
     private long number;
-    private boolean granted;
 
     @Override
     public void onGrant(UpstreamId engine, Option<SoftwareId> granted, Duration coordinatorWait) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/StreamOfTwoRunsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/StreamOfTwoRunsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +52,15 @@
     return sink;
   }
 
+  /** Answers each run that the engines have received; any after the first sends more events. */
+  private void answerFromEachRun() {
+    answers.forEach(a -> a.onHead(HEAD));
+    send(0, "first", 1, 3);
+    for (int other = 1; other < answers.size(); other++) {
+      send(other, "second", 1, 5);
+    }
+  }
+
   /** Two coordinators grant the same request. */
   @Test
   void requestGrantedTwiceIsAnsweredByOneRun() throws InterruptedException {
@@ -60,11 +70,7 @@
     SlotListener listener = recordedSlots.listenerOf(ask.getNumber());
     listener.onGrant(FIRST, Option.none(), Duration.ZERO);
     listener.onGrant(SECOND, Option.none(), Duration.ZERO);
-    answers.forEach(a -> a.onHead(HEAD));
-    send(0, "first", 1, 3);
-    for (int other = 1; other < answers.size(); other++) {
-      send(other, "second", 1, 5);
-    }
+    answerFromEachRun();
     assertThat(sink.text).hasToString(events("first", 1, 3));
     assertThat(receivers()).containsExactly(FIRST);
     assertThat(sent).noneMatch(m -> m.hasEnd() && m.getEnd().getNumber() == ask.getNumber());
@@ -80,11 +86,7 @@
     SlotGrant described = DescribedGrant.of(ask.getNumber(), engines.findEngine(FIRST).get());
     channel.onMessage(
         HostId.of("other"), FleetMessage.newBuilder().setGrant(described).build().toByteArray());
-    answers.forEach(a -> a.onHead(HEAD));
-    send(0, "first", 1, 3);
-    for (int other = 1; other < answers.size(); other++) {
-      send(other, "second", 1, 5);
-    }
+    answerFromEachRun();
     assertThat(sink.text).hasToString(events("first", 1, 3));
     assertThat(received).hasSize(1);
   }
@@ -127,7 +129,7 @@
     grant(nextAsk(), FIRST);
     answers.get(0).onHead(HEAD);
     send(0, "first", 1, 2);
-    answers.get(0).onBytes("data: first\n\n".getBytes());
+    answers.get(0).onBytes("data: first\n\n".getBytes(StandardCharsets.US_ASCII));
     lose(0);
     assertThat(sink.outcomes).hasSize(1).first().isInstanceOf(Outcome.Unknown.class);
     assertThat(asks).isEmpty();
@@ -140,7 +142,7 @@
     grant(nextAsk(), FIRST);
     answers.get(0).onHead(HEAD);
     send(0, "first", 1, 2);
-    answers.get(0).onBytes(": still here\n\n".getBytes());
+    answers.get(0).onBytes(": still here\n\n".getBytes(StandardCharsets.US_ASCII));
     lose(0);
     grant(nextAsk(), SECOND);
     assertThat(received.get(1).resumeAfter()).contains(2L);
