--- a/fleet/src/test/java/org/waxwingcourse/fleet/view/HostEntryRegistrationTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/view/HostEntryRegistrationTest.java
@@ -12,14 +12,17 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.time.ManualClock;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.WriteOutcome;
 
 /** Tests the entry by which a host is known to the fleet. */
 class HostEntryRegistrationTest {
@@ -74,4 +77,39 @@
     timer.submit(() -> {}).get(5, TimeUnit.SECONDS);
     assertThat(FleetHost.parse(entries().get(0)).get().leaving()).isTrue();
   }
+
+  /** Returns the store, with the answer to the first write of this host's entry lost. */
+  private Store losingFirstAnswer() {
+    return (Store)
+        Proxy.newProxyInstance(
+            Store.class.getClassLoader(),
+            new Class<?>[] {Store.class},
+            (self, method, arguments) -> {
+              boolean hadEntry = !entries().isEmpty();
+              Object answer = method.invoke(store, arguments);
+              return method.getName().equals("write") && !hadEntry && !entries().isEmpty()
+                  ? CompletableFuture.completedFuture(new WriteOutcome.Unknown("answer lost"))
+                  : answer;
+            });
+  }
+
+  /** Two hosts each took the other for the coordinator, for as long as they ran. */
+  @Test
+  @Tag("known-red")
+  void hostWhoseFirstWriteWasNotAnsweredRanksItselfAsTheOthersDo() throws Exception {
+    HostEntryRegistration registration =
+        new HostEntryRegistration(
+            FleetFixtures.host(SELF, 1),
+            losingFirstAnswer(),
+            StoreView.of(document -> Either.left("none"), clocks),
+            clocks,
+            timer,
+            new SecureRandom());
+    registration.start().get(5, TimeUnit.SECONDS);
+    while (registration.registeredAt().equals(Revision.NONE)) {
+      Thread.sleep(5);
+    }
+    assertThat(FleetHost.parse(entries().get(0)).get().registeredAt())
+        .isEqualTo(registration.registeredAt());
+  }
 }
