Scheduler: engine pool, placement and online queue in classes of their own

The queue of online requests, the set of engines with what makes them usable, and the choice of an engine move out unchanged.

--- /dev/null
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EnginePool.java
@@ -0,0 +1,102 @@
+package org.waxwingcourse.fleet.slot;
+
+import io.vavr.control.Option;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.waxwingcourse.model.id.UpstreamId;
+
+/**
+ * The engines of one service, which of them may be used, and how many slots they have.
+ *
+ * <p>Not safe for use by several threads; guarded by the lock of the scheduler that owns it.
+ */
+final class EnginePool {
+  /**
+   * Part of the engines that must be usable for ejections to count. If more are ejected at once,
+   * the fault is hardly theirs, and requests are better off on an ejected engine than refused.
+   */
+  private static final double MIN_USABLE_PART = 1.0 / 3;
+
+  private final Map<UpstreamId, EngineSlots> engines = new HashMap<>();
+  private boolean mostEjected;
+  private Instant ejectionsCountedAt = Instant.MIN;
+
+  /** Returns all engines, those that are leaving included. */
+  Collection<EngineSlots> all() {
+    return engines.values();
+  }
+
+  /** Returns the engine with the given id, null if it is not listed. */
+  EngineSlots get(UpstreamId id) {
+    return engines.get(id);
+  }
+
+  /** Adds an engine, or replaces the earlier process of the same engine. */
+  void put(EngineSlots engine) {
+    engines.put(engine.entry().id(), engine);
+  }
+
+  void retainAll(Set<UpstreamId> listed) {
+    engines.keySet().retainAll(listed);
+  }
+
+  int size() {
+    return engines.size();
+  }
+
+  /** Returns the engines that are not leaving; a slot that becomes free on one can be granted. */
+  Stream<EngineSlots> remaining() {
+    return engines.values().stream().filter(e -> !e.entry().leaving());
+  }
+
+  Option<EngineSlots> findByRun(RunId id) {
+    return Option.ofOptional(
+        engines.values().stream().filter(e -> e.runs().containsKey(id)).findFirst());
+  }
+
+  boolean hasUsable(Instant now) {
+    return engines.values().stream().anyMatch(e -> isUsable(e, now));
+  }
+
+  boolean isUsable(EngineSlots engine, Instant now) {
+    return engine.isUsable(now) || (!engine.entry().leaving() && areMostEjected(now));
+  }
+
+  /** Returns how many requests may start in free slots now. */
+  int freeSlots(Instant now) {
+    return engines.values().stream()
+        .filter(e -> isUsable(e, now))
+        .mapToInt(e -> e.possibleStarts(now))
+        .sum();
+  }
+
+  int usableSlots(Instant now) {
+    return engines.values().stream()
+        .filter(e -> isUsable(e, now))
+        .mapToInt(EngineSlots::slots)
+        .sum();
+  }
+
+  /** Returns the number of runs on engines that are not leaving. */
+  int countRuns() {
+    return remaining().mapToInt(e -> e.runs().size()).sum();
+  }
+
+  private boolean areMostEjected(Instant now) {
+    if (!now.equals(ejectionsCountedAt)) {
+      mostEjected = isUsablePartTooSmall(now);
+      ejectionsCountedAt = now;
+    }
+    return mostEjected;
+  }
+
+  private boolean isUsablePartTooSmall(Instant now) {
+    long listed = remaining().count();
+    long usable = engines.values().stream().filter(e -> e.isUsable(now)).count();
+    return usable < MIN_USABLE_PART * listed;
+  }
+}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -5,21 +5,16 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.model.time.Deadline;
 
 /**
  * Schedules requests onto the slots of one service's engines. Engines admit requests in order of
@@ -52,58 +47,26 @@
   /** Weight of the newest run in the moving average of run times. */
   private static final double RUN_TIME_SMOOTHING = 0.05;
 
-  /** How much later the deadline of a request counts for each step of rank. */
-  private static final Duration DEADLINE_PENALTY_PER_RANK = Duration.ofMillis(100);
-
   /** Within this time a grant reaches its host and the host's next list of runs comes back. */
   public static final Duration GRANT_ROUND_TRIP = Duration.ofMillis(1000);
 
   /** Earliest retry after a refusal; runs that are overdue may end at any moment. */
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(30);
 
-  /**
-   * Part of the engines that must be usable for ejections to count. If more are ejected at once,
-   * the fault is hardly theirs, and requests are better off on an ejected engine than refused.
-   */
-  private static final double MIN_USABLE_PART = 1.0 / 3;
-
   /** Time after which a caller may retry if no engine of the service is usable. */
   private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(600);
 
-  /**
-   * Bonus for each shared prompt part that the engine need not process again, in units of one busy
-   * slot.
-   */
-  private static final double CACHED_PART_BONUS = 1.0;
-
-  /**
-   * Bonus for an engine to which the requesting host has an idle connection, in units of one busy
-   * slot. In a large fleet a host has few requests for each engine, and without the bonus nearly
-   * every request would open a connection.
-   */
-  private static final double IDLE_CONNECTION_BONUS = 2.0;
-
-  /** Bonus for an engine in the data centre of the requesting host, in units of one busy slot. */
-  private static final double SAME_DATA_CENTRE_BONUS = 0.5;
-
-  private static final Comparator<SlotRequest> EARLIEST_DEADLINE_FIRST =
-      Comparator.comparing(SlotScheduler::effectiveDeadline)
-          .thenComparing(r -> r.id().host())
-          .thenComparing(r -> r.id().number());
-
-  private final Map<UpstreamId, EngineSlots> engines = new HashMap<>();
-  private final TreeSet<SlotRequest> onlineQueue = new TreeSet<>(EARLIEST_DEADLINE_FIRST);
+  private final EnginePool engines = new EnginePool();
+  private final EnginePlacement placement;
+  private final OnlineQueue onlineQueue = new OnlineQueue();
   private final BatchQueue batchQueue;
   private final BatchRunTimes batchRunTimes = new BatchRunTimes();
   private final BatchSlotAverage batchSlots = new BatchSlotAverage();
   private final FreeSlotReserve freeSlotReserve;
-  private final LimitedPlacement limitedPlacement;
   private final ExpectedReturns expectedReturns = new ExpectedReturns();
   private final SilenceReports silenceReports = new SilenceReports();
   private double meanRunMillis = INITIAL_RUN_TIME.toMillis();
   private double fleetShare = 1;
-  private boolean mostEjected;
-  private Instant ejectionsCountedAt = Instant.MIN;
 
   /** Creates a scheduler that knows no engines yet. */
   public SlotScheduler() {
@@ -117,7 +80,7 @@
   SlotScheduler(
       FreeSlotReserve freeSlotReserve, BatchOrder batchOrder, LimitedPlacement limitedPlacement) {
     this.freeSlotReserve = freeSlotReserve;
-    this.limitedPlacement = limitedPlacement;
+    this.placement = new EnginePlacement(engines, limitedPlacement);
     this.batchQueue = new BatchQueue(batchOrder);
   }
 
@@ -128,7 +91,7 @@
    */
   public synchronized List<SlotDecision> submit(SlotRequest request, Instant now) {
     List<SlotDecision> decisions = new ArrayList<>();
-    Option<EngineSlots> runningOn = findEngineOfRun(request.id());
+    Option<EngineSlots> runningOn = engines.findByRun(request.id());
     if (runningOn.exists(e -> !e.entry().leaving())) {
       decisions.add(new SlotDecision.Grant(request, runningOn.get().entry().id()));
       return decisions;
@@ -142,7 +105,7 @@
     }
     if (!request.isOnline()) {
       batchQueue.add(request);
-    } else if (!hasUsableEngine(now)) {
+    } else if (!engines.hasUsable(now)) {
       decisions.add(
           refusal(
               request, now.plus(NO_ENGINE_RETRY_DELAY), "no engine of the service is available"));
@@ -164,7 +127,7 @@
    * before.
    */
   public synchronized List<SlotDecision> endRun(RunId id, RunEnd end, Instant now) {
-    for (EngineSlots engine : engines.values()) {
+    for (EngineSlots engine : engines.all()) {
       EngineSlots.Run run = engine.runs().remove(id);
       if (run != null) {
         updateRunTimes(run, end, now);
@@ -181,7 +144,7 @@
 
   /** Returns a run that occupies a slot, none if the run is not known. */
   public synchronized Option<GrantedRun> findRun(RunId id) {
-    for (EngineSlots engine : engines.values()) {
+    for (EngineSlots engine : engines.all()) {
       EngineSlots.Run run = engine.runs().get(id);
       if (run != null) {
         return Option.some(
@@ -194,7 +157,7 @@
 
   /** Records that a run received no byte for longer than a healthy engine takes. */
   public synchronized void recordSilence(RunId id, Instant now) {
-    engines.values().stream()
+    engines.all().stream()
         .filter(e -> e.runs().containsKey(id))
         .filter(e -> isCredible(id.host(), e, now))
         .forEach(e -> e.health().recordSilence(now));
@@ -206,7 +169,7 @@
    */
   private boolean isCredible(HostId host, EngineSlots reported, Instant now) {
     int usedEngines = 0;
-    for (EngineSlots engine : engines.values()) {
+    for (EngineSlots engine : engines.all()) {
       if (engine != reported
           && engine.runs().keySet().stream().anyMatch(r -> r.host().equals(host))) {
         usedEngines++;
@@ -223,14 +186,13 @@
 
   /** Removes a waiting request that is no longer wanted. */
   public synchronized void withdrawRequest(RunId id) {
-    onlineQueue.removeIf(r -> r.id().equals(id));
+    onlineQueue.remove(id);
     batchQueue.remove(id);
   }
 
   /** Removes and returns the waiting requests that match. */
   public synchronized List<SlotRequest> removeWaiting(Predicate<SlotRequest> filter) {
-    List<SlotRequest> removed =
-        Stream.concat(onlineQueue.stream(), batchQueue.requests().stream()).filter(filter).toList();
+    List<SlotRequest> removed = findWaiting(filter);
     removed.forEach(r -> withdrawRequest(r.id()));
     return removed;
   }
@@ -240,7 +202,7 @@
     onlineQueue.removeIf(r -> r.id().host().equals(host));
     batchQueue.removeIf(r -> r.id().host().equals(host));
     silenceReports.removeHost(host);
-    engines.values().forEach(e -> e.runs().keySet().removeIf(id -> id.host().equals(host)));
+    engines.all().forEach(e -> e.runs().keySet().removeIf(id -> id.host().equals(host)));
     return startWaitingRequests(now, new ArrayList<>());
   }
 
@@ -252,7 +214,7 @@
   public synchronized List<SlotDecision> retainListedRuns(
       HostId host, Set<RunId> listed, Instant now) {
     Instant knownUntil = now.minus(GRANT_ROUND_TRIP);
-    for (EngineSlots engine : engines.values()) {
+    for (EngineSlots engine : engines.all()) {
       engine
           .runs()
           .entrySet()
@@ -268,7 +230,7 @@
   /** Adds a run that another coordinator has granted. */
   public synchronized void addExistingRun(RunId id, UpstreamId engine, ExistingRun run) {
     EngineSlots slots = engines.get(engine);
-    if (slots != null && findEngineOfRun(id).isEmpty()) {
+    if (slots != null && engines.findByRun(id).isEmpty()) {
       slots.addExistingRun(id, run);
     }
   }
@@ -285,12 +247,12 @@
       int slots = entry.slots() > 0 ? entry.slots() : defaultSlots;
       EngineSlots present = engines.get(entry.id());
       if (present == null || present.entry().startedAtMillis() != entry.startedAtMillis()) {
-        engines.put(entry.id(), new EngineSlots(entry, slots, fleetShare, now));
+        engines.put(new EngineSlots(entry, slots, fleetShare, now));
       } else {
         present.update(entry, slots, now);
       }
     }
-    engines.keySet().retainAll(listedIds);
+    engines.retainAll(listedIds);
     return startWaitingRequests(now, new ArrayList<>());
   }
 
@@ -299,14 +261,13 @@
    */
   public synchronized void setFleetShare(double newFleetShare, Instant now) {
     fleetShare = newFleetShare;
-    engines.values().forEach(e -> e.starts().setShare(newFleetShare, now));
+    engines.all().forEach(e -> e.starts().setShare(newFleetShare, now));
   }
 
   /** Starts waiting requests that a slot is free for and refuses those that have expired. */
   public synchronized List<SlotDecision> processQueues(Instant now) {
     List<SlotDecision> decisions = new ArrayList<>();
-    refuseExpired(onlineQueue, now, decisions);
-    refuseExpired(batchQueue.requests(), now, decisions);
+    refuseExpired(now, decisions);
     batchSlots.update(slotsLeftByOnline(now), now);
     return startWaitingRequests(now, decisions);
   }
@@ -316,8 +277,8 @@
     int slots = 0;
     int onlineRuns = 0;
     int batchRuns = 0;
-    for (EngineSlots engine : remainingEngines().toList()) {
-      slots += isUsable(engine, now) ? engine.slots() : 0;
+    for (EngineSlots engine : engines.remaining().toList()) {
+      slots += engines.isUsable(engine, now) ? engine.slots() : 0;
       for (EngineSlots.Run run : engine.runs().values()) {
         onlineRuns += run.online() ? 1 : 0;
         batchRuns += run.online() ? 0 : 1;
@@ -326,18 +287,22 @@
     return new SlotLoad(slots, onlineRuns, batchRuns, onlineQueue.size(), batchQueue.size());
   }
 
-  private void refuseExpired(
-      Collection<SlotRequest> waiting, Instant now, List<SlotDecision> decisions) {
-    List<SlotRequest> expired = waiting.stream().filter(r -> r.giveUpAt().isPast(now)).toList();
-    for (SlotRequest request : expired) {
-      waiting.remove(request);
+  private void refuseExpired(Instant now, List<SlotDecision> decisions) {
+    for (SlotRequest request : findWaiting(r -> r.giveUpAt().isPast(now))) {
+      withdrawRequest(request.id());
       Instant retryAt = reserveReturn(onlineQueue.size(), now);
       decisions.add(refusal(request, retryAt, "no slot became free in time"));
     }
   }
 
+  private List<SlotRequest> findWaiting(Predicate<SlotRequest> filter) {
+    return Stream.concat(onlineQueue.requests().stream(), batchQueue.requests().stream())
+        .filter(filter)
+        .toList();
+  }
+
   private void submitOnline(SlotRequest request, Instant now, List<SlotDecision> decisions) {
-    int requestsAhead = onlineQueue.headSet(request).size();
+    int requestsAhead = onlineQueue.countAhead(request);
     boolean free = requestsAhead == 0 && selectEngine(request, now).isDefined();
     Instant start = free ? now : estimateFreeAt(requestsAhead + 1, request, now);
     if (!free && request.startBy().isPast(start)) {
@@ -356,8 +321,10 @@
   }
 
   private String describeLoad(int requestsAhead, Instant now) {
-    String load = requestsAhead + " requests wait before it for " + usableSlots(now) + " slots";
-    List<EngineSlots> limited = engines.values().stream().filter(e -> isLimiting(e, now)).toList();
+    String load =
+        requestsAhead + " requests wait before it for " + engines.usableSlots(now) + " slots";
+    List<EngineSlots> limited =
+        engines.all().stream().filter(e -> e.starts().isLimiting(now)).toList();
     double rate = limited.stream().mapToDouble(e -> e.starts().rate(now)).sum();
     return limited.isEmpty()
         ? load
@@ -370,29 +337,15 @@
             rate);
   }
 
-  private static boolean isLimiting(EngineSlots engine, Instant now) {
-    return engine.starts().isLimiting(now);
-  }
-
-  private Option<EngineSlots> findEngineOfRun(RunId id) {
-    return Option.ofOptional(
-        engines.values().stream().filter(e -> e.runs().containsKey(id)).findFirst());
-  }
-
-  /** Returns the engines that are not leaving; a slot that becomes free on one can be granted. */
-  private Stream<EngineSlots> remainingEngines() {
-    return engines.values().stream().filter(e -> !e.entry().leaving());
-  }
-
   private boolean isWaiting(RunId id) {
-    return onlineQueue.stream().anyMatch(r -> r.id().equals(id)) || batchQueue.contains(id);
+    return onlineQueue.contains(id) || batchQueue.contains(id);
   }
 
   private List<SlotDecision> startWaitingRequests(Instant now, List<SlotDecision> decisions) {
     // Requests that only one version may run do not hold up those behind them.
     Set<SlotRequest> withoutEngine = new HashSet<>();
     while (onlineQueue.size() > withoutEngine.size()) {
-      SlotRequest next = nextRequest(onlineQueue, withoutEngine, now);
+      SlotRequest next = onlineQueue.next(withoutEngine, now);
       Option<EngineSlots> selected = selectEngine(next, now);
       if (selected.isEmpty()) {
         if (next.software().isEmpty()) {
@@ -401,7 +354,7 @@
         withoutEngine.add(next);
         continue;
       }
-      onlineQueue.remove(next);
+      onlineQueue.remove(next.id());
       if (!selected.get().hasFreeSlot()) {
         RunId preempted = selected.get().batchRunToPreempt(batchRunTimes).get();
         selected.get().runs().remove(preempted);
@@ -416,10 +369,10 @@
   private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
     while (!batchQueue.isEmpty()
         && isWithinShare(now)
-        && freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
+        && engines.freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
       batchQueue.updatePlan(() -> batchLoad(now), now);
       SlotRequest next = batchQueue.first().get();
-      Option<EngineSlots> selected = selectCheapest(next, now, EngineSlots::hasFreeSlot);
+      Option<EngineSlots> selected = placement.selectCheapest(next, now, EngineSlots::hasFreeSlot);
       if (selected.isEmpty()) {
         return;
       }
@@ -430,7 +383,8 @@
 
   private BatchOrder.BatchLoad batchLoad(Instant now) {
     Duration backlog =
-        remainingEngines()
+        engines
+            .remaining()
             .flatMap(e -> e.runs().values().stream())
             .filter(r -> !r.online())
             .map(r -> Duration.between(now, r.expectedEnd(batchRunTimes)))
@@ -458,93 +412,33 @@
     return Math.max(0, (int) (fleetShare * load.slots()) - taken);
   }
 
-  /**
-   * Returns the most urgent online request that can still start in time, or the most urgent one if
-   * none can.
-   */
-  private static SlotRequest nextRequest(
-      TreeSet<SlotRequest> queue, Set<SlotRequest> left, Instant now) {
-    return queue.stream()
-        .filter(r -> !left.contains(r) && !r.startBy().isPast(now))
-        .findFirst()
-        .orElseGet(() -> queue.stream().filter(r -> !left.contains(r)).findFirst().orElseThrow());
-  }
-
   /**
    * Returns the engine for an online request: one with a free slot, else one with a batch run to
    * preempt.
    */
   private Option<EngineSlots> selectEngine(SlotRequest request, Instant now) {
     Option<EngineSlots> free =
-        isWithinShare(now) ? selectCheapest(request, now, EngineSlots::hasFreeSlot) : Option.none();
+        isWithinShare(now)
+            ? placement.selectCheapest(request, now, EngineSlots::hasFreeSlot)
+            : Option.none();
     return free.orElse(
-        () -> selectCheapest(request, now, e -> !e.health().isProbing() && hasBatchRun(e)));
+        () ->
+            placement.selectCheapest(request, now, e -> !e.health().isProbing() && hasBatchRun(e)));
   }
 
   private static boolean hasBatchRun(EngineSlots engine) {
     return engine.runs().values().stream().anyMatch(r -> !r.online());
   }
 
-  private Option<EngineSlots> selectCheapest(
-      SlotRequest request, Instant now, Predicate<EngineSlots> fits) {
-    List<EngineSlots> usable =
-        engines.values().stream()
-            .filter(e -> isUsable(e, now) && fits.test(e) && e.starts().allowsStart(now))
-            .filter(e -> request.accepts(e.entry()))
-            .toList();
-    List<EngineSlots> notAvoided =
-        usable.stream().filter(e -> !request.avoidedEngines().contains(e.entry().id())).toList();
-    List<EngineSlots> candidates =
-        preferSoftware(request, notAvoided.isEmpty() ? usable : notAvoided);
-    double fastest =
-        engines.values().stream()
-            .mapToDouble(e -> e.health().meanGapMillis())
-            .filter(g -> g > 0)
-            .min()
-            .orElse(0);
-    return Option.ofOptional(
-        candidates.stream()
-            .min(
-                Comparator.comparingDouble(
-                        (EngineSlots e) ->
-                            placementCost(e, request, fastest) + limitedCost(e, request, now))
-                    .thenComparing(e -> e.entry().id())));
-  }
-
-  /** Returns the engines that can go on where an earlier run ended, or all if none can. */
-  private static List<EngineSlots> preferSoftware(SlotRequest request, List<EngineSlots> engines) {
-    if (request.software().isEmpty()) {
-      return engines;
-    }
-    List<EngineSlots> continuing =
-        engines.stream().filter(e -> request.continuesAt(e.entry())).toList();
-    return continuing.isEmpty() ? engines : continuing;
-  }
-
   /** Returns whether an engine that may run the request is listed on which it has not failed. */
   private boolean mayEverRun(SlotRequest request) {
     return request.software().isEmpty()
-        || remainingEngines()
+        || engines
+            .remaining()
             .filter(e -> request.accepts(e.entry()))
             .anyMatch(e -> !request.avoidedEngines().contains(e.entry().id()));
   }
 
-  private double limitedCost(EngineSlots engine, SlotRequest request, Instant now) {
-    return isLimiting(engine, now) ? limitedPlacement.cost(request, engine.starts(), now) : 0;
-  }
-
-  private static double placementCost(EngineSlots engine, SlotRequest request, double fastest) {
-    double gap = engine.health().meanGapMillis();
-    double slowness = gap > 0 && fastest > 0 ? gap / fastest : 1;
-    double occupied = engine.runs().size() + (engine.health().isProbing() ? engine.slots() : 0);
-    double cacheBonus = CACHED_PART_BONUS * engine.countCachedParts(request.promptParts());
-    boolean sameDataCentre = engine.entry().dataCentre().equals(request.dataCentre());
-    return slowness * (occupied + engine.slots())
-        - cacheBonus
-        - (request.connectedEngines().contains(engine.entry().id()) ? IDLE_CONNECTION_BONUS : 0)
-        - (sameDataCentre ? SAME_DATA_CENTRE_BONUS : 0);
-  }
-
   private void grantSlot(
       SlotRequest request, EngineSlots engine, Instant now, List<SlotDecision> decisions) {
     engine.startRun(request, now);
@@ -555,54 +449,17 @@
     if (fleetShare >= 1) {
       return true;
     }
-    int running = remainingEngines().mapToInt(e -> e.runs().size()).sum();
-    return running < Math.max(1, Math.floor(fleetShare * usableSlots(now)));
-  }
-
-  private boolean hasUsableEngine(Instant now) {
-    return engines.values().stream().anyMatch(e -> isUsable(e, now));
-  }
-
-  private boolean isUsable(EngineSlots engine, Instant now) {
-    return engine.isUsable(now) || (!engine.entry().leaving() && areMostEjected(now));
-  }
-
-  private boolean areMostEjected(Instant now) {
-    if (!now.equals(ejectionsCountedAt)) {
-      mostEjected = isUsablePartTooSmall(now);
-      ejectionsCountedAt = now;
-    }
-    return mostEjected;
-  }
-
-  private boolean isUsablePartTooSmall(Instant now) {
-    long listed = remainingEngines().count();
-    long usable = engines.values().stream().filter(e -> e.isUsable(now)).count();
-    return usable < MIN_USABLE_PART * listed;
-  }
-
-  private int freeSlots(Instant now) {
-    return engines.values().stream()
-        .filter(e -> isUsable(e, now))
-        .mapToInt(e -> e.possibleStarts(now))
-        .sum();
-  }
-
-  private int usableSlots(Instant now) {
-    return engines.values().stream()
-        .filter(e -> isUsable(e, now))
-        .mapToInt(EngineSlots::slots)
-        .sum();
+    return engines.countRuns() < Math.max(1, Math.floor(fleetShare * engines.usableSlots(now)));
   }
 
   /** Estimates when the given number of waiting online requests can have started. */
   private Instant estimateFreeAt(int count, Instant now) {
-    return estimateFreeAt(count, remainingEngines(), now);
+    return estimateFreeAt(count, engines.remaining(), now);
   }
 
   /** The same on the engines that may run a request. */
   private Instant estimateFreeAt(int count, SlotRequest request, Instant now) {
-    return estimateFreeAt(count, remainingEngines().filter(e -> request.accepts(e.entry())), now);
+    return estimateFreeAt(count, engines.remaining().filter(e -> request.accepts(e.entry())), now);
   }
 
   private Instant estimateFreeAt(int count, Stream<EngineSlots> candidates, Instant now) {
@@ -626,11 +483,6 @@
     }
   }
 
-  private static Deadline effectiveDeadline(SlotRequest request) {
-    return Deadline.at(
-        request.startBy().at().plus(DEADLINE_PENALTY_PER_RANK.multipliedBy(request.rank())));
-  }
-
   private static SlotDecision refusal(SlotRequest request, Instant retryAt, String reason) {
     return new SlotDecision.Refuse(request, RefusalCode.OVERLOADED, retryAt, reason);
   }
