Exchange: invalid statuses and a close before the request is written

Cause: a status under 100 was taken for an interim response, so the request waited for another head until its deadline; a status above 599 was passed on. A response without a length counted as complete when the upstream closed its side in order, also while the request's body was still being written. Such an upstream resets the connection as soon as it receives the rest, so the caller got a part of the body as a complete answer. A reset that comes alone was handled before (resetSeenByTheWriteOfALongRequestIsNoEnd).

Change: statuses outside 100 to 599 are malformed. A close-delimited response that ends before the request has been written is incomplete.

--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -33,7 +33,9 @@
 /**
  * One request and its response. A response with neither a length nor chunks is complete when the
  * upstream closes its side of the connection in order, and incomplete when the connection is reset
- * or is closed by this side.
+ * or is closed by this side. It is also incomplete when the upstream closes its side before the
+ * request has been written: the upstream then resets the connection as it receives the rest, and
+ * the reset may arrive too late to be seen.
  */
 final class Exchange implements StreamCall {
   /**
@@ -45,7 +47,9 @@
   /** The idle timeout if the upstream announces none. */
   private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofMillis(900);
 
+  private static final int FIRST_STATUS = 100;
   private static final int FIRST_FINAL_STATUS = 200;
+  private static final int LAST_STATUS = 599;
 
   /** Responses to other requests that are dropped before the connection is given up. */
   private static final int MAX_FOREIGN_RESPONSES = 2;
@@ -78,6 +82,7 @@
   private volatile boolean hasReceivedHead;
   private Duration keepAlive = Duration.ZERO;
   private boolean awaitsHead;
+  private boolean requestWritten;
   private boolean closeDelimited;
   private boolean interim;
   private boolean foreign;
@@ -115,7 +120,9 @@
     sentAt = clock.instant();
     connectionUse = channel.pipeline().get(ExchangeHandler.class).countRequest(request.identity());
     expectResponse();
-    channel.writeAndFlush(requestMessage());
+    channel
+        .writeAndFlush(requestMessage())
+        .addListener(written -> requestWritten = written.isSuccess());
   }
 
   /** Returns whether the upstream reads from the head just this request. */
@@ -196,6 +203,11 @@
         && clock.instant().isAfter(sent.plus(SUSPICIOUS_SILENCE));
   }
 
+  /** Returns whether a status is one of HTTP. */
+  static boolean isStatus(int status) {
+    return status >= FIRST_STATUS && status <= LAST_STATUS;
+  }
+
   void onHead(HttpResponse head) {
     interim = head.status().code() < FIRST_FINAL_STATUS;
     awaitsHead = interim;
@@ -257,6 +269,11 @@
       fail(CallFailure.Kind.LOST, "connection closed before the upstream ended the response");
       return;
     }
+    if (closeDelimited && !requestWritten) {
+      connection.close();
+      fail(CallFailure.Kind.LOST, "the upstream closed before the request was written");
+      return;
+    }
     if (!ended.compareAndSet(false, true)) {
       connection.close();
       return;
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
@@ -91,6 +91,10 @@
         rejectResponse(context, "no head within " + ResponseDecoder.MAX_HEAD_BYTES + " bytes");
         return;
       }
+      if (!Exchange.isStatus(head.status().code())) {
+        rejectResponse(context, "status " + head.status().code());
+        return;
+      }
       current.onHead(head);
     }
     if (message instanceof HttpContent content) {
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/CloseDelimitedResponseTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/CloseDelimitedResponseTest.java
@@ -131,6 +131,26 @@
     }
   }
 
+  /**
+   * An upstream that answered early and closed its side while the request was still being written
+   * had its part of a body reported as complete, although it reset the connection afterwards.
+   */
+  @Test
+  void closeBeforeTheRequestIsWrittenIsNoEnd() throws Exception {
+    try (RawUpstream upstream =
+        new RawUpstream(
+            (socket, out) -> {
+              out.write(RawUpstream.bytes(HEAD + "early"));
+              out.flush();
+              socket.shutdownOutput();
+              Thread.sleep(50);
+              RawUpstream.reset(socket);
+            })) {
+      assertThat(send(upstream, new byte[LONG_BODY]).await()).isEqualTo("early|LOST");
+      assertThat(client.upstreamsWithIdleConnections()).isEmpty();
+    }
+  }
+
   @Test
   void cancelledResponseIsNotComplete() throws Exception {
     try (RawUpstream upstream =
