Refused connections count as evidence against an engine from any host

Cause: with 55 hosts a host has few runs, so each host that met three or more lost engines was taken for one that is cut off; its reports were discarded and the failures recorded before were revoked. Slots on engines that refuse connections were granted again and again.

Change: CallFailure tells a refused connection from other failures to connect, and SlotEnd carries it (a coordinator of an earlier version reads a lost engine). It ejects the engine whichever host reports it, and no weighing of reports revokes it. The engine gets single probes at growing intervals, an item first, and its share once a host reports data (SlotGrant.probe, Running.answered). Refusals, estimates, load and share count usable engines only. A request that met a refused connection has used up no send and asks again at once. W540, gauge engines.refusing.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -435,6 +435,7 @@
     metrics.register(
         "engines.limited",
         (Gauge<Long>) () -> engines.all().stream().filter(e -> e.limit().isDefined()).count());
+    metrics.register("engines.refusing", (Gauge<Integer>) coordinator::countRefusingEngines);
   }
 
   private static void sleepPollInterval() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -189,6 +189,11 @@
     return scheduler(service).load(clock.instant());
   }
 
+  /** Returns how many engines have refused connections and not answered since. */
+  public int countRefusingEngines() {
+    return services.values().stream().mapToInt(SlotScheduler::countRefusing).sum();
+  }
+
   /** Returns the services that have had engines or requests. */
   public Set<ServiceName> services() {
     return Set.copyOf(services.keySet());
@@ -311,6 +316,9 @@
     for (SlotScheduler slots : services.values()) {
       for (GrantedRun run : slots.findRun(id)) {
         refusesMore |= screening.recordEnd(id, run, runEnd, now);
+        if (runEnd.how() == RunEnd.How.CONNECTION_REFUSED) {
+          LOG.write(Event.CONNECTION_REFUSED, run.engine(), run.request(), from);
+        }
       }
     }
     if (refusesMore) {
@@ -323,6 +331,9 @@
     if (end.getBrokenOff()) {
       return RunEnd.How.ENGINE_BROKE_OFF;
     }
+    if (end.getRefused()) {
+      return RunEnd.How.CONNECTION_REFUSED;
+    }
     return end.getUnsent() ? RunEnd.How.NOT_SENT : RunEnd.How.valueOf(end.getHow().name());
   }
 
@@ -359,6 +370,9 @@
               now.minusNanos(run.getElapsedNanos()));
       scheduler(ServiceName.of(run.getService())).addExistingRun(id, engine, existing);
       screening.recordExisting(id, engine, existing);
+      if (run.getAnswered()) {
+        scheduler(ServiceName.of(run.getService())).recordAnswer(id, engine);
+      }
     }
     screening.retainListedRuns(from, listed, now.minus(SlotScheduler.GRANT_ROUND_TRIP));
     services.values().forEach(s -> execute(s.retainListedRuns(from, listed, now)));
@@ -473,6 +487,7 @@
         SlotGrant.newBuilder()
             .setNumber(request.id().number())
             .setEngine(grant.engine().value())
+            .setProbe(grant.probe())
             .setWaitedNanos(waited.toNanos());
     ListedEngine engine = listed.get(grant.engine());
     if (engine != null) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -106,6 +106,12 @@
     private volatile UpstreamId engine;
     private volatile Instant grantedAt;
 
+    /** Whether the coordinator waits for the first data of the run. */
+    private volatile boolean probe;
+
+    /** Whether the engine has sent data. */
+    private volatile boolean answered;
+
     PendingRequest(SlotRequirements requirements, SlotListener listener, Instant lastSentAt) {
       this.requirements = requirements;
       this.listener = listener;
@@ -175,6 +181,7 @@
         .setHow(toWire(end.how()))
         .setBrokenOff(end.how() == RunEnd.How.ENGINE_BROKE_OFF)
         .setUnsent(end.how() == RunEnd.How.NOT_SENT)
+        .setRefused(end.how() == RunEnd.How.CONNECTION_REFUSED)
         .setFirstEventNanos(end.firstEventDelay().toNanos())
         .setGapNanos(end.meanGap().toNanos())
         .setEvents(end.events());
@@ -182,7 +189,7 @@
 
   private static SlotEnd.How toWire(RunEnd.How how) {
     return switch (how) {
-      case ENGINE_BROKE_OFF -> SlotEnd.How.ENGINE_LOST;
+      case ENGINE_BROKE_OFF, CONNECTION_REFUSED -> SlotEnd.How.ENGINE_LOST;
       case NOT_SENT -> SlotEnd.How.CANCELLED;
       default -> SlotEnd.How.valueOf(how.name());
     };
@@ -209,6 +216,18 @@
     send(FleetMessage.newBuilder().setSilence(SlotSilence.newBuilder().setNumber(number)));
   }
 
+  @Override
+  public void reportAnswer(long number) {
+    PendingRequest answered = pending.get(number);
+    if (answered != null) {
+      boolean first = !answered.answered;
+      answered.answered = true;
+      if (first && answered.probe) {
+        reportRuns();
+      }
+    }
+  }
+
   @Override
   public Option<HostId> coordinator() {
     return coordinator;
@@ -281,6 +300,7 @@
       returnSlot(from, grant);
       return;
     }
+    request.probe = grant.getProbe();
     lastRunAt = clock.instant();
     if (grant.hasEntry()) {
       engines.learn(FleetMessageConverter.toEngine(grant));
@@ -391,6 +411,7 @@
         .forEach(f -> running.setFingerprint(CrashRecordCodec.encode(f)));
     return running
         .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
+        .setAnswered(request.answered)
         .setNumber(number)
         .setEngine(request.engine.value())
         .setRequest(request.requirements.requestId().value())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotSource.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotSource.java
@@ -28,6 +28,9 @@
   /** Reports that a run received no byte from its engine for longer than a healthy engine takes. */
   void reportSilence(long number);
 
+  /** Reports that a run has received the first data from its engine. */
+  void reportAnswer(long number);
+
   /** Returns the coordinator, none before one is known. */
   Option<HostId> coordinator();
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -470,9 +470,7 @@
           }
           case MISMATCHED ->
               moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "sent the answer to another request");
-          default -> {
-            // The body follows.
-          }
+          default -> ports.slots().reportAnswer(requestNumber);
         }
       }
     }
@@ -531,6 +529,15 @@
       moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "event out of place: " + outOfPlace);
     }
 
+    private static RunEnd.How outcomeOf(CallFailure failure) {
+      if (failure.connectionRefused()) {
+        return RunEnd.How.CONNECTION_REFUSED;
+      }
+      return failure.kind() == CallFailure.Kind.LOST
+          ? RunEnd.How.ENGINE_BROKE_OFF
+          : RunEnd.How.ENGINE_LOST;
+    }
+
     @Override
     public void onEnd(Option<CallFailure> failure) {
       synchronized (ItemRun.this) {
@@ -538,10 +545,7 @@
           return;
         }
         if (failure.isDefined()) {
-          boolean brokeOff = failure.get().kind() == CallFailure.Kind.LOST;
-          moveToAnotherEngine(
-              brokeOff ? RunEnd.How.ENGINE_BROKE_OFF : RunEnd.How.ENGINE_LOST,
-              failure.get().message());
+          moveToAnotherEngine(outcomeOf(failure.get()), failure.get().message());
           return;
         }
         boolean success = head.isSuccess();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -63,10 +63,19 @@
    */
   private static final int MAX_SENDS = 6;
 
+  /**
+   * Number of refused connections after each of which a slot is requested at once. A coordinator of
+   * an earlier version may go on granting slots on engines that refuse connections.
+   */
+  private static final int MAX_IMMEDIATE_ASKS = 8;
+
   /** Time after which a caller may retry if every engine that was tried was full. */
   private static final Duration FULL_RETRY_DELAY = Duration.ofMillis(300);
 
-  /** Delay before a slot is requested again after a second one on a leaving engine was granted. */
+  /**
+   * Delay before a slot is requested again after slots on unusable engines were granted several
+   * times.
+   */
   private static final Duration GRANT_RETURN_DELAY = Duration.ofMillis(30);
 
   /**
@@ -100,6 +109,10 @@
   private Option<PendingSlot> awaited = Option.none();
 
   private int sendCount;
+
+  /** Sends that met a refused connection, so that no engine has seen them. */
+  private int refusedConnections;
+
   private int runCount;
   private boolean headForwarded;
 
@@ -270,9 +283,7 @@
       requestNextSlot();
     } else {
       // The coordinator does not know yet that the engine is leaving.
-      ports
-          .timer()
-          .schedule(this::requestSlotAgain, GRANT_RETURN_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+      requestSlotLater();
     }
   }
 
@@ -380,16 +391,35 @@
   /** Sends the request again if that is allowed, else ends it with the outcome that is known. */
   private void retryOrEnd(String reason) {
     logMove(reason);
-    boolean attemptsExhausted = runCount >= route.maxAttempts() || sendCount >= MAX_SENDS;
+    boolean attemptsExhausted = runCount >= route.maxAttempts() || !mayBeSentAgain();
     if (runCount > 0 && (!mayRunAgain() || attemptsExhausted)) {
       fail(new Outcome.Unknown(reason));
     } else if (attemptsExhausted || limits.answerBy().isPast(now())) {
       refuse(RefusalCode.OVERLOADED, reason, now().plus(FULL_RETRY_DELAY));
     } else {
+      requestSlotForRetry();
+    }
+  }
+
+  /** Refused connections do not count: the coordinator knows these engines as lost at once. */
+  private boolean mayBeSentAgain() {
+    return sendCount - refusedConnections < MAX_SENDS;
+  }
+
+  private void requestSlotForRetry() {
+    if (refusedConnections <= MAX_IMMEDIATE_ASKS) {
       requestNextSlot();
+    } else {
+      requestSlotLater();
     }
   }
 
+  private void requestSlotLater() {
+    ports
+        .timer()
+        .schedule(this::requestSlotAgain, GRANT_RETURN_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
   private void logMove(String reason) {
     LOG.write(
         Event.REQUEST_MOVED,
@@ -563,7 +593,7 @@
 
     private void handleSilence() {
       ports.slots().reportSilence(slot);
-      boolean anotherAllowed = runCount + 1 < route.maxAttempts() && sendCount < MAX_SENDS;
+      boolean anotherAllowed = runCount + 1 < route.maxAttempts() && mayBeSentAgain();
       if (mayRunAgain() && anotherAllowed && isStream()) {
         runCount++;
         cancelAttempt(RunEnd.How.ENGINE_LOST);
@@ -589,7 +619,10 @@
               retryAfterLoss(
                   RunEnd.How.ENGINE_LOST,
                   "engine " + engine.id() + " sent the answer to another request");
-          default -> lastActivityAt = now();
+          default -> {
+            lastActivityAt = now();
+            ports.slots().reportAnswer(slot);
+          }
         }
       }
     }
@@ -738,7 +771,10 @@
           failure.kind() == CallFailure.Kind.MALFORMED
               ? RunEnd.How.ENGINE_LOST
               : RunEnd.How.ENGINE_BROKE_OFF;
-      if (failure.kind() == CallFailure.Kind.NOT_SENT) {
+      if (failure.connectionRefused()) {
+        refusedConnections++;
+        retryAfterNoRun(RunEnd.How.CONNECTION_REFUSED, reason);
+      } else if (failure.kind() == CallFailure.Kind.NOT_SENT) {
         retryAfterNoRun(RunEnd.How.ENGINE_LOST, reason);
       } else if (headForwarded && !isStream()) {
         runCount++;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.slot.BatchOrder.BatchLoad;
 import org.waxwingcourse.fleet.slot.BatchOrder.BatchPlan;
 import org.waxwingcourse.model.time.Deadline;
@@ -57,6 +58,23 @@
     return waiting.size();
   }
 
+  /**
+   * Returns the request to try an engine with that may be lost: one that can go on there, if
+   * possible one that has not failed there.
+   */
+  Option<SlotRequest> findProbe(EngineEntry engine) {
+    Option<SlotRequest> fallback = Option.none();
+    for (SlotRequest request : waiting.values()) {
+      if (request.continuesAt(engine)) {
+        if (!request.avoidedEngines().contains(engine.id())) {
+          return Option.some(request);
+        }
+        fallback = fallback.orElse(Option.some(request));
+      }
+    }
+    return fallback;
+  }
+
   boolean isEmpty() {
     return waiting.isEmpty();
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
@@ -8,7 +8,8 @@
  * Tracks the health of an engine from the outcome of its runs. An engine that fails is ejected for
  * a time that doubles with each failure; afterwards it gets a single probe run at a time until one
  * succeeds. A run that broke off after its first event counts as one failure and does not eject the
- * engine by itself, since healthy engines lose single answers.
+ * engine by itself, since healthy engines lose single answers. An engine that refuses connections
+ * is ejected by the first report, and gets probe runs until one has been answered.
  *
  * <p>Not safe for use by several threads; guarded by the lock of the scheduler that owns it.
  */
@@ -34,12 +35,22 @@
   private int failures;
   private Deadline ejectedUntil = Deadline.at(Instant.MIN);
   private Instant lastFailureAt = Instant.MIN;
+
+  /** Refused connections of probe runs in a row, the one that ejected the engine included. */
+  private int refusals;
+
+  private Instant lastRefusalAt = Instant.MIN;
   private double meanGapMillis;
 
-  void recordEnd(RunEnd end, Instant now) {
+  /** Records the end of a run that started at {@code startedAt}. */
+  void recordEnd(RunEnd end, Instant startedAt, Instant now) {
+    if (end.isAnswered() || end.hasEvent() || end.how() == RunEnd.How.ENGINE_FULL) {
+      recordAnswer(startedAt);
+    }
     switch (end.how()) {
       case WHOLE, CANCELLED -> recordAnswer(end);
       case ENGINE_FULL -> ejectedUntil = latest(Deadline.at(now.plus(FULL_ENGINE_PAUSE)));
+      case CONNECTION_REFUSED -> recordRefusal(startedAt, now);
       case ENGINE_LOST, ENGINE_BROKE_OFF -> recordFailure(now, end.firstEventDelay().isZero());
       case ENGINE_WRONG -> ejectedUntil = Deadline.at(now.plus(Duration.ofSeconds(30)));
       default -> recordAnswer(end);
@@ -51,12 +62,31 @@
     recordFailure(now, true);
   }
 
+  /** Records that a run that started at {@code startedAt} has received data from the engine. */
+  void recordAnswer(Instant startedAt) {
+    // Data of a run from before the refusal does not show that the engine listens again.
+    if (startedAt.isAfter(lastRefusalAt)) {
+      refusals = 0;
+    }
+  }
+
   /** Forgets failures that were reported by a host whose reports do not count. */
   void revokeFailuresSince(Instant since) {
     if (!lastFailureAt.isBefore(since)) {
       failures = 0;
-      ejectedUntil = Deadline.at(Instant.MIN);
+      ejectedUntil = isRefusing() ? ejectedUntil : Deadline.at(Instant.MIN);
+    }
+  }
+
+  /** Ends of runs that started before the engine was ejected tell nothing new. */
+  private void recordRefusal(Instant startedAt, Instant now) {
+    if (!startedAt.isAfter(lastRefusalAt)) {
+      return;
     }
+    lastRefusalAt = now;
+    refusals++;
+    int doublings = Math.min(refusals - 1, MAX_EJECTION_DOUBLINGS);
+    ejectedUntil = latest(Deadline.at(now.plus(INITIAL_EJECTION.multipliedBy(1L << doublings))));
   }
 
   private void recordAnswer(RunEnd end) {
@@ -92,7 +122,20 @@
 
   /** Returns whether the engine gets only probe runs because its last runs failed. */
   boolean isProbing() {
-    return failures >= FAILURES_BEFORE_EJECTION;
+    return isRefusing() || failures >= FAILURES_BEFORE_EJECTION;
+  }
+
+  /** Returns whether the engine has refused connections and not answered since. */
+  boolean isRefusing() {
+    return refusals > 0;
+  }
+
+  /**
+   * Returns whether the engine may be tried although it is ejected, where most engines are. One
+   * that refuses connections is tried at the shortest interval.
+   */
+  boolean mayTryEjected(Instant now) {
+    return !isRefusing() || !now.isBefore(lastRefusalAt.plus(INITIAL_EJECTION));
   }
 
   Deadline ejectedUntil() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EnginePool.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EnginePool.java
@@ -63,7 +63,8 @@
   }
 
   boolean isUsable(EngineSlots engine, Instant now) {
-    return engine.isUsable(now) || (!engine.entry().leaving() && areMostEjected(now));
+    return engine.isUsable(now)
+        || (!engine.entry().leaving() && engine.health().mayTryEjected(now) && areMostEjected(now));
   }
 
   /** Returns how many requests may start in free slots now. */
@@ -77,13 +78,23 @@
   int usableSlots(Instant now) {
     return engines.values().stream()
         .filter(e -> isUsable(e, now))
-        .mapToInt(EngineSlots::slots)
+        .mapToInt(EngineSlots::countedSlots)
         .sum();
   }
 
-  /** Returns the number of runs on engines that are not leaving. */
-  int countRuns() {
-    return remaining().mapToInt(e -> e.runs().size()).sum();
+  /** Returns the engines whose slots can be counted on when they become free. */
+  Stream<EngineSlots> dependable(Instant now) {
+    return remaining().filter(e -> isUsable(e, now) && !e.health().isRefusing());
+  }
+
+  /** Returns the number of runs on engines whose slots are counted. */
+  int countRuns(Instant now) {
+    return dependable(now).mapToInt(e -> e.runs().size()).sum();
+  }
+
+  /** Returns how many engines have refused connections and not answered since. */
+  int countRefusing() {
+    return (int) remaining().filter(e -> e.health().isRefusing()).count();
   }
 
   private boolean areMostEjected(Instant now) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -113,9 +113,16 @@
     return runs.size() < (health.isProbing() ? 1 : slots);
   }
 
+  /** Returns how many slots count as capacity; an engine that refuses connections has none. */
+  int countedSlots() {
+    return health.isRefusing() ? 0 : slots;
+  }
+
   /** Returns how many requests may start in free slots now. */
   int possibleStarts(Instant now) {
-    return hasFreeSlot() ? Math.min(slots - runs.size(), starts.availableStarts(now)) : 0;
+    return hasFreeSlot()
+        ? Math.min(Math.max(0, countedSlots() - runs.size()), starts.availableStarts(now))
+        : 0;
   }
 
   /** Returns when runs of callers end that take as long as {@code run}, in order. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/RunEnd.java
@@ -13,7 +13,8 @@
 public record RunEnd(How how, Duration firstEventDelay, Duration meanGap, int events) {
   /**
    * Outcomes of a run, as far as they say something about its engine. The names equal those of
-   * {@code SlotEnd.How} in fleet.proto, except for {@link #ENGINE_BROKE_OFF} and {@link #NOT_SENT}.
+   * {@code SlotEnd.How} in fleet.proto, except for {@link #CONNECTION_REFUSED}, {@link
+   * #ENGINE_BROKE_OFF} and {@link #NOT_SENT}.
    */
   public enum How {
     /** The complete answer was received. */
@@ -24,6 +25,8 @@
     NOT_SENT,
     /** The engine reported that it is full and did not run the request. */
     ENGINE_FULL,
+    /** The engine's machine refused the connection; nothing was sent. */
+    CONNECTION_REFUSED,
     /** The engine could not be reached or stopped sending. */
     ENGINE_LOST,
     /** The engine closed the connection before the answer was complete, as when it crashes. */
@@ -46,7 +49,7 @@
 
   /** Returns whether the run lost its engine. */
   public boolean lostEngine() {
-    return how == How.ENGINE_LOST || how == How.ENGINE_BROKE_OFF;
+    return how == How.ENGINE_LOST || how == How.ENGINE_BROKE_OFF || how == How.CONNECTION_REFUSED;
   }
 
   /** Returns an outcome without times. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SilenceReports.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SilenceReports.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.slot;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -11,7 +12,8 @@
 /**
  * Weighs the reports of hosts that engines are silent or lost. A host that reports most of the
  * engines it uses is itself cut off or short of processor time, as after a restart of many hosts;
- * its reports say nothing about the engines.
+ * its reports say nothing about the engines. A refused connection is no such report: it was
+ * answered by the engine's machine.
  *
  * <p>Not safe for use by several threads; guarded by the lock of the scheduler that owns it.
  */
@@ -22,15 +24,40 @@
   /** Number of engines from which on the reports of one host may be about the host. */
   private static final int MIN_REPORTED = 3;
 
+  private final EnginePool engines;
   private final Map<HostId, Map<UpstreamId, Instant>> reports = new HashMap<>();
 
+  SilenceReports(EnginePool engines) {
+    this.engines = engines;
+  }
+
+  /**
+   * Returns whether a host's report counts against an engine. If it does not, the host's recent
+   * reports about other engines are revoked too.
+   */
+  boolean isCredible(HostId host, EngineSlots reported, Instant now) {
+    int usedEngines = 0;
+    for (EngineSlots engine : engines.all()) {
+      if (engine != reported
+          && engine.runs().keySet().stream().anyMatch(r -> r.host().equals(host))) {
+        usedEngines++;
+      }
+    }
+    Set<UpstreamId> unfounded =
+        recordAndFindUnfounded(host, reported.entry().id(), usedEngines, now);
+    for (UpstreamId id : unfounded) {
+      Option.of(engines.get(id)).forEach(e -> e.health().revokeFailuresSince(now.minus(WINDOW)));
+    }
+    return unfounded.isEmpty();
+  }
+
   /**
    * Records a report and returns the engines that the host has reported if its reports do not
    * count, nothing if they do.
    *
    * @param usedEngines number of engines on which the host has runs, without this one
    */
-  Set<UpstreamId> recordAndFindUnfounded(
+  private Set<UpstreamId> recordAndFindUnfounded(
       HostId host, UpstreamId engine, int usedEngines, Instant now) {
     Map<UpstreamId, Instant> ofHost = reports.computeIfAbsent(host, h -> new HashMap<>());
     ofHost.values().removeIf(at -> at.plus(WINDOW).isBefore(now));
@@ -39,11 +66,6 @@
     return counts ? Set.of() : Set.copyOf(ofHost.keySet());
   }
 
-  /** Returns the earliest time of a report that is still weighed. */
-  static Instant windowStart(Instant now) {
-    return now.minus(WINDOW);
-  }
-
   void removeHost(HostId host) {
     reports.remove(host);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotDecision.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotDecision.java
@@ -9,8 +9,16 @@
  * lock.
  */
 public sealed interface SlotDecision {
-  /** Starts the request on the engine now. */
-  record Grant(SlotRequest request, UpstreamId engine) implements SlotDecision {}
+  /**
+   * Starts the request on the engine now.
+   *
+   * @param probe whether the engine gets no other run until this one has been answered
+   */
+  record Grant(SlotRequest request, UpstreamId engine, boolean probe) implements SlotDecision {
+    Grant(SlotRequest request, UpstreamId engine) {
+      this(request, engine, false);
+    }
+  }
 
   /**
    * Refuses the request.
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -64,7 +64,7 @@
   private final BatchSlotAverage batchSlots = new BatchSlotAverage();
   private final FreeSlotReserve freeSlotReserve;
   private final ExpectedReturns expectedReturns = new ExpectedReturns();
-  private final SilenceReports silenceReports = new SilenceReports();
+  private final SilenceReports silenceReports = new SilenceReports(engines);
   private double meanRunMillis = INITIAL_RUN_TIME.toMillis();
   private double fleetShare = 1;
 
@@ -93,7 +93,7 @@
     List<SlotDecision> decisions = new ArrayList<>();
     Option<EngineSlots> runningOn = engines.findByRun(request.id());
     if (runningOn.exists(e -> !e.entry().leaving())) {
-      decisions.add(new SlotDecision.Grant(request, runningOn.get().entry().id()));
+      decisions.add(grantOn(runningOn.get(), request));
       return decisions;
     }
     runningOn.forEach(e -> e.runs().remove(request.id()));
@@ -134,8 +134,9 @@
         if (end.how() == RunEnd.How.NOT_SENT) {
           engine.starts().returnStart(now);
         }
-        if (!end.lostEngine() || isCredible(id.host(), engine, now)) {
-          engine.health().recordEnd(end, now);
+        boolean certain = !end.lostEngine() || end.how() == RunEnd.How.CONNECTION_REFUSED;
+        if (certain || silenceReports.isCredible(id.host(), engine, now)) {
+          engine.health().recordEnd(end, run.startedAt(), now);
         }
       }
     }
@@ -155,35 +156,26 @@
     return Option.none();
   }
 
+  /** Records that a run has received data from its engine and goes on. */
+  public synchronized void recordAnswer(RunId id, UpstreamId engine) {
+    Option.of(engines.get(engine))
+        .filter(e -> e.runs().containsKey(id))
+        .forEach(e -> e.health().recordAnswer(e.runs().get(id).startedAt()));
+  }
+
+  /** Returns how many engines have refused connections and not answered since. */
+  public synchronized int countRefusing() {
+    return engines.countRefusing();
+  }
+
   /** Records that a run received no byte for longer than a healthy engine takes. */
   public synchronized void recordSilence(RunId id, Instant now) {
     engines.all().stream()
         .filter(e -> e.runs().containsKey(id))
-        .filter(e -> isCredible(id.host(), e, now))
+        .filter(e -> silenceReports.isCredible(id.host(), e, now))
         .forEach(e -> e.health().recordSilence(now));
   }
 
-  /**
-   * Returns whether a host's report counts against an engine. If it does not, the host's recent
-   * reports about other engines are revoked too.
-   */
-  private boolean isCredible(HostId host, EngineSlots reported, Instant now) {
-    int usedEngines = 0;
-    for (EngineSlots engine : engines.all()) {
-      if (engine != reported
-          && engine.runs().keySet().stream().anyMatch(r -> r.host().equals(host))) {
-        usedEngines++;
-      }
-    }
-    Set<UpstreamId> unfounded =
-        silenceReports.recordAndFindUnfounded(host, reported.entry().id(), usedEngines, now);
-    for (UpstreamId id : unfounded) {
-      Option.of(engines.get(id))
-          .forEach(e -> e.health().revokeFailuresSince(SilenceReports.windowStart(now)));
-    }
-    return unfounded.isEmpty();
-  }
-
   /** Removes a waiting request that is no longer wanted. */
   public synchronized void withdrawRequest(RunId id) {
     onlineQueue.remove(id);
@@ -272,13 +264,13 @@
     return startWaitingRequests(now, decisions);
   }
 
-  /** Returns the present load, without engines that are leaving and the runs that end there. */
+  /** Returns the present load, without engines that are leaving or lost and the runs there. */
   public synchronized SlotLoad load(Instant now) {
     int slots = 0;
     int onlineRuns = 0;
     int batchRuns = 0;
-    for (EngineSlots engine : engines.remaining().toList()) {
-      slots += engines.isUsable(engine, now) ? engine.slots() : 0;
+    for (EngineSlots engine : engines.dependable(now).toList()) {
+      slots += engine.slots();
       for (EngineSlots.Run run : engine.runs().values()) {
         onlineRuns += run.online() ? 1 : 0;
         batchRuns += run.online() ? 0 : 1;
@@ -342,6 +334,7 @@
   }
 
   private List<SlotDecision> startWaitingRequests(Instant now, List<SlotDecision> decisions) {
+    startProbes(now, decisions);
     // Requests that only one version may run do not hold up those behind them.
     Set<SlotRequest> withoutEngine = new HashSet<>();
     while (onlineQueue.size() > withoutEngine.size()) {
@@ -366,13 +359,33 @@
     return decisions;
   }
 
+  /**
+   * Tries engines that have refused connections with one batch request each, since it loses little
+   * by another attempt. Without a fitting batch request an online request that finds no other slot
+   * is the probe.
+   */
+  private void startProbes(Instant now, List<SlotDecision> decisions) {
+    for (EngineSlots engine : batchQueue.isEmpty() ? List.<EngineSlots>of() : engines.all()) {
+      if (engine.health().isRefusing()
+          && engines.isUsable(engine, now)
+          && engine.hasFreeSlot()
+          && engine.starts().allowsStart(now)) {
+        for (SlotRequest probe : batchQueue.findProbe(engine.entry())) {
+          batchQueue.remove(probe.id());
+          grantSlot(probe, engine, now, decisions);
+        }
+      }
+    }
+  }
+
   private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
     while (!batchQueue.isEmpty()
         && isWithinShare(now)
         && engines.freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
       batchQueue.updatePlan(() -> batchLoad(now), now);
       SlotRequest next = batchQueue.first().get();
-      Option<EngineSlots> selected = placement.selectCheapest(next, now, EngineSlots::hasFreeSlot);
+      Option<EngineSlots> selected =
+          placement.selectCheapest(next, now, e -> e.hasFreeSlot() && !e.health().isRefusing());
       if (selected.isEmpty()) {
         return;
       }
@@ -384,7 +397,7 @@
   private BatchOrder.BatchLoad batchLoad(Instant now) {
     Duration backlog =
         engines
-            .remaining()
+            .dependable(now)
             .flatMap(e -> e.runs().values().stream())
             .filter(r -> !r.online())
             .map(r -> Duration.between(now, r.expectedEnd(batchRunTimes)))
@@ -442,24 +455,29 @@
   private void grantSlot(
       SlotRequest request, EngineSlots engine, Instant now, List<SlotDecision> decisions) {
     engine.startRun(request, now);
-    decisions.add(new SlotDecision.Grant(request, engine.entry().id()));
+    decisions.add(grantOn(engine, request));
+  }
+
+  private static SlotDecision grantOn(EngineSlots engine, SlotRequest request) {
+    return new SlotDecision.Grant(request, engine.entry().id(), engine.health().isRefusing());
   }
 
   private boolean isWithinShare(Instant now) {
     if (fleetShare >= 1) {
       return true;
     }
-    return engines.countRuns() < Math.max(1, Math.floor(fleetShare * engines.usableSlots(now)));
+    return engines.countRuns(now) < Math.max(1, Math.floor(fleetShare * engines.usableSlots(now)));
   }
 
   /** Estimates when the given number of waiting online requests can have started. */
   private Instant estimateFreeAt(int count, Instant now) {
-    return estimateFreeAt(count, engines.remaining(), now);
+    return estimateFreeAt(count, engines.dependable(now), now);
   }
 
   /** The same on the engines that may run a request. */
   private Instant estimateFreeAt(int count, SlotRequest request, Instant now) {
-    return estimateFreeAt(count, engines.remaining().filter(e -> request.accepts(e.entry())), now);
+    return estimateFreeAt(
+        count, engines.dependable(now).filter(e -> request.accepts(e.entry())), now);
   }
 
   private Instant estimateFreeAt(int count, Stream<EngineSlots> candidates, Instant now) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/RecordedSlots.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/RecordedSlots.java
@@ -59,6 +59,11 @@
     slots.reportSilence(number);
   }
 
+  @Override
+  public void reportAnswer(long number) {
+    slots.reportAnswer(number);
+  }
+
   @Override
   public Option<HostId> coordinator() {
     return slots.coordinator();
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -128,6 +128,8 @@
       Level.WARN,
       "engine \"{}\" started at {} names a limit that cannot be read in its answer to request {}:"
           + " \"{}\""),
+  CONNECTION_REFUSED(
+      540, Level.INFO, "engine \"{}\" refused the connection of request {} of host \"{}\""),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -271,8 +271,12 @@
   }
 
   void fail(CallFailure.Kind kind, String message) {
+    fail(new CallFailure(kind, message));
+  }
+
+  void fail(CallFailure failure) {
     if (ended.compareAndSet(false, true)) {
-      listener.onEnd(Option.some(new CallFailure(kind, message)));
+      listener.onEnd(Option.some(failure));
     }
   }
 
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -105,7 +105,7 @@
               if (connected.isSuccess()) {
                 exchange.sendOn(connected.channel());
               } else {
-                exchange.fail(CallFailure.Kind.NOT_SENT, "no connection: " + connected.cause());
+                exchange.fail(CallFailure.notConnected(connected.cause()));
               }
             });
   }
