HTTP server: configuration in code, and a registry without what is not used

Cause: Ratpack's configuration builder reads through Jackson's object mapper with five modules, and its registry creates a mapper, an HTTP client, parsers and MIME types for each of a host's four servers. Netty's DNS resolver is built although the store is named by address. Change: FixedServerConfig and LeanRatpackServer; a client for addresses.

--- a/http/src/main/java/org/waxwingcourse/http/RatpackHttpClient.java
+++ b/http/src/main/java/org/waxwingcourse/http/RatpackHttpClient.java
@@ -42,20 +42,30 @@
 
   private final InstantSource clock;
   private final int threads;
+  private final boolean systemResolver;
   private final SuspectPools suspects;
   private ExecController controller;
   private HttpClient pooled;
   private HttpClient unpooled;
 
-  private RatpackHttpClient(InstantSource clock, int threads) {
+  private RatpackHttpClient(InstantSource clock, int threads, boolean systemResolver) {
     this.clock = clock;
     this.threads = threads;
+    this.systemResolver = systemResolver;
     this.suspects = new SuspectPools(clock, IDLE_TIMEOUT);
   }
 
   /** Returns a client with the given number of event loop threads. */
   public static RatpackHttpClient of(InstantSource clock, int threads) {
-    return new RatpackHttpClient(clock, threads);
+    return new RatpackHttpClient(clock, threads, false);
+  }
+
+  /**
+   * Returns a client for receivers that are named by IP address. Host names are resolved by the
+   * system, which blocks an event loop; Netty's own resolver loads some 150 classes.
+   */
+  public static RatpackHttpClient forAddresses(InstantSource clock, int threads) {
+    return new RatpackHttpClient(clock, threads, true);
   }
 
   @Override
@@ -166,13 +176,17 @@
   private HttpClient buildClient(int poolSize) {
     try {
       return HttpClient.of(
-          spec ->
-              spec.execController(controller)
-                  .byteBufAllocator(ByteBufAllocator.DEFAULT)
-                  .poolSize(poolSize)
-                  .idleTimeout(IDLE_TIMEOUT)
-                  .connectTimeout(CONNECT_TIMEOUT)
-                  .maxContentLength(MAX_RESPONSE_BYTES));
+          spec -> {
+            spec.execController(controller)
+                .byteBufAllocator(ByteBufAllocator.DEFAULT)
+                .poolSize(poolSize)
+                .idleTimeout(IDLE_TIMEOUT)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .maxContentLength(MAX_RESPONSE_BYTES);
+            if (systemResolver) {
+              spec.useJdkAddressResolver();
+            }
+          });
     } catch (Exception e) {
       throw new IllegalStateException("cannot build the HTTP client", e);
     }
--- a/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/HttpServer.java
@@ -9,7 +9,6 @@
 import ratpack.error.ServerErrorHandler;
 import ratpack.handling.Chain;
 import ratpack.server.RatpackServer;
-import ratpack.server.ServerConfigBuilder;
 
 /** A Ratpack server for a list of routes, with the error responses of their interface. */
 public final class HttpServer implements Service {
@@ -51,15 +50,18 @@
     RatpackClasses.initialize();
     try {
       server =
-          RatpackServer.start(
+          new LeanRatpackServer(
               spec ->
-                  spec.serverConfig(this::configure)
+                  spec.serverConfig(
+                          new FixedServerConfig(
+                              options, RATPACK_HEADER_FACTOR * options.maxHeaderBytes()))
                       .registryOf(
                           registry ->
                               registry
                                   .add(ServerErrorHandler.class, errors::onHandlerFailure)
                                   .add(ClientErrorHandler.class, errors::onClientError))
                       .handlers(this::addRoutes));
+      server.start();
     } catch (Exception e) {
       throw new IllegalStateException("the server cannot listen on " + options.address(), e);
     }
@@ -81,17 +83,6 @@
     return server.getBindPort();
   }
 
-  private void configure(ServerConfigBuilder config) {
-    config
-        .address(options.address().getAddress())
-        .port(options.address().getPort())
-        .threads(options.threads())
-        .development(false)
-        .registerShutdownHook(false)
-        .maxHeaderSize(RATPACK_HEADER_FACTOR * options.maxHeaderBytes())
-        .idleTimeout(options.idleTimeout());
-  }
-
   private void addRoutes(Chain chain) throws Exception {
     chain.all(ConnectionOrder::await);
     for (Routes routeGroup : routes) {
