--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -7,11 +7,11 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.Coordinator;
 import org.waxwingcourse.fleet.coordinate.CoordinatorLink;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
@@ -373,7 +373,7 @@
         new OnlineService.Ports(
             clocks.steady(),
             timer,
-            RandomGenerator.getDefault(),
+            new Random(),
             gate,
             storeView,
             engines,
@@ -396,7 +396,7 @@
             clocks.steady(),
             clocks.wall(),
             timer,
-            RandomGenerator.getDefault(),
+            new Random(),
             storeView,
             engines,
             calls,
