--- a/http/src/main/java/org/waxwingcourse/http/RatpackClasses.java
+++ b/http/src/main/java/org/waxwingcourse/http/RatpackClasses.java
@@ -8,10 +8,16 @@
  * loop starts.
  */
 public final class RatpackClasses {
+  /** If it is not set, Ratpack looks for a debugger, for which it loads the JVM's management. */
+  private static final String DEVELOPMENT_PROPERTY = "ratpack.development";
+
   private RatpackClasses() {}
 
   /** Initializes the classes, once for each process. Call it before an event loop starts. */
   public static void initialize() {
+    if (System.getProperty(DEVELOPMENT_PROPERTY) == null) {
+      System.setProperty(DEVELOPMENT_PROPERTY, "false");
+    }
     // Status creates instances of DefaultStatus, which implements it.
     Status.OK.getCode();
   }
