Evacuation of a data centre's engines by operators' orders

Cause: an operator's order to evacuate a data centre had no effect; its engines went on getting requests and items.

Change: the orders are read with the configuration, in the same call to the store, kept as a table of the store view and passed on in pongs. Each host derives the evacuated data centres (fleet.evacuate) and marks their engines, which then count as leaving: the coordinator grants nothing there, and a host gives back a grant there. The table is compared by content and the later read holds, since an order that is gone leaves no revision behind. Without orders pings and pongs are as before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -20,6 +20,8 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.evacuate.EngineConditions;
+import org.waxwingcourse.fleet.evacuate.OrderReader;
 import org.waxwingcourse.fleet.job.ExpiredJobRemover;
 import org.waxwingcourse.fleet.job.JobService;
 import org.waxwingcourse.fleet.job.JobSupervisor;
@@ -97,6 +99,7 @@
   private final ScheduledExecutorService timer;
   private final StoreView storeView;
   private final EngineDirectory engines;
+  private final EngineConditions conditions;
   private final StreamOrigins streams = new StreamOrigins();
   private final HostEntryRegistration registration;
   private final StoreFollower follower;
@@ -118,7 +121,8 @@
    *
    * @param store the store that all hosts share
    * @param sources the keys to follow in the store
-   * @param evacuations the format of evacuation orders in the store
+   * @param evacuations the format of orders to evacuate a host, in the store
+   * @param evacuationOrders parses orders to evacuate a data centre's engines
    * @param planReader parses the configuration
    * @param engineReader parses engine entries
    * @param calls sends requests to engines
@@ -128,6 +132,7 @@
       Store store,
       StoreFollower.Sources sources,
       Evacuations.EvacuationFormat evacuations,
+      OrderReader evacuationOrders,
       PlanReader planReader,
       EngineEntryReader engineReader,
       EngineSender calls,
@@ -142,14 +147,23 @@
     this.timer = createTimer();
     FleetHost self = createSelf(clocks.wall().instant().toEpochMilli());
     storeView = StoreView.of(outside.planReader(), clocks, outside.engineReader());
-    engines = new EngineDirectory(storeView.engineTable(), outside.engineReader());
+    conditions = new EngineConditions(storeView, outside.evacuationOrders(), clocks.steady());
+    engines = new EngineDirectory(storeView.engineTable(), outside.engineReader(), conditions);
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
     EngineSender calls = new EngineAnswerWatch(outside.calls(), engines, clocks.wall());
     Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
     follower =
         new StoreFollower(
-            outside.store(), storeView, clocks, timer, outside.sources(), evacuations::onOrders);
+            outside.store(),
+            storeView,
+            clocks,
+            timer,
+            outside.sources(),
+            operators -> {
+              conditions.onRead(operators);
+              evacuations.onOrders(operators.entries());
+            });
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper =
         new QuarantineKeeper(
@@ -180,6 +194,7 @@
     registration.setNewTermListener(jobs::onNewTerm);
     registration.setFleetEntriesListener(quarantineKeeper::restore);
     storeView.addPlanListener(coordinator::setPlan);
+    conditions.follow(engines);
     engines.addListener(coordinator::setEngines);
     engines.addStatementListener(coordinatorLink::reportStatements);
     registerMetrics(metrics);
@@ -307,6 +322,7 @@
     peers.connect(connectedTransport);
     repeat(PING_INTERVAL, coordinatorLink::updateAttachment);
     repeat(LAPSED_CHECK_INTERVAL, storeView::removeLapsed);
+    repeat(LAPSED_CHECK_INTERVAL, this::readEntriesOfReturnedEngines);
     repeat(QUEUE_CHECK_INTERVAL, coordinator::processQueues);
     repeat(QUEUE_CHECK_INTERVAL, coordinatorLink::attachEarly);
     repeat(QUARANTINE_CHECK_INTERVAL, () -> runIfCoordinator(quarantineKeeper::saveIfChanged));
@@ -318,6 +334,13 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
+  /** An entry that is written again with the same content is no change of the table. */
+  private void readEntriesOfReturnedEngines() {
+    if (conditions.awaitsEntries()) {
+      engines.refresh();
+    }
+  }
+
   private void runIfCoordinator(Runnable step) {
     if (coordinatorLink.isSettledCoordinator()) {
       step.run();
@@ -432,11 +455,21 @@
     metrics.register(
         "engines.versions",
         (Gauge<Long>) () -> engines.all().stream().map(EngineEntry::software).distinct().count());
+    metrics.register(
+        "data_centres.evacuated", (Gauge<Integer>) () -> conditions.evacuated().size());
+    metrics.register("engines.cold", (Gauge<Long>) this::countColdEngines);
     metrics.register(
         "engines.limited",
         (Gauge<Long>) () -> engines.all().stream().filter(e -> e.limit().isDefined()).count());
   }
 
+  private long countColdEngines() {
+    return engines.all().stream()
+        .flatMap(e -> e.condition().cold().toJavaStream())
+        .filter(c -> c.until().isAfter(clocks.steady().instant()))
+        .count();
+  }
+
   private static void sleepPollInterval() {
     try {
       TimeUnit.MILLISECONDS.sleep(STOP_POLL_INTERVAL.toMillis());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ViewExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ViewExchange.java
@@ -14,7 +14,8 @@
 
 /**
  * The parts of pings and pongs by which hosts get the content of the store from one another: the
- * configuration, the tables of engines and hosts, and evidence that the configuration is current.
+ * configuration, the tables of engines and hosts, the orders to evacuate data centres, and evidence
+ * that the configuration is current.
  */
 final class ViewExchange {
   /** A host that was asked for its views sends them within this time. */
@@ -37,6 +38,7 @@
         .setConfiguration(storeView.planRevision().value())
         .setEngines(storeView.engineTable().revision().value())
         .setHosts(storeView.hostTable().revision().value())
+        .setEvacuationsDigest(storeView.evacuationTable().digest())
         .setWithoutViews(!asksForViews);
   }
 
@@ -60,6 +62,20 @@
     if (storeView.hostTable().revision().value() > ping.getHosts()) {
       pong.setHosts(FleetMessageConverter.encodeTable(storeView.hostTable()));
     }
+    addEvacuations(pong, ping);
+  }
+
+  /**
+   * Adds the orders to evacuate data centres if the sender has others. Orders are few and rare;
+   * without any, pings and pongs say nothing of them. They are compared by their content, since an
+   * order that is gone leaves no revision behind.
+   */
+  private void addEvacuations(Pong.Builder pong, Ping ping) {
+    StoreTable orders = storeView.evacuationTable();
+    if (orders.digest() != ping.getEvacuationsDigest()
+        && orders.revision().isAfter(Revision.NONE)) {
+      pong.setEvacuations(FleetMessageConverter.encodeTable(orders));
+    }
   }
 
   /**
@@ -70,6 +86,11 @@
    */
   boolean apply(Pong pong, Instant now) {
     Revision revision = Revision.of(pong.getConfigurationRevision());
+    if (pong.hasEvacuations()) {
+      storeView
+          .evacuationTable()
+          .replaceFromPeer(FleetMessageConverter.toContent(pong.getEvacuations()));
+    }
     if (!pong.getConfiguration().isEmpty()) {
       storeView.applyIfNewer(
           new StoreView.ConfigurationDocument(revision, pong.getConfiguration().toByteArray()));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineEntry.java
@@ -18,6 +18,7 @@
  * @param startedAtMillis Unix time of its start in milliseconds, zero if not stated
  * @param limit the requests per second that it takes from all hosts together, none if it names none
  * @param version the version of its software, none if not stated
+ * @param condition whether it is cold or evacuated
  */
 public record EngineEntry(
     UpstreamId id,
@@ -28,8 +29,9 @@
     boolean leaving,
     long startedAtMillis,
     Option<RequestRate> limit,
-    Option<String> version) {
-  /** Creates the entry of an engine that names no limit and no version. */
+    Option<String> version,
+    EngineCondition condition) {
+  /** Creates the entry of an engine that names no limit and no version, and is not cold. */
   public EngineEntry(
       UpstreamId id,
       ServiceName service,
@@ -47,7 +49,8 @@
         leaving,
         startedAtMillis,
         Option.none(),
-        Option.none());
+        Option.none(),
+        EngineCondition.NORMAL);
   }
 
   /** Returns the process that wrote the entry. */
@@ -63,13 +66,36 @@
   /** Returns this entry as that of an engine that accepts no new requests. */
   public EngineEntry asLeaving() {
     return new EngineEntry(
-        id, service, address, dataCentre, slots, true, startedAtMillis, limit, version);
+        id, service, address, dataCentre, slots, true, startedAtMillis, limit, version, condition);
+  }
+
+  /**
+   * Returns this entry as that of an engine whose data centre is evacuated. It is leaving as far as
+   * the choice of engines is concerned: it gets no new requests and keeps its runs.
+   */
+  public EngineEntry asEvacuated() {
+    return asLeaving().withCondition(condition.asEvacuated());
+  }
+
+  /** Returns this entry as that of an engine in the given condition. */
+  public EngineEntry withCondition(EngineCondition changed) {
+    return new EngineEntry(
+        id, service, address, dataCentre, slots, leaving, startedAtMillis, limit, version, changed);
   }
 
   /** Returns this entry as that of an engine that names the given limit, or none. */
   public EngineEntry withLimit(Option<RequestRate> named) {
     return new EngineEntry(
-        id, service, address, dataCentre, slots, leaving, startedAtMillis, named, version);
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        leaving,
+        startedAtMillis,
+        named,
+        version,
+        condition);
   }
 
   /**
@@ -83,6 +109,15 @@
   /** Returns this entry as that of an engine whose software has the given version, or none. */
   public EngineEntry withVersion(Option<String> stated) {
     return new EngineEntry(
-        id, service, address, dataCentre, slots, leaving, startedAtMillis, limit, stated);
+        id,
+        service,
+        address,
+        dataCentre,
+        slots,
+        leaving,
+        startedAtMillis,
+        limit,
+        stated,
+        condition);
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -215,8 +215,9 @@
     rateCharged = true;
     awaited = Option.none();
     totalWait = totalWait.plus(coordinatorWait);
-    if (ports.engines().findEngine(engine).exists(EngineEntry::leaving)) {
-      returnGrant(pendingSlot, engine);
+    Option<EngineEntry> leaving = ports.engines().findEngine(engine).filter(EngineEntry::leaving);
+    if (leaving.isDefined()) {
+      returnGrant(pendingSlot, leaving.get());
       return;
     }
     Option<EngineEntry> entry = ports.engines().findUsable(engine, service);
@@ -259,13 +260,14 @@
     retryOrEnd("engine " + engine + " " + reason);
   }
 
-  /** Returns the slot on an engine that is leaving and requests another one. */
-  private void returnGrant(PendingSlot pendingSlot, UpstreamId engine) {
+  /** Returns the slot on an engine that is leaving or evacuated and requests another one. */
+  private void returnGrant(PendingSlot pendingSlot, EngineEntry engine) {
     boolean first = !grantReturned;
     grantReturned = true;
-    triedEngines.add(engine);
+    triedEngines.add(engine.id());
     ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
-    logMove("engine " + engine + " is leaving");
+    boolean evacuated = engine.condition().evacuated();
+    logMove("engine " + engine.id() + (evacuated ? " is evacuated" : " is leaving"));
     if (first) {
       requestNextSlot();
     } else {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/Plan.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/Plan.java
@@ -1,6 +1,8 @@
 package org.waxwingcourse.fleet.plan;
 
+import io.vavr.control.Option;
 import java.util.Map;
+import org.waxwingcourse.fleet.engine.ColdTerms;
 import org.waxwingcourse.model.id.ServiceName;
 
 /**
@@ -22,4 +24,9 @@
   public Plan {
     services = Map.copyOf(services);
   }
+
+  /** Returns what the cold engines of a service take, none if it is not stated. */
+  public Option<ColdTerms> coldTerms(ServiceName service) {
+    return Option.of(services.get(service)).flatMap(ServicePlan::cold);
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/ServicePlan.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/ServicePlan.java
@@ -1,5 +1,7 @@
 package org.waxwingcourse.fleet.plan;
 
+import io.vavr.control.Option;
+import org.waxwingcourse.fleet.engine.ColdTerms;
 import org.waxwingcourse.model.id.ServiceName;
 
 /**
@@ -8,5 +10,6 @@
  * @param name the service
  * @param slots number of requests that one of its engines runs at once, unless the engine states
  *     its own
+ * @param cold what its cold engines take, none if not stated
  */
-public record ServicePlan(ServiceName name, int slots) {}
+public record ServicePlan(ServiceName name, int slots, Option<ColdTerms> cold) {}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.fleet.engine.EngineBoot;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
+import org.waxwingcourse.fleet.engine.EngineMarker;
 import org.waxwingcourse.fleet.engine.RequestRate;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
@@ -34,6 +35,7 @@
   private final List<Runnable> statementListeners = new CopyOnWriteArrayList<>();
   private final EngineStatements statements = new EngineStatements();
   private final SendOrder sendOrder = new SendOrder();
+  private final EngineMarker marker;
   private final Object notification = new Object();
 
   /** The entries as they were written. */
@@ -47,8 +49,14 @@
    * table.
    */
   public EngineDirectory(StoreTable table, EngineEntryReader reader) {
+    this(table, reader, EngineMarker.NONE);
+  }
+
+  /** The same, where {@code marker} adds to the entries what else is known of the engines. */
+  public EngineDirectory(StoreTable table, EngineEntryReader reader, EngineMarker marker) {
     this.table = table;
     this.reader = reader;
+    this.marker = marker;
     table.addListener(this::refresh);
   }
 
@@ -163,11 +171,15 @@
     statementListeners.add(listener);
   }
 
-  private void refresh() {
+  /** Reads the entries again, after a change of what the marker adds. */
+  public void refresh() {
     synchronized (this) {
       Map<UpstreamId, EngineEntry> current = new HashMap<>();
       for (Entry entry : table.entries()) {
-        reader.read(entry).forEach(e -> current.put(e.id(), e));
+        for (EngineEntry engine : reader.read(entry)) {
+          current.put(engine.id(), engine);
+          marker.observe(engine, entry.modified());
+        }
       }
       statements.removeSuperseded(current);
       logChanges(current);
@@ -204,7 +216,7 @@
 
   private void setEntries(Map<UpstreamId, EngineEntry> next) {
     Map<UpstreamId, EngineEntry> marked = new HashMap<>();
-    next.forEach((id, entry) -> marked.put(id, statements.applyTo(entry)));
+    next.forEach((id, entry) -> marked.put(id, marker.mark(statements.applyTo(entry))));
     entries = next;
     engines = marked;
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -53,7 +52,7 @@
   private final ScheduledExecutorService timer;
   private final KeyRange operators;
   private final String configurationKey;
-  private final Consumer<List<Entry>> ordersListener;
+  private final Consumer<Snapshot> ordersListener;
   private final WatchedRange engines;
   private final WatchedRange hosts;
   private ScheduledFuture<?> readSchedule;
@@ -71,8 +70,8 @@
   public record Sources(KeyRange operators, String configurationKey, KeyRange engines) {}
 
   /**
-   * Creates a follower. {@code ordersListener} is called with all entries of operators other than
-   * the configuration after each read.
+   * Creates a follower. {@code ordersListener} is called after each read with all entries of
+   * operators other than the configuration, before the configuration of that read is in force.
    */
   public StoreFollower(
       Store store,
@@ -80,7 +79,7 @@
       Clocks clocks,
       ScheduledExecutorService timer,
       Sources sources,
-      Consumer<List<Entry>> ordersListener) {
+      Consumer<Snapshot> ordersListener) {
     this.store = store;
     this.storeView = storeView;
     this.clocks = clocks;
@@ -167,16 +166,14 @@
     }
     answer.forEach(
         snapshot -> {
-          List<Entry> orders = new ArrayList<>();
-          for (Entry e : snapshot.entries()) {
-            if (e.key().equals(configurationKey)) {
-              storeView.applyIfNewer(new StoreView.ConfigurationDocument(e.modified(), e.value()));
-            } else {
-              orders.add(e);
-            }
+          Map<Boolean, List<Entry>> byConfiguration =
+              snapshot.entries().stream()
+                  .collect(Collectors.partitioningBy(e -> e.key().equals(configurationKey)));
+          ordersListener.accept(new Snapshot(snapshot.revision(), byConfiguration.get(false)));
+          for (Entry e : byConfiguration.get(true)) {
+            storeView.applyIfNewer(new StoreView.ConfigurationDocument(e.modified(), e.value()));
           }
           storeView.evidence().recordOwnRead(sentAt);
-          ordersListener.accept(orders);
         });
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -29,6 +29,9 @@
  * made the change, one thread at a time: a listener that copies the content ends with the latest.
  */
 public final class StoreTable {
+  /** An odd constant with evenly spread bits, as used in Fibonacci hashing. */
+  private static final long DIGEST_MULTIPLIER = 0x9e3779b97f4a7c15L;
+
   private final Map<String, MeaningfulEntry> entries = new TreeMap<>();
 
   /** The keys of those entries that are gone from the store. */
@@ -87,6 +90,20 @@
     return revision;
   }
 
+  /**
+   * Returns a number that two tables with different entries hardly ever share; 0 if there are no
+   * entries. It is the same on all hosts.
+   */
+  public synchronized long digest() {
+    long digest = 0;
+    for (MeaningfulEntry known : entries.values()) {
+      digest = (digest ^ known.entry.key().hashCode()) * DIGEST_MULTIPLIER;
+      digest = (digest ^ known.entry.modified().value()) * DIGEST_MULTIPLIER;
+      digest ^= digest >>> 32;
+    }
+    return digest == 0 && !entries.isEmpty() ? 1 : digest;
+  }
+
   /** Adds a listener that is called after each change. */
   public void addListener(Runnable listener) {
     listeners.add(listener);
@@ -105,6 +122,15 @@
     replaceContent(new Content(snapshot.revision(), snapshot.entries(), List.of()), false);
   }
 
+  /**
+   * Replaces the content by the result of a read of the store and advances the revision even if the
+   * content is the same. For a table that hosts compare by its content: of two that differ the one
+   * read last holds.
+   */
+  public void advanceByRead(Snapshot snapshot) {
+    replaceContent(new Content(snapshot.revision(), snapshot.entries(), List.of()), true);
+  }
+
   /** Replaces the content by a copy of another host's table, unless this table is newer. */
   public void replaceFromPeer(Content peer) {
     replaceContent(peer, true);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreView.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreView.java
@@ -6,17 +6,20 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import org.waxwingcourse.fleet.engine.EngineCondition;
+import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.PlanReader;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.Revision;
+import org.waxwingcourse.store.Entry;
 
 /**
- * The content of the store as this host knows it: the configuration, the engines, the hosts, and
- * the evidence that the configuration is the newest. A configuration of a lower revision is never
- * applied.
+ * The content of the store as this host knows it: the configuration, the engines, the hosts, the
+ * orders to evacuate data centres, and the evidence that the configuration is the newest. A
+ * configuration of a lower revision is never applied.
  */
 public final class StoreView {
   private static final EventLog LOG = EventLog.of(StoreView.class);
@@ -26,6 +29,7 @@
   private final FreshnessEvidence evidence;
   private final StoreTable engines;
   private final StoreTable hosts = new StoreTable();
+  private final StoreTable evacuations = new StoreTable();
   private final AtomicReference<FleetHosts> fleetHosts =
       new AtomicReference<>(FleetHosts.of(List.of()));
   private final List<Consumer<Plan>> planListeners = new CopyOnWriteArrayList<>();
@@ -40,9 +44,10 @@
    */
   public record ConfigurationDocument(Revision revision, byte[] bytes) {}
 
-  private StoreView(PlanReader planReader, Clocks clocks, StoreTable engines) {
+  private StoreView(PlanReader planReader, Clocks clocks, Option<EngineEntryReader> engineReader) {
     this.planReader = planReader;
-    this.engines = engines;
+    this.engines =
+        engineReader.map(r -> new StoreTable(e -> meaning(r, e))).getOrElse(StoreTable::new);
     this.contact = new StoreContact(clocks);
     this.evidence = new FreshnessEvidence(clocks, contact::recordSign);
     hosts.addListener(() -> fleetHosts.set(FleetHosts.fromTable(hosts)));
@@ -50,12 +55,23 @@
 
   /** Returns an empty view in which each write of an engine's entry is a change. */
   public static StoreView of(PlanReader planReader, Clocks clocks) {
-    return new StoreView(planReader, clocks, new StoreTable());
+    return new StoreView(planReader, clocks, Option.none());
   }
 
   /** Returns an empty view in which an engine's entry changes if {@code engineReader} says so. */
   public static StoreView of(PlanReader planReader, Clocks clocks, EngineEntryReader engineReader) {
-    return new StoreView(planReader, clocks, new StoreTable(engineReader::read));
+    return new StoreView(planReader, clocks, Option.some(engineReader));
+  }
+
+  /** Returns what an engine's entry means; how cold it is counts only where cold engines differ. */
+  private Option<EngineEntry> meaning(EngineEntryReader reader, Entry entry) {
+    return reader
+        .read(entry)
+        .map(
+            e ->
+                plan.exists(p -> p.coldTerms(e.service()).isDefined())
+                    ? e
+                    : e.withCondition(EngineCondition.NORMAL));
   }
 
   /** Returns the evidence that the configuration is current. */
@@ -89,6 +105,11 @@
     return hosts;
   }
 
+  /** Returns the operators' orders to evacuate data centres. */
+  public StoreTable evacuationTable() {
+    return evacuations;
+  }
+
   /** Returns the hosts of the fleet. */
   public FleetHosts fleetHosts() {
     return fleetHosts.get();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.fleet;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.waxwingcourse.fleet.coordinate.HostEngines;
+import org.waxwingcourse.fleet.engine.EngineCondition;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.plan.CallerLimits;
 import org.waxwingcourse.fleet.plan.JobTerms;
@@ -161,18 +163,52 @@
         LeaseId.NONE);
   }
 
+  /** Returns the entry of an engine in a data centre that stays cold for some time. */
+  public static Entry engineEntry(
+      String id, DataCentreId dataCentre, Duration cold, long startedAt, long revision) {
+    String value = "1 8 false %d %s %d".formatted(startedAt, dataCentre, cold.toMillis());
+    return new Entry(
+        "e/" + id,
+        value.getBytes(StandardCharsets.UTF_8),
+        Revision.of(revision),
+        Revision.of(revision),
+        LeaseId.NONE);
+  }
+
+  /** Returns the order to evacuate a data centre, for {@link #readOrder}. */
+  public static Entry evacuationOrder(String dataCentre, long revision) {
+    return new Entry(
+        "o/evacuate/" + dataCentre,
+        new byte[0],
+        Revision.of(revision),
+        Revision.of(revision),
+        LeaseId.NONE);
+  }
+
+  /** Reads an order made by {@link #evacuationOrder}. */
+  public static Option<Either<String, DataCentreId>> readOrder(Entry entry) {
+    String prefix = "o/evacuate/";
+    return Option.of(entry.key())
+        .filter(k -> k.startsWith(prefix))
+        .map(k -> k.substring(prefix.length()))
+        .map(n -> n.isEmpty() ? Either.left("no name") : Either.right(DataCentreId.of(n)));
+  }
+
   /** Reads an entry made by {@link #engineEntry}. */
   public static Option<EngineEntry> readEngine(Entry entry) {
     String[] fields = new String(entry.value(), StandardCharsets.UTF_8).split(" ");
     return Option.some(
         new EngineEntry(
-            UpstreamId.of(entry.key().substring(2)),
-            ServiceName.of("s"),
-            new InetSocketAddress("127.0.0.1", Integer.parseInt(fields[0])),
-            DATA_CENTRE,
-            Integer.parseInt(fields[1]),
-            Boolean.parseBoolean(fields[2]),
-            Long.parseLong(fields[3])));
+                UpstreamId.of(entry.key().substring(2)),
+                ServiceName.of("s"),
+                new InetSocketAddress("127.0.0.1", Integer.parseInt(fields[0])),
+                fields.length > 4 ? DataCentreId.of(fields[4]) : DATA_CENTRE,
+                Integer.parseInt(fields[1]),
+                Boolean.parseBoolean(fields[2]),
+                Long.parseLong(fields[3]))
+            .withCondition(
+                EngineCondition.statedCold(
+                    Duration.ofMillis(fields.length > 5 ? Long.parseLong(fields[5]) : 0))));
   }
 
   /**
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.evacuate.EngineConditions;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -79,8 +80,10 @@
     final HostId id;
     final StoreView storeView =
         StoreView.of(document -> Either.left("none"), clocks, FleetFixtures::readEngine);
+    final EngineConditions conditions =
+        new EngineConditions(storeView, FleetFixtures::readOrder, clock);
     final EngineDirectory engines =
-        new EngineDirectory(storeView.engineTable(), FleetFixtures::readEngine);
+        new EngineDirectory(storeView.engineTable(), FleetFixtures::readEngine, conditions);
     final StreamOrigins streams = new StreamOrigins();
     final Coordinator coordinator;
     final SlotClient slots;
@@ -110,6 +113,7 @@
               streams,
               () -> Revision.of(rank));
       router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
+      conditions.follow(engines);
       engines.addListener(coordinator::setEngines);
       engines.addStatementListener(link::reportStatements);
     }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -128,6 +128,18 @@
       Level.WARN,
       "engine \"{}\" started at {} names a limit that cannot be read in its answer to request {}:"
           + " \"{}\""),
+  EVACUATION_ORDERED(
+      526,
+      Level.INFO,
+      "evacuation of data centre \"{}\" is ordered: its {} engines get nothing from now on;"
+          + " orders of revision {}"),
+  EVACUATION_REVOKED(
+      527,
+      Level.INFO,
+      "evacuation of data centre \"{}\" is no longer ordered: its {} engines may be used again;"
+          + " orders of revision {}"),
+  EVACUATION_UNREADABLE(
+      528, Level.WARN, "order \"{}\" to evacuate a data centre cannot be read: {}"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
