Cold engines get no more starts a second than they take

Cause: engines that had just started got as many requests as others and crashed.

Change: the configuration states what a cold engine takes, entries how long it stays cold. StartLimiter bounds the starts of a cold engine: the lower of the cold rate and a stated limit, a burst of a quarter of a second. An engine that was lost counts as cold until a start's time after its next answer. An engine that is only cold is chosen like any other.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -39,6 +39,7 @@
     this.slots = slots;
     this.starts = new StartLimiter(fleetShare);
     starts.setLimit(entry.limit(), now);
+    starts.setCold(entry.condition().cold(), now);
   }
 
   /**
@@ -87,6 +88,7 @@
     entry = newEntry;
     slots = newSlots;
     starts.setLimit(newEntry.limit(), now);
+    starts.setCold(newEntry.condition().cold(), now);
   }
 
   StartLimiter starts() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/LimitedPlacement.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/LimitedPlacement.java
@@ -14,10 +14,14 @@
   /**
    * Returns the default. The few starts of engines with a limit are kept for batch runs, which last
    * longest; online requests go there if other engines have no free slot. A start that would expire
-   * unused costs nothing, and shows whether the engine still needs its limit.
+   * unused costs nothing, and shows whether the engine still needs its limit. An engine that is
+   * only cold takes about as many requests as its slots serve, and is used like any other.
    */
   static LimitedPlacement createDefault() {
     return (request, starts, now) -> {
+      if (!starts.isLimitedByNeed(now)) {
+        return 0;
+      }
       if (!request.isOnline()) {
         return -DECISIVE_COST;
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -136,6 +136,7 @@
         }
         if (!end.lostEngine() || isCredible(id.host(), engine, now)) {
           engine.health().recordEnd(end, now);
+          engine.starts().recordEnd(end, now);
         }
       }
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/StartLimiterTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/StartLimiterTest.java
@@ -13,6 +13,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.waxwingcourse.fleet.engine.ColdState;
+import org.waxwingcourse.fleet.engine.ColdTerms;
 import org.waxwingcourse.fleet.engine.RequestRate;
 
 class StartLimiterTest {
@@ -152,4 +154,101 @@
     limiter.setLimit(limit(0), now);
     assertThat(limiter.startTime(2, now)).isBefore(now.plus(Duration.ofHours(1)));
   }
+
+  /** The requests that a cold engine tolerates in any second, summed over all hosts. */
+  private static final int MAX_COLD_STARTS = (int) (14 * 1.5 + 5);
+
+  private static final ColdTerms COLD_TERMS =
+      new ColdTerms(new RequestRate(14), Duration.ofSeconds(3));
+
+  private static Option<ColdState> coldUntil(Instant until) {
+    return Option.some(new ColdState(COLD_TERMS, until));
+  }
+
+  /** A cold engine crashes: two coordinators, in turn or at once, with demand at random. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noSecondHasMoreStartsOnAColdEngineThanItTolerates(long seed) {
+    Random random = new Random(seed);
+    StartLimiter first = new StartLimiter(1);
+    StartLimiter second = new StartLimiter(0);
+    List<Integer> starts = new ArrayList<>();
+    boolean demand = true;
+    Instant end = now.plusSeconds(60);
+    first.setCold(coldUntil(end), now);
+    second.setCold(coldUntil(end), now);
+    while (now.isBefore(end)) {
+      now = now.plus(STEP);
+      if (random.nextInt(40) == 0) {
+        double share = random.nextInt(5) / 4.0;
+        first.setShare(share, now);
+        second.setShare(1 - share, now);
+      }
+      demand = random.nextInt(50) == 0 ? !demand : demand;
+      int count = 0;
+      for (StartLimiter limiter : List.of(first, second)) {
+        while (demand && now.isBefore(end) && count < 1000 && limiter.allowsStart(now)) {
+          limiter.recordStart(now);
+          count++;
+        }
+      }
+      starts.add(count);
+    }
+    int window = (int) (1 / STEP_SECONDS);
+    for (int from = 0; from + window <= starts.size(); from++) {
+      int got = starts.subList(from, from + window).stream().mapToInt(s -> s).sum();
+      assertThat(got).as("second at " + from).isLessThanOrEqualTo(MAX_COLD_STARTS);
+    }
+  }
+
+  @Test
+  void coldEngineGetsWhatItTakesAndThenIsNotBounded() {
+    StartLimiter limiter = new StartLimiter(1);
+    limiter.setCold(coldUntil(now.plusSeconds(10)), now);
+    assertThat(startAll(limiter, Duration.ofMillis(9990))).isBetween(138, 141);
+    now = now.plusMillis(20);
+    assertThat(limiter.isLimiting(now)).isFalse();
+    limiter.setCold(coldUntil(now.plusSeconds(10)), now);
+    assertThat(limiter.allowsStart(now)).as("cold again").isFalse();
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {2, 40})
+  void ofALimitAndTheColdRateTheLowerOneHolds(double perSecond) {
+    StartLimiter limiter = new StartLimiter(1);
+    limiter.setLimit(limit(perSecond), now);
+    limiter.setCold(coldUntil(now.plusSeconds(10)), now);
+    double lower = Math.min(perSecond, 14);
+    assertThat(startAll(limiter, Duration.ofMillis(9990)))
+        .isBetween((int) (lower * 10) - 2, (int) (lower * 10) + 1);
+    now = now.plusMillis(10);
+    assertThat(startAll(limiter, Duration.ofSeconds(10)))
+        .as("the limit alone")
+        .isBetween((int) (perSecond * 10) - 1, (int) (perSecond * 11));
+  }
+
+  /** An engine restarted under the same id, and its entry did not say so yet. */
+  @Test
+  void engineThatWasLostCountsAsColdUntilAStartAfterItAnswers() {
+    StartLimiter limiter = new StartLimiter(1);
+    limiter.setCold(coldUntil(Instant.MIN), now);
+    assertThat(limiter.isLimiting(now)).isFalse();
+    limiter.recordEnd(RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF), now);
+    now = now.plusSeconds(60);
+    assertThat(limiter.isCold(now)).isTrue();
+    limiter.recordEnd(RunEnd.of(RunEnd.How.WHOLE), now);
+    limiter.setCold(coldUntil(Instant.MIN), now);
+    now = now.plusMillis(2999);
+    assertThat(limiter.isCold(now)).isTrue();
+    limiter.recordEnd(RunEnd.of(RunEnd.How.WHOLE), now);
+    now = now.plusMillis(1);
+    assertThat(limiter.isLimiting(now)).isFalse();
+  }
+
+  @Test
+  void lostEngineIsNotBoundedWhereColdEnginesTakeAsMuchAsOthers() {
+    StartLimiter limiter = new StartLimiter(1);
+    limiter.recordEnd(RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF), now);
+    assertThat(limiter.isLimiting(now)).isFalse();
+  }
 }
