Home regions of routes and organisations

Cause: a configuration can name the regions whose engines may get the requests of a route or an organisation; nothing heeded it.

Change: the settings map data centres to regions, and engines are marked with theirs. A request for a slot names its home regions, the coordinator grants only there, and a host gives back a grant elsewhere. A request for which no engine there is listed is refused at once. Requests and items whose engines at home are busy hold up no others. A job is forwarded to, and taken over by, a host in a home region only. The answer that names hosts for a host name prefers those inside.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -27,6 +27,7 @@
 import org.waxwingcourse.fleet.job.JobSupervisor;
 import org.waxwingcourse.fleet.online.AdmissionGate;
 import org.waxwingcourse.fleet.online.OnlineService;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.PlanReader;
 import org.waxwingcourse.fleet.quarantine.QuarantineKeeper;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
@@ -34,11 +35,13 @@
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
+import org.waxwingcourse.fleet.view.FleetHosts;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
+import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.model.id.UpstreamId;
@@ -147,7 +150,9 @@
     this.timer = createTimer();
     FleetHost self = createSelf(clocks.wall().instant().toEpochMilli());
     storeView = StoreView.of(outside.planReader(), clocks, outside.engineReader());
-    conditions = new EngineConditions(storeView, outside.evacuationOrders(), clocks.steady());
+    conditions =
+        new EngineConditions(
+            storeView, outside.evacuationOrders(), clocks.steady(), this::regionOf);
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader(), conditions);
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
@@ -213,6 +218,7 @@
     if (!changed.equals(settings)) {
       LOG.write(Event.SETTINGS_CHANGED, changed);
       settings = changed;
+      engines.refresh();
     }
   }
 
@@ -256,13 +262,21 @@
    */
   public List<String> callerAddresses(String serviceName) {
     return RendezvousHash.rank(
-            coordinatorLink.callerHosts(), (FleetHost h) -> h.id().value(), serviceName)
+            callerHosts(serviceName), (FleetHost h) -> h.id().value(), serviceName)
         .stream()
         .limit(MAX_HOSTS_IN_ANSWER)
         .flatMap(h -> h.callerAddress().toJavaStream())
         .toList();
   }
 
+  /** Returns the hosts in the home regions of a host name's routes, or all if there are none. */
+  private List<FleetHost> callerHosts(String serviceName) {
+    List<FleetHost> hosts = coordinatorLink.callerHosts();
+    HomeRegions homes =
+        storeView.plan().map(p -> p.homesOfHost(serviceName)).getOrElse(HomeRegions.ANY);
+    return FleetHosts.preferInside(hosts, homes);
+  }
+
   /** Announces to the fleet that this host stops; from now on callers are sent to other hosts. */
   public void announceStop() {
     LOG.write(Event.NODE_STOPPING, settings.host(), "shutdown was requested");
@@ -334,6 +348,10 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
+  private Option<String> regionOf(DataCentreId dataCentre) {
+    return Option.of(settings.regions().get(dataCentre));
+  }
+
   /** An entry that is written again with the same content is no change of the table. */
   private void readEntriesOfReturnedEngines() {
     if (conditions.awaitsEntries()) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
@@ -384,7 +385,8 @@
             : Option.none(),
         toFingerprint(ask.hasFingerprint(), ask.getFingerprint()),
         streamOf(ask.getStream()),
-        requiredSoftware(ask, now));
+        requiredSoftware(ask, now),
+        HomeRegions.of(ask.getHomeRegionsList()));
   }
 
   private static Option<RequestFingerprint> toFingerprint(boolean present, Fingerprint message) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -366,6 +366,7 @@
         .setGiveUpWithinNanos(requirements.giveUpAt().remaining(now).toNanos())
         .addAllPromptParts(requirements.promptParts())
         .setDataCentre(dataCentre.value())
+        .addAllHomeRegions(requirements.homes().names())
         .addAllAvoid(requirements.avoidedEngines().stream().map(UpstreamId::value).toList())
         .build();
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -31,6 +32,7 @@
  * @param batchWork its work; none for an online request
  * @param fingerprint equal for online requests that ask for the same; none for an item
  * @param stream the stream of the answer; none if the answer is none
+ * @param homes the regions whose engines may run it
  * @param preferred of an item: the software that sent the events it has; another has to begin anew
  */
 public record SlotRequirements(
@@ -46,10 +48,43 @@
     Option<BatchWork> batchWork,
     Option<RequestFingerprint> fingerprint,
     Option<StreamNeeds> stream,
+    HomeRegions homes,
     Option<SoftwareId> preferred) {
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
     avoidedEngines = Set.copyOf(avoidedEngines);
   }
+
+  /** Creates the parameters of a request that engines in all regions may run. */
+  public SlotRequirements(
+      RequestId requestId,
+      ServiceName service,
+      WorkClass workClass,
+      int rank,
+      Option<OrganisationId> chargedTo,
+      Deadline startBy,
+      Deadline giveUpAt,
+      List<Long> promptParts,
+      Set<UpstreamId> avoidedEngines,
+      Option<BatchWork> batchWork,
+      Option<RequestFingerprint> fingerprint,
+      Option<StreamNeeds> stream,
+      Option<SoftwareId> preferred) {
+    this(
+        requestId,
+        service,
+        workClass,
+        rank,
+        chargedTo,
+        startBy,
+        giveUpAt,
+        promptParts,
+        avoidedEngines,
+        batchWork,
+        fingerprint,
+        stream,
+        HomeRegions.ANY,
+        preferred);
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/evacuate/EngineConditions.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/evacuate/EngineConditions.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import org.waxwingcourse.fleet.engine.ColdState;
 import org.waxwingcourse.fleet.engine.ColdTerms;
+import org.waxwingcourse.fleet.engine.EngineCondition;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineMarker;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -25,9 +27,20 @@
   private final EvacuatedDataCentres dataCentres;
   private final StoreView storeView;
   private final ColdEngines cold;
+  private final Function<DataCentreId, Option<String>> regions;
 
-  /** Creates conditions of engines by the content of the store. */
+  /** Creates conditions of engines by the content of the store, where no region is known. */
   public EngineConditions(StoreView storeView, OrderReader orders, InstantSource clock) {
+    this(storeView, orders, clock, d -> Option.none());
+  }
+
+  /** The same, where {@code regions} returns the region of a data centre if it is known. */
+  public EngineConditions(
+      StoreView storeView,
+      OrderReader orders,
+      InstantSource clock,
+      Function<DataCentreId, Option<String>> regions) {
+    this.regions = regions;
     this.storeView = storeView;
     this.dataCentres = new EvacuatedDataCentres(storeView.evacuationTable(), orders);
     this.cold = new ColdEngines(clock);
@@ -81,11 +94,12 @@
 
   @Override
   public synchronized EngineEntry mark(EngineEntry entry) {
-    EngineEntry marked =
+    EngineCondition placed = entry.condition().withRegion(regions.apply(entry.dataCentre()));
+    EngineCondition condition =
         terms(entry)
-            .map(t -> new ColdState(t, cold.until(entry.id())))
-            .map(s -> entry.withCondition(entry.condition().withCold(s)))
-            .getOrElse(entry);
+            .map(t -> placed.withCold(new ColdState(t, cold.until(entry.id()))))
+            .getOrElse(placed);
+    EngineEntry marked = entry.withCondition(condition);
     return dataCentres.all().contains(entry.dataCentre()) ? marked.asEvacuated() : marked;
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.fleet.engine.SilenceWatch;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.engine.StreamEnd;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.slot.BatchWork;
@@ -95,6 +96,7 @@
   /** Whether the slot is granted and the item not sent yet. */
   private boolean slotUnused;
 
+  private HomeRegions homes = HomeRegions.ANY;
   private long planVersion;
   private int failures;
   private int yields;
@@ -145,6 +147,11 @@
       return;
     }
     ServiceName service = route.get().selectService(ports.random().nextDouble());
+    homes = plan.get().homes(route.get(), job.organisation());
+    if (!ports.engines().mayServe(service, homes)) {
+      scheduleRetry();
+      return;
+    }
     SlotRequirements slotRequirements =
         new SlotRequirements(
             RequestId.of(item.getId()),
@@ -159,6 +166,7 @@
             Option.some(new BatchWork(job.due(), eventData.size())),
             Option.none(),
             Option.none(),
+            homes,
             joined.software());
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
@@ -207,6 +215,7 @@
         ports
             .engines()
             .findUsable(engine, pendingSlot.service)
+            .filter(e -> homes.allow(e.condition().region()))
             .filter(e -> joined.eventCount() == 0 || granted.forAll(e.software()::equals));
     if (entry.isEmpty()) {
       returnSlot(pendingSlot.requestNumber);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -16,8 +16,10 @@
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -25,6 +27,7 @@
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
+import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
@@ -202,7 +205,13 @@
       AskedAt askedAt,
       String reason) {
     switch (next) {
-      case CLAIM -> claim(id, takeOver, stored.get(), askedAt);
+      case CLAIM -> {
+        if (mayReadItems(stored.get().record())) {
+          claim(id, takeOver, stored.get(), askedAt);
+        } else {
+          takeOvers.remove(id, takeOver);
+        }
+      }
       case RESUME -> resume(id, takeOver, stored.get(), askedAt);
       case READ -> readRecord(id, takeOver);
       case READ_LATER -> readLater(id, takeOver, reason);
@@ -215,6 +224,25 @@
     }
   }
 
+  /**
+   * Returns whether the items of a job may be read by this host, to which its caller has not sent
+   * them. Otherwise the coordinator assigns the job to the next host.
+   */
+  private boolean mayReadItems(JobRecord record) {
+    HomeRegions homes =
+        ports
+            .storeView()
+            .plan()
+            .flatMap(
+                p ->
+                    p.routes()
+                        .findJobRoute(record.getRoute())
+                        .map(r -> p.homes(r, OrganisationId.of(record.getOrganisation()))))
+            .getOrElse(HomeRegions.ANY);
+    return homes.allow(
+        ports.storeView().fleetHosts().findHost(ports.self().host()).map(FleetHost::region));
+  }
+
   private void readLater(JobId id, TakeOver takeOver, String reason) {
     LOG.write(Event.JOB_TAKE_OVER_WAITS, id, reason);
     ports
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -16,8 +16,10 @@
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
+import org.waxwingcourse.fleet.view.FleetHost;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
 import org.waxwingcourse.fleet.view.StoreView;
 import org.waxwingcourse.model.event.Event;
@@ -173,7 +175,10 @@
         .thenCompose(
             answer -> {
               Option<HostId> other =
-                  ports.slots().coordinator().filter(h -> !h.equals(self.host()));
+                  ports
+                      .slots()
+                      .coordinator()
+                      .filter(h -> !h.equals(self.host()) && mayReceive(h, job));
               if (other.isEmpty()
                   || hasReachedStore(answer)
                   || !isStoreReached()
@@ -186,6 +191,17 @@
             });
   }
 
+  /** Returns whether the items of a job may be sent to another host. */
+  private boolean mayReceive(HostId host, JobSubmission job) {
+    HomeRegions homes =
+        ports
+            .storeView()
+            .plan()
+            .map(p -> p.homes(job.route(), job.organisation()))
+            .getOrElse(job.route().homes());
+    return homes.allow(ports.storeView().fleetHosts().findHost(host).map(FleetHost::region));
+  }
+
   private static boolean hasReachedStore(JobAnswer answer) {
     boolean refusedByStore = answer instanceof JobAnswer.Refused refused && !refused.overLimit();
     return !refusedByStore && !(answer instanceof JobAnswer.Unknown);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
@@ -60,6 +61,11 @@
    * @param organisation the organisation it runs for, none on a route that needs no key
    */
   public record Admitted(Plan plan, Route route, Option<OrganisationPlan> organisation) {
+    /** Returns the regions whose engines may get the request. */
+    public HomeRegions homes() {
+      return organisation.map(o -> route.homes().and(o.homes())).getOrElse(route.homes());
+    }
+
     /** Returns the urgency of the request, 0 is the highest. */
     public int rank() {
       return organisation.flatMap(OrganisationPlan::rank).getOrElse(route.rank());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.fleet.engine.SilenceWatch;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.engine.StreamEnd;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
@@ -171,6 +172,12 @@
       endWithoutSlot(RefusalCode.QUARANTINED, refusedUntil.get(), "engines crash on this request");
       return;
     }
+    HomeRegions homes = admitted.homes();
+    if (!ports.engines().mayServe(service, homes)) {
+      String reason = "no engine of " + service + " is listed in a home region " + homes.names();
+      endWithoutSlot(RefusalCode.UNAVAILABLE, now().plus(FULL_RETRY_DELAY), reason);
+      return;
+    }
     Option<OrganisationId> chargedOrganisation =
         rateCharged ? Option.none() : admitted.organisation().map(OrganisationPlan::id);
     SlotRequirements requirements =
@@ -187,6 +194,7 @@
             Option.none(),
             Option.some(fingerprint),
             streamNeeds(),
+            homes,
             Option.none());
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
@@ -225,6 +233,10 @@
       giveBack(pendingSlot, engine, "is not listed for " + service + " on this host");
       return;
     }
+    if (!admitted.homes().allow(entry.get().condition().region())) {
+      giveBack(pendingSlot, engine, "is in no home region of the request");
+      return;
+    }
     boolean isCertain = granted.forAll(entry.get().software()::equals);
     if (!mayGoOnAt(entry.get(), isCertain)) {
       giveBack(pendingSlot, engine, "has another version than the one that began the stream");
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/Route.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/Route.java
@@ -23,6 +23,7 @@
  * @param keyless whether requests need no key
  * @param resumable whether a stream may be continued by another engine
  * @param jobs the limits of its jobs, present for kind JOB
+ * @param homes the regions whose engines may get its requests
  */
 public record Route(
     String name,
@@ -37,12 +38,64 @@
     int maxAttempts,
     boolean keyless,
     boolean resumable,
-    Option<JobTerms> jobs) {
+    Option<JobTerms> jobs,
+    HomeRegions homes) {
   /** Copies the services. */
   public Route {
     services = List.copyOf(services);
   }
 
+  /** Creates a route whose requests may go to engines in all regions. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RequestKind kind,
+      Duration timeout,
+      Duration objective,
+      Duration gapObjective,
+      int rank,
+      List<WeightedService> services,
+      int maxAttempts,
+      boolean keyless,
+      boolean resumable,
+      Option<JobTerms> jobs) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeout,
+        objective,
+        gapObjective,
+        rank,
+        services,
+        maxAttempts,
+        keyless,
+        resumable,
+        jobs,
+        HomeRegions.ANY);
+  }
+
+  /** Returns this route with the given home regions. */
+  public Route withHomes(HomeRegions regions) {
+    return new Route(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        timeout,
+        objective,
+        gapObjective,
+        rank,
+        services,
+        maxAttempts,
+        keyless,
+        resumable,
+        jobs,
+        regions);
+  }
+
   /**
    * Returns when the final answer of a request is due that comes at {@code from}: at the end of the
    * route's time or, if earlier, of the caller's.
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -38,6 +39,7 @@
  * @param stream the stream of the answer; none if there is none
  * @param software the only software that may run it, since it sent the events before; of a batch
  *     request the one that need not begin anew; none if any may
+ * @param homes the regions whose engines may run it
  */
 public record SlotRequest(
     RunId id,
@@ -56,7 +58,8 @@
     Option<BatchWork> batchWork,
     Option<RequestFingerprint> fingerprint,
     Option<StreamKey> stream,
-    Option<SoftwareId> software) {
+    Option<SoftwareId> software,
+    HomeRegions homes) {
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
@@ -64,9 +67,61 @@
     connectedEngines = Set.copyOf(connectedEngines);
   }
 
+  /** Creates a request that engines in all regions may run. */
+  public SlotRequest(
+      RunId id,
+      RequestId requestId,
+      ServiceName service,
+      WorkClass workClass,
+      int rank,
+      Option<OrganisationId> chargedTo,
+      Instant receivedAt,
+      Deadline startBy,
+      Deadline giveUpAt,
+      List<Long> promptParts,
+      DataCentreId dataCentre,
+      Set<UpstreamId> avoidedEngines,
+      Set<UpstreamId> connectedEngines,
+      Option<BatchWork> batchWork,
+      Option<RequestFingerprint> fingerprint,
+      Option<StreamKey> stream,
+      Option<SoftwareId> software) {
+    this(
+        id,
+        requestId,
+        service,
+        workClass,
+        rank,
+        chargedTo,
+        receivedAt,
+        startBy,
+        giveUpAt,
+        promptParts,
+        dataCentre,
+        avoidedEngines,
+        connectedEngines,
+        batchWork,
+        fingerprint,
+        stream,
+        software,
+        HomeRegions.ANY);
+  }
+
   /** Returns whether an engine may run it. */
   boolean accepts(EngineEntry engine) {
-    return !isOnline() || continuesAt(engine);
+    return homes.allow(engine.condition().region()) && (!isOnline() || continuesAt(engine));
+  }
+
+  /** Returns whether only some engines may run it. */
+  boolean isRestricted() {
+    return homes.isRestricted() || isOnline() && software.isDefined();
+  }
+
+  /** Returns why no engine may run it although there are some. */
+  String describeRestriction() {
+    return homes.isRestricted()
+        ? "no engine in a home region " + homes.names() + " is available"
+        : "no engine of the version that began the stream is available";
   }
 
   /** Returns whether an engine can go on where an earlier run ended, if there was one. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -111,10 +111,7 @@
               request, now.plus(NO_ENGINE_RETRY_DELAY), "no engine of the service is available"));
     } else if (!mayEverRun(request)) {
       decisions.add(
-          refusal(
-              request,
-              now.plus(NO_ENGINE_RETRY_DELAY),
-              "no engine of the version that began the stream is available"));
+          refusal(request, now.plus(NO_ENGINE_RETRY_DELAY), request.describeRestriction()));
     } else {
       submitOnline(request, now, decisions);
     }
@@ -343,13 +340,13 @@
   }
 
   private List<SlotDecision> startWaitingRequests(Instant now, List<SlotDecision> decisions) {
-    // Requests that only one version may run do not hold up those behind them.
+    // Requests that only some engines may run do not hold up those behind them.
     Set<SlotRequest> withoutEngine = new HashSet<>();
     while (onlineQueue.size() > withoutEngine.size()) {
       SlotRequest next = onlineQueue.next(withoutEngine, now);
       Option<EngineSlots> selected = selectEngine(next, now);
       if (selected.isEmpty()) {
-        if (next.software().isEmpty()) {
+        if (!next.isRestricted()) {
           return decisions;
         }
         withoutEngine.add(next);
@@ -368,16 +365,28 @@
   }
 
   private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
+    List<SlotRequest> withoutEngine = new ArrayList<>();
+    startBatchRequests(now, decisions, withoutEngine);
+    withoutEngine.forEach(batchQueue::add);
+  }
+
+  /** Those that only some engines may run, none of which is free, do not hold up the others. */
+  private void startBatchRequests(
+      Instant now, List<SlotDecision> decisions, List<SlotRequest> withoutEngine) {
     while (!batchQueue.isEmpty()
         && isWithinShare(now)
         && engines.freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
       batchQueue.updatePlan(() -> batchLoad(now), now);
       SlotRequest next = batchQueue.first().get();
       Option<EngineSlots> selected = placement.selectCheapest(next, now, EngineSlots::hasFreeSlot);
-      if (selected.isEmpty()) {
+      if (selected.isEmpty() && !next.isRestricted()) {
         return;
       }
       batchQueue.remove(next.id());
+      if (selected.isEmpty()) {
+        withoutEngine.add(next);
+        continue;
+      }
       grantSlot(next, selected.get(), now, decisions);
     }
   }
@@ -433,7 +442,7 @@
 
   /** Returns whether an engine that may run the request is listed on which it has not failed. */
   private boolean mayEverRun(SlotRequest request) {
-    return request.software().isEmpty()
+    return !request.isRestricted()
         || engines
             .remaining()
             .filter(e -> request.accepts(e.entry()))
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.engine.EngineMarker;
 import org.waxwingcourse.fleet.engine.RequestRate;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.HostId;
@@ -70,6 +71,14 @@
     return findEngine(id).filter(e -> e.service().equals(service) && !e.leaving());
   }
 
+  /** Returns whether an engine of a service is listed in one of the regions, or none at all is. */
+  public boolean mayServe(ServiceName service, HomeRegions homes) {
+    return !homes.isRestricted()
+        || engines.isEmpty()
+        || engines.values().stream()
+            .anyMatch(e -> e.service().equals(service) && homes.allow(e.condition().region()));
+  }
+
   /**
    * Adds an engine, or a later boot of it, that another host has seen listed. It is known until the
    * next change of the table, which then contains it.
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/FleetHosts.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/FleetHosts.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.HostId;
 
 /**
@@ -58,4 +59,11 @@
   private static FleetHost newer(FleetHost a, FleetHost b) {
     return a.registeredAt().isAfter(b.registeredAt()) ? a : b;
   }
+
+  /** Returns the hosts in home regions, or all if there are none. */
+  public static List<FleetHost> preferInside(List<FleetHost> hosts, HomeRegions homes) {
+    List<FleetHost> inside =
+        hosts.stream().filter(h -> homes.allow(Option.some(h.region()))).toList();
+    return inside.isEmpty() ? hosts : inside;
+  }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -25,6 +25,7 @@
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.engine.EngineCondition;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
@@ -175,8 +176,15 @@
     return Option.some("v1");
   }
 
+  /** Returns the region of an engine's data centre. */
+  Option<String> regionOf(UpstreamId engine) {
+    return Option.none();
+  }
+
   private Option<EngineEntry> readEngine(Entry entry) {
-    return FleetFixtures.readEngine(entry).map(e -> e.withVersion(versionOf(e.id().value())));
+    return FleetFixtures.readEngine(entry)
+        .map(e -> e.withVersion(versionOf(e.id().value())))
+        .map(e -> e.withCondition(EngineCondition.NORMAL.withRegion(regionOf(e.id()))));
   }
 
   final RecordingSink serve(String id) {
