--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.fleet.engine.SilenceWatch;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.engine.StreamEnd;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
@@ -184,6 +185,12 @@
       endWithoutSlot(RefusalCode.QUARANTINED, refusedUntil.get(), "engines crash on this request");
       return;
     }
+    HomeRegions homes = admitted.homes();
+    if (!ports.engines().mayServe(service, homes)) {
+      String reason = "no engine of " + service + " is listed in a home region " + homes.names();
+      endWithoutSlot(RefusalCode.UNAVAILABLE, now().plus(FULL_RETRY_DELAY), reason);
+      return;
+    }
     Option<OrganisationId> chargedOrganisation =
         rateCharged ? Option.none() : admitted.organisation().map(OrganisationPlan::id);
     SlotRequirements requirements =
@@ -200,6 +207,7 @@
             Option.none(),
             Option.some(fingerprint),
             streamNeeds(),
+            homes,
             Option.none());
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
@@ -228,8 +236,9 @@
     rateCharged = true;
     awaited = Option.none();
     totalWait = totalWait.plus(coordinatorWait);
-    if (ports.engines().findEngine(engine).exists(EngineEntry::leaving)) {
-      returnGrant(pendingSlot, engine);
+    Option<EngineEntry> leaving = ports.engines().findEngine(engine).filter(EngineEntry::leaving);
+    if (leaving.isDefined()) {
+      returnGrant(pendingSlot, leaving.get());
       return;
     }
     Option<EngineEntry> entry = ports.engines().findUsable(engine, service);
@@ -237,6 +246,10 @@
       giveBack(pendingSlot, engine, "is not listed for " + service + " on this host");
       return;
     }
+    if (!admitted.homes().allow(entry.get().condition().region())) {
+      giveBack(pendingSlot, engine, "is in no home region of the request");
+      return;
+    }
     boolean isCertain = granted.forAll(entry.get().software()::equals);
     if (!mayGoOnAt(entry.get(), isCertain)) {
       giveBack(pendingSlot, engine, "has another version than the one that began the stream");
@@ -272,13 +285,14 @@
     retryOrEnd("engine " + engine + " " + reason);
   }
 
-  /** Returns the slot on an engine that is leaving and requests another one. */
-  private void returnGrant(PendingSlot pendingSlot, UpstreamId engine) {
+  /** Returns the slot on an engine that is leaving or evacuated and requests another one. */
+  private void returnGrant(PendingSlot pendingSlot, EngineEntry engine) {
     boolean first = !grantReturned;
     grantReturned = true;
-    triedEngines.add(engine);
+    triedEngines.add(engine.id());
     ports.slots().endRun(pendingSlot.number, RunEnd.of(RunEnd.How.NOT_SENT));
-    logMove("engine " + engine + " is leaving");
+    boolean evacuated = engine.condition().evacuated();
+    logMove("engine " + engine.id() + (evacuated ? " is evacuated" : " is leaving"));
     if (first) {
       requestNextSlot();
     } else {
