Runs of an engine never state more tokens than its memory holds

Cause: engines crash if the requests that they hold exceed their memory, and the coordinator knew no sizes.

SlotAsk carries the sizes, Running the tokens of runs for the next coordinator, and EngineMemory bounds the sum on each engine by kvCapacityTokens of the configuration. A request that exceeds the memory by itself is refused at once. Without kvCapacityTokens nothing changes.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -20,6 +20,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.job.ExpiredJobRemover;
 import org.waxwingcourse.fleet.job.JobService;
 import org.waxwingcourse.fleet.job.JobSupervisor;
@@ -123,6 +124,7 @@
    * @param engineReader parses engine entries
    * @param calls sends requests to engines
    * @param promptParts extracts the ids of shared prompt parts from an item's headers
+   * @param sizes reads the size of an item from its headers
    */
   public record Dependencies(
       Store store,
@@ -131,7 +133,8 @@
       PlanReader planReader,
       EngineEntryReader engineReader,
       EngineSender calls,
-      Function<List<ItemHeader>, List<Long>> promptParts) {}
+      Function<List<ItemHeader>, List<Long>> promptParts,
+      Function<List<ItemHeader>, RequestSize> sizes) {}
 
   /** Creates a host. */
   public FleetNode(
@@ -401,7 +404,8 @@
             engines,
             calls,
             slots,
-            outside.promptParts()));
+            outside.promptParts(),
+            outside.sizes()));
   }
 
   private HostEngines hostEngines(EngineSender calls) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.ServicePlan;
@@ -122,6 +123,7 @@
     }
     before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
     for (ServiceName name : names) {
+      scheduler(name).setEngineMemory(engineMemory(name));
       execute(scheduler(name).setEngines(enginesOf(name), defaultSlots(name), clock.instant()));
     }
   }
@@ -367,7 +369,8 @@
               toFingerprint(run.hasFingerprint(), run.getFingerprint()),
               !run.getBatch(),
               work,
-              now.minusNanos(run.getElapsedNanos()));
+              now.minusNanos(run.getElapsedNanos()),
+              run.getTokens());
       scheduler(ServiceName.of(run.getService())).addExistingRun(id, engine, existing);
       screening.recordExisting(id, engine, existing);
       if (run.getAnswered()) {
@@ -398,7 +401,8 @@
             : Option.none(),
         toFingerprint(ask.hasFingerprint(), ask.getFingerprint()),
         streamOf(ask.getStream()),
-        requiredSoftware(ask, now));
+        requiredSoftware(ask, now),
+        new RequestSize(ask.getPromptTokens(), ask.getMaxOutputTokens(), ask.getHintedTokens()));
   }
 
   private static Option<RequestFingerprint> toFingerprint(boolean present, Fingerprint message) {
@@ -424,6 +428,7 @@
         name -> {
           SlotScheduler slots = new SlotScheduler();
           slots.setFleetShare(fleetShare, clock.instant());
+          slots.setEngineMemory(engineMemory(name));
           slots.setEngines(enginesOf(name), defaultSlots(name), clock.instant());
           return slots;
         });
@@ -436,6 +441,12 @@
         .getOrElse(DEFAULT_SLOTS);
   }
 
+  private int engineMemory(ServiceName service) {
+    return plan.flatMap(p -> Option.of(p.services().get(service)))
+        .map(ServicePlan::engineMemoryTokens)
+        .getOrElse(0);
+  }
+
   private void execute(List<SlotDecision> decisions) {
     for (SlotDecision decision : decisions) {
       if (decision instanceof SlotDecision.Grant grant) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -386,6 +386,9 @@
         .setGiveUpWithinNanos(requirements.giveUpAt().remaining(now).toNanos())
         .addAllPromptParts(requirements.promptParts())
         .setDataCentre(dataCentre.value())
+        .setPromptTokens(requirements.size().promptTokens())
+        .setMaxOutputTokens(requirements.size().maxOutputTokens())
+        .setHintedTokens(requirements.size().hintedTokens())
         .addAllAvoid(requirements.avoidedEngines().stream().map(UpstreamId::value).toList())
         .build();
   }
@@ -412,6 +415,7 @@
     return running
         .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
         .setAnswered(request.answered)
+        .setTokens(request.requirements.size().memoryTokens())
         .setNumber(number)
         .setEngine(request.engine.value())
         .setRequest(request.requirements.requestId().value())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -32,6 +33,7 @@
  * @param fingerprint equal for online requests that ask for the same; none for an item
  * @param stream the stream of the answer; none if the answer is none
  * @param preferred of an item: the software that sent the events it has; another has to begin anew
+ * @param size its tokens, as far as the caller states them
  */
 public record SlotRequirements(
     RequestId requestId,
@@ -46,7 +48,40 @@
     Option<BatchWork> batchWork,
     Option<RequestFingerprint> fingerprint,
     Option<StreamNeeds> stream,
-    Option<SoftwareId> preferred) {
+    Option<SoftwareId> preferred,
+    RequestSize size) {
+  /** Creates the parameters of a request of which no size is stated. */
+  public SlotRequirements(
+      RequestId requestId,
+      ServiceName service,
+      WorkClass workClass,
+      int rank,
+      Option<OrganisationId> chargedTo,
+      Deadline startBy,
+      Deadline giveUpAt,
+      List<Long> promptParts,
+      Set<UpstreamId> avoidedEngines,
+      Option<BatchWork> batchWork,
+      Option<RequestFingerprint> fingerprint,
+      Option<StreamNeeds> stream,
+      Option<SoftwareId> preferred) {
+    this(
+        requestId,
+        service,
+        workClass,
+        rank,
+        chargedTo,
+        startBy,
+        giveUpAt,
+        promptParts,
+        avoidedEngines,
+        batchWork,
+        fingerprint,
+        stream,
+        preferred,
+        RequestSize.UNKNOWN);
+  }
+
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -159,7 +159,8 @@
             Option.some(new BatchWork(job.due(), eventData.size())),
             Option.none(),
             Option.none(),
-            joined.software());
+            joined.software(),
+            ports.sizes().apply(item.getHeadersList()));
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -16,6 +16,7 @@
 import java.util.random.RandomGenerator;
 import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -73,6 +74,7 @@
    * @param onStarted called with each job that starts to run here
    * @param onFinished called with each job whose results are all stored
    * @param promptParts extracts the ids of shared prompt parts from an item's headers
+   * @param sizes reads the size of an item from its headers
    */
   record Ports(
       RunnerName self,
@@ -89,7 +91,44 @@
       BatchRunTimes times,
       Consumer<RunningJob> onStarted,
       Consumer<RunningJob> onFinished,
-      Function<List<ItemHeader>, List<Long>> promptParts) {}
+      Function<List<ItemHeader>, List<Long>> promptParts,
+      Function<List<ItemHeader>, RequestSize> sizes) {
+    /** Creates the ports of a runner whose items state no size. */
+    Ports(
+        RunnerName self,
+        HostEntryRegistration registration,
+        JobStore store,
+        InstantSource clock,
+        InstantSource wall,
+        ScheduledExecutorService timer,
+        RandomGenerator random,
+        StoreView storeView,
+        EngineDirectory engines,
+        EngineSender calls,
+        SlotSource slots,
+        BatchRunTimes times,
+        Consumer<RunningJob> onStarted,
+        Consumer<RunningJob> onFinished,
+        Function<List<ItemHeader>, List<Long>> promptParts) {
+      this(
+          self,
+          registration,
+          store,
+          clock,
+          wall,
+          timer,
+          random,
+          storeView,
+          engines,
+          calls,
+          slots,
+          times,
+          onStarted,
+          onFinished,
+          promptParts,
+          h -> RequestSize.UNKNOWN);
+    }
+  }
 
   JobRunner(Ports ports) {
     this.ports = ports;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotSource;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -104,6 +105,7 @@
    * @param calls sends requests to engines
    * @param slots requests slots
    * @param promptParts extracts the ids of shared prompt parts from an item's headers
+   * @param sizes reads the size of an item from its headers
    */
   public record Ports(
       Store store,
@@ -117,7 +119,38 @@
       EngineDirectory engines,
       EngineSender calls,
       SlotSource slots,
-      Function<List<ItemHeader>, List<Long>> promptParts) {}
+      Function<List<ItemHeader>, List<Long>> promptParts,
+      Function<List<ItemHeader>, RequestSize> sizes) {
+    /** Creates the ports of a service whose items state no size. */
+    public Ports(
+        Store store,
+        HostEntryRegistration registration,
+        PeerTransport peers,
+        InstantSource clock,
+        InstantSource wall,
+        ScheduledExecutorService timer,
+        RandomGenerator random,
+        StoreView storeView,
+        EngineDirectory engines,
+        EngineSender calls,
+        SlotSource slots,
+        Function<List<ItemHeader>, List<Long>> promptParts) {
+      this(
+          store,
+          registration,
+          peers,
+          clock,
+          wall,
+          timer,
+          random,
+          storeView,
+          engines,
+          calls,
+          slots,
+          promptParts,
+          h -> RequestSize.UNKNOWN);
+    }
+  }
 
   /** Creates the service of one process. */
   public JobService(HostId host, long boot, Ports ports) {
@@ -146,7 +179,8 @@
                 new BatchRunTimes(),
                 this::announceJob,
                 this::cacheFinished,
-                ports.promptParts()));
+                ports.promptParts(),
+                ports.sizes()));
     this.intake =
         new JobIntake(
             store,
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Instant;
 import java.util.List;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.time.Deadline;
@@ -23,6 +24,7 @@
  *     up, as named by the caller
  * @param arrivedAt when it had been read completely, by the steady clock
  * @param deadline when the caller stops waiting, none if not stated
+ * @param size its tokens, as far as the caller states them
  */
 public record OnlineRequest(
     RequestId id,
@@ -36,7 +38,38 @@
     Option<Long> resumeAfter,
     Option<String> resumes,
     Instant arrivedAt,
-    Option<Deadline> deadline) {
+    Option<Deadline> deadline,
+    RequestSize size) {
+  /** Creates a request of which no size is stated. */
+  public OnlineRequest(
+      RequestId id,
+      String host,
+      String method,
+      String target,
+      List<Header> headers,
+      byte[] body,
+      Option<String> key,
+      List<Long> promptParts,
+      Option<Long> resumeAfter,
+      Option<String> resumes,
+      Instant arrivedAt,
+      Option<Deadline> deadline) {
+    this(
+        id,
+        host,
+        method,
+        target,
+        headers,
+        body,
+        key,
+        promptParts,
+        resumeAfter,
+        resumes,
+        arrivedAt,
+        deadline,
+        RequestSize.UNKNOWN);
+  }
+
   /** Copies the lists. */
   public OnlineRequest {
     headers = List.copyOf(headers);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -200,7 +200,8 @@
             Option.none(),
             Option.some(fingerprint),
             streamNeeds(),
-            Option.none());
+            Option.none(),
+            request.size());
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
     awaited = Option.some(pendingSlot);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/ServicePlan.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/ServicePlan.java
@@ -8,5 +8,6 @@
  * @param name the service
  * @param slots number of requests that one of its engines runs at once, unless the engine states
  *     its own
+ * @param engineMemoryTokens tokens that one of its engines can hold, zero if not limited
  */
-public record ServicePlan(ServiceName name, int slots) {}
+public record ServicePlan(ServiceName name, int slots, int engineMemoryTokens) {}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.engine.EngineEntry;
@@ -97,4 +98,10 @@
     }
     return Option.of(planned.peekFirst());
   }
+
+  /** Returns the request that is to start next without those in {@code left}. */
+  Option<SlotRequest> firstExcept(Set<SlotRequest> left) {
+    return Option.ofOptional(
+        planned.stream().filter(r -> waiting.containsKey(r.id()) && !left.contains(r)).findFirst());
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineSlots.java
@@ -51,6 +51,7 @@
    * @param online whether a caller waits for the run
    * @param work the work of a batch run, none if it is not known
    * @param startedAt when it started
+   * @param tokens most memory in tokens that it needs, zero if not stated
    */
   record Run(
       RequestId request,
@@ -59,7 +60,8 @@
       boolean adopted,
       boolean online,
       Option<BatchWork> work,
-      Instant startedAt) {
+      Instant startedAt,
+      int tokens) {
     /**
      * Returns when a batch run is expected to end; the start of the run if too little is known of
      * it.
@@ -167,7 +169,8 @@
             false,
             request.isOnline(),
             request.batchWork(),
-            now));
+            now,
+            request.size().memoryTokens()));
     request.promptParts().forEach(p -> recentParts.put(p, true));
   }
 
@@ -181,7 +184,8 @@
             true,
             run.online(),
             run.work(),
-            run.startedAt()));
+            run.startedAt(),
+            run.tokens()));
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/ExistingRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/ExistingRun.java
@@ -15,6 +15,7 @@
  * @param online whether a caller waits for it
  * @param work the work of a batch run, none if it is not known
  * @param startedAt when it started
+ * @param tokens most memory of its engine in tokens that it needs, zero if not stated
  */
 public record ExistingRun(
     RequestId request,
@@ -22,7 +23,19 @@
     Option<RequestFingerprint> fingerprint,
     boolean online,
     Option<BatchWork> work,
-    Instant startedAt) {
+    Instant startedAt,
+    int tokens) {
+  /** Creates a run of which no size is stated. */
+  public ExistingRun(
+      RequestId request,
+      List<Long> promptParts,
+      Option<RequestFingerprint> fingerprint,
+      boolean online,
+      Option<BatchWork> work,
+      Instant startedAt) {
+    this(request, promptParts, fingerprint, online, work, startedAt, 0);
+  }
+
   /** Copies the list. */
   public ExistingRun {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -38,6 +39,7 @@
  * @param stream the stream of the answer; none if there is none
  * @param software the only software that may run it, since it sent the events before; of a batch
  *     request the one that need not begin anew; none if any may
+ * @param size its tokens, as far as the caller states them
  */
 public record SlotRequest(
     RunId id,
@@ -56,7 +58,48 @@
     Option<BatchWork> batchWork,
     Option<RequestFingerprint> fingerprint,
     Option<StreamKey> stream,
-    Option<SoftwareId> software) {
+    Option<SoftwareId> software,
+    RequestSize size) {
+  /** Creates a request of which no size is stated. */
+  public SlotRequest(
+      RunId id,
+      RequestId requestId,
+      ServiceName service,
+      WorkClass workClass,
+      int rank,
+      Option<OrganisationId> chargedTo,
+      Instant receivedAt,
+      Deadline startBy,
+      Deadline giveUpAt,
+      List<Long> promptParts,
+      DataCentreId dataCentre,
+      Set<UpstreamId> avoidedEngines,
+      Set<UpstreamId> connectedEngines,
+      Option<BatchWork> batchWork,
+      Option<RequestFingerprint> fingerprint,
+      Option<StreamKey> stream,
+      Option<SoftwareId> software) {
+    this(
+        id,
+        requestId,
+        service,
+        workClass,
+        rank,
+        chargedTo,
+        receivedAt,
+        startBy,
+        giveUpAt,
+        promptParts,
+        dataCentre,
+        avoidedEngines,
+        connectedEngines,
+        batchWork,
+        fingerprint,
+        stream,
+        software,
+        RequestSize.UNKNOWN);
+  }
+
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -53,10 +53,17 @@
   /** Earliest retry after a refusal; runs that are overdue may end at any moment. */
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(30);
 
+  /**
+   * Maximum number of batch requests that a smaller one may overtake while no engine has memory for
+   * them; bounds the work of a decision.
+   */
+  private static final int MAX_OVERTAKEN = 8;
+
   /** Time after which a caller may retry if no engine of the service is usable. */
   private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(600);
 
   private final EnginePool engines = new EnginePool();
+  private final EngineMemory memory = new EngineMemory();
   private final EnginePlacement placement;
   private final OnlineQueue onlineQueue = new OnlineQueue();
   private final BatchQueue batchQueue;
@@ -103,7 +110,13 @@
     if (request.isOnline()) {
       freeSlotReserve.recordArrival(now);
     }
-    if (!request.isOnline()) {
+    if (!memory.mayEverAdmit(request)) {
+      decisions.add(
+          refusal(
+              request,
+              now.plus(NO_ENGINE_RETRY_DELAY),
+              request.size().memoryTokens() + " tokens exceed the memory of the engines"));
+    } else if (!request.isOnline()) {
       batchQueue.add(request);
     } else if (!engines.hasUsable(now)) {
       decisions.add(
@@ -248,6 +261,11 @@
     return startWaitingRequests(now, new ArrayList<>());
   }
 
+  /** Sets the memory of each engine in tokens, zero if it is not limited. */
+  public synchronized void setEngineMemory(int tokens) {
+    memory.setCapacity(tokens);
+  }
+
   /**
    * Sets the share of all slots, and of engines' limits, that this scheduler may use, in [0, 1].
    */
@@ -341,7 +359,8 @@
       SlotRequest next = onlineQueue.next(withoutEngine, now);
       Option<EngineSlots> selected = selectEngine(next, now);
       if (selected.isEmpty()) {
-        if (next.software().isEmpty()) {
+        boolean slotsWithoutMemory = memory.isLimited() && engines.freeSlots(now) > 0;
+        if (next.software().isEmpty() && !slotsWithoutMemory) {
           return decisions;
         }
         withoutEngine.add(next);
@@ -379,13 +398,26 @@
   }
 
   private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
-    while (!batchQueue.isEmpty()
+    Set<SlotRequest> overtaken = new HashSet<>();
+    while (batchQueue.size() > overtaken.size()
+        && overtaken.size() <= MAX_OVERTAKEN
         && isWithinShare(now)
         && engines.freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
       batchQueue.updatePlan(() -> batchLoad(now), now);
-      SlotRequest next = batchQueue.first().get();
+      Option<SlotRequest> first = batchQueue.firstExcept(overtaken);
+      if (first.isEmpty()) {
+        return;
+      }
+      SlotRequest next = first.get();
       Option<EngineSlots> selected =
-          placement.selectCheapest(next, now, e -> e.hasFreeSlot() && !e.health().isRefusing());
+          placement.selectCheapest(
+              next,
+              now,
+              e -> e.hasFreeSlot() && !e.health().isRefusing() && memory.admits(e, next));
+      if (selected.isEmpty() && memory.isLimited()) {
+        overtaken.add(next);
+        continue;
+      }
       if (selected.isEmpty()) {
         return;
       }
@@ -432,15 +464,19 @@
   private Option<EngineSlots> selectEngine(SlotRequest request, Instant now) {
     Option<EngineSlots> free =
         isWithinShare(now)
-            ? placement.selectCheapest(request, now, EngineSlots::hasFreeSlot)
+            ? placement.selectCheapest(
+                request, now, e -> e.hasFreeSlot() && memory.admits(e, request))
             : Option.none();
     return free.orElse(
         () ->
-            placement.selectCheapest(request, now, e -> !e.health().isProbing() && hasBatchRun(e)));
+            placement.selectCheapest(
+                request, now, e -> !e.health().isProbing() && mayYieldTo(request, e)));
   }
 
-  private static boolean hasBatchRun(EngineSlots engine) {
-    return engine.runs().values().stream().anyMatch(r -> !r.online());
+  private boolean mayYieldTo(SlotRequest request, EngineSlots engine) {
+    return engine
+        .batchRunToPreempt(batchRunTimes)
+        .exists(run -> memory.admitsInPlaceOf(engine, run, request));
   }
 
   /** Returns whether an engine that may run the request is listed on which it has not failed. */
