Orders of engines compared at uneven speeds; placement stays

Cause: it was open whether robust speeds, or the earliest expected end, serve more requests in time than the present placement.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EnginePlacement.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EnginePlacement.java
@@ -31,10 +31,23 @@
 
   private final EnginePool engines;
   private final LimitedPlacement limitedPlacement;
+  private final Cost cost;
 
-  EnginePlacement(EnginePool engines, LimitedPlacement limitedPlacement) {
+  /** What a run on an engine costs, in units of one busy slot. */
+  @FunctionalInterface
+  interface Cost {
+    /**
+     * Returns the cost.
+     *
+     * @param fastestGapMillis least mean time between events of all engines, zero if none is known
+     */
+    double of(EngineSlots engine, SlotRequest request, double fastestGapMillis);
+  }
+
+  EnginePlacement(EnginePool engines, LimitedPlacement limitedPlacement, Cost cost) {
     this.engines = engines;
     this.limitedPlacement = limitedPlacement;
+    this.cost = cost;
   }
 
   /**
@@ -62,7 +75,7 @@
             .min(
                 Comparator.comparingDouble(
                         (EngineSlots e) ->
-                            placementCost(e, request, fastest) + limitedCost(e, request, now))
+                            cost.of(e, request, fastest) + limitedCost(e, request, now))
                     .thenComparing(e -> e.entry().id())));
   }
 
@@ -82,7 +95,7 @@
         : 0;
   }
 
-  private static double placementCost(EngineSlots engine, SlotRequest request, double fastest) {
+  static double placementCost(EngineSlots engine, SlotRequest request, double fastest) {
     double gap = engine.health().meanGapMillis();
     double slowness = gap > 0 && fastest > 0 ? gap / fastest : 1;
     double occupied = engine.runs().size() + (engine.health().isProbing() ? engine.slots() : 0);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -86,8 +86,16 @@
 
   SlotScheduler(
       FreeSlotReserve freeSlotReserve, BatchOrder batchOrder, LimitedPlacement limitedPlacement) {
+    this(freeSlotReserve, batchOrder, limitedPlacement, EnginePlacement::placementCost);
+  }
+
+  SlotScheduler(
+      FreeSlotReserve freeSlotReserve,
+      BatchOrder batchOrder,
+      LimitedPlacement limitedPlacement,
+      EnginePlacement.Cost cost) {
     this.freeSlotReserve = freeSlotReserve;
-    this.placement = new EnginePlacement(engines, limitedPlacement);
+    this.placement = new EnginePlacement(engines, limitedPlacement, cost);
     this.batchQueue = new BatchQueue(batchOrder);
   }
 
