--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -20,6 +20,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
 import org.waxwingcourse.fleet.engine.EngineSender;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.evacuate.EngineConditions;
 import org.waxwingcourse.fleet.evacuate.OrderReader;
 import org.waxwingcourse.fleet.job.ExpiredJobRemover;
@@ -130,6 +131,7 @@
    * @param engineReader parses engine entries
    * @param calls sends requests to engines
    * @param promptParts extracts the ids of shared prompt parts from an item's headers
+   * @param sizes reads the size of an item from its headers
    */
   public record Dependencies(
       Store store,
@@ -139,7 +141,8 @@
       PlanReader planReader,
       EngineEntryReader engineReader,
       EngineSender calls,
-      Function<List<ItemHeader>, List<Long>> promptParts) {}
+      Function<List<ItemHeader>, List<Long>> promptParts,
+      Function<List<ItemHeader>, RequestSize> sizes) {}
 
   /** Creates a host. */
   public FleetNode(
@@ -442,7 +445,8 @@
             engines,
             calls,
             slots,
-            outside.promptParts()));
+            outside.promptParts(),
+            outside.sizes()));
   }
 
   private HostEngines hostEngines(EngineSender calls) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -387,6 +387,9 @@
         .addAllPromptParts(requirements.promptParts())
         .setDataCentre(dataCentre.value())
         .addAllHomeRegions(requirements.homes().names())
+        .setPromptTokens(requirements.size().promptTokens())
+        .setMaxOutputTokens(requirements.size().maxOutputTokens())
+        .setHintedTokens(requirements.size().hintedTokens())
         .addAllAvoid(requirements.avoidedEngines().stream().map(UpstreamId::value).toList())
         .build();
   }
@@ -413,6 +416,7 @@
     return running
         .setElapsedNanos(Duration.between(request.grantedAt, now).toNanos())
         .setAnswered(request.answered)
+        .setTokens(request.requirements.size().memoryTokens())
         .setNumber(number)
         .setEngine(request.engine.value())
         .setRequest(request.requirements.requestId().value())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
@@ -34,6 +35,7 @@
  * @param stream the stream of the answer; none if the answer is none
  * @param homes the regions whose engines may run it
  * @param preferred of an item: the software that sent the events it has; another has to begin anew
+ * @param size its tokens, as far as the caller states them
  */
 public record SlotRequirements(
     RequestId requestId,
@@ -49,42 +51,11 @@
     Option<RequestFingerprint> fingerprint,
     Option<StreamNeeds> stream,
     HomeRegions homes,
-    Option<SoftwareId> preferred) {
+    Option<SoftwareId> preferred,
+    RequestSize size) {
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
     avoidedEngines = Set.copyOf(avoidedEngines);
   }
-
-  /** Creates the parameters of a request that engines in all regions may run. */
-  public SlotRequirements(
-      RequestId requestId,
-      ServiceName service,
-      WorkClass workClass,
-      int rank,
-      Option<OrganisationId> chargedTo,
-      Deadline startBy,
-      Deadline giveUpAt,
-      List<Long> promptParts,
-      Set<UpstreamId> avoidedEngines,
-      Option<BatchWork> batchWork,
-      Option<RequestFingerprint> fingerprint,
-      Option<StreamNeeds> stream,
-      Option<SoftwareId> preferred) {
-    this(
-        requestId,
-        service,
-        workClass,
-        rank,
-        chargedTo,
-        startBy,
-        giveUpAt,
-        promptParts,
-        avoidedEngines,
-        batchWork,
-        fingerprint,
-        stream,
-        HomeRegions.ANY,
-        preferred);
-  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -167,7 +167,8 @@
             Option.none(),
             Option.none(),
             homes,
-            joined.software());
+            joined.software(),
+            ports.sizes().apply(item.getHeadersList()));
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     slotNumber = pendingSlot.requestNumber;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -208,7 +208,8 @@
             Option.some(fingerprint),
             streamNeeds(),
             homes,
-            Option.none());
+            Option.none(),
+            request.size());
     PendingSlot pendingSlot = new PendingSlot();
     pendingSlot.number = ports.slots().requestSlot(requirements, pendingSlot);
     awaited = Option.some(pendingSlot);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/ServicePlan.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/ServicePlan.java
@@ -11,5 +11,7 @@
  * @param slots number of requests that one of its engines runs at once, unless the engine states
  *     its own
  * @param cold what its cold engines take, none if not stated
+ * @param engineMemoryTokens tokens that one of its engines can hold, zero if not limited
  */
-public record ServicePlan(ServiceName name, int slots, Option<ColdTerms> cold) {}
+public record ServicePlan(
+    ServiceName name, int slots, Option<ColdTerms> cold, int engineMemoryTokens) {}
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.stream.StreamKey;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -40,6 +41,7 @@
  * @param software the only software that may run it, since it sent the events before; of a batch
  *     request the one that need not begin anew; none if any may
  * @param homes the regions whose engines may run it
+ * @param size its tokens, as far as the caller states them
  */
 public record SlotRequest(
     RunId id,
@@ -59,7 +61,8 @@
     Option<RequestFingerprint> fingerprint,
     Option<StreamKey> stream,
     Option<SoftwareId> software,
-    HomeRegions homes) {
+    HomeRegions homes,
+    RequestSize size) {
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
@@ -67,46 +70,6 @@
     connectedEngines = Set.copyOf(connectedEngines);
   }
 
-  /** Creates a request that engines in all regions may run. */
-  public SlotRequest(
-      RunId id,
-      RequestId requestId,
-      ServiceName service,
-      WorkClass workClass,
-      int rank,
-      Option<OrganisationId> chargedTo,
-      Instant receivedAt,
-      Deadline startBy,
-      Deadline giveUpAt,
-      List<Long> promptParts,
-      DataCentreId dataCentre,
-      Set<UpstreamId> avoidedEngines,
-      Set<UpstreamId> connectedEngines,
-      Option<BatchWork> batchWork,
-      Option<RequestFingerprint> fingerprint,
-      Option<StreamKey> stream,
-      Option<SoftwareId> software) {
-    this(
-        id,
-        requestId,
-        service,
-        workClass,
-        rank,
-        chargedTo,
-        receivedAt,
-        startBy,
-        giveUpAt,
-        promptParts,
-        dataCentre,
-        avoidedEngines,
-        connectedEngines,
-        batchWork,
-        fingerprint,
-        stream,
-        software,
-        HomeRegions.ANY);
-  }
-
   /** Returns whether an engine may run it. */
   boolean accepts(EngineEntry engine) {
     return homes.allow(engine.condition().region()) && (!isOnline() || continuesAt(engine));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -53,10 +53,17 @@
   /** Earliest retry after a refusal; runs that are overdue may end at any moment. */
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(30);
 
+  /**
+   * Maximum number of batch requests that a smaller one may overtake while no engine has memory for
+   * them; bounds the work of a decision.
+   */
+  private static final int MAX_OVERTAKEN = 8;
+
   /** Time after which a caller may retry if no engine of the service is usable. */
   private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(600);
 
   private final EnginePool engines = new EnginePool();
+  private final EngineMemory memory = new EngineMemory();
   private final EnginePlacement placement;
   private final OnlineQueue onlineQueue = new OnlineQueue();
   private final BatchQueue batchQueue;
@@ -79,8 +86,16 @@
 
   SlotScheduler(
       FreeSlotReserve freeSlotReserve, BatchOrder batchOrder, LimitedPlacement limitedPlacement) {
+    this(freeSlotReserve, batchOrder, limitedPlacement, EnginePlacement::placementCost);
+  }
+
+  SlotScheduler(
+      FreeSlotReserve freeSlotReserve,
+      BatchOrder batchOrder,
+      LimitedPlacement limitedPlacement,
+      EnginePlacement.Cost cost) {
     this.freeSlotReserve = freeSlotReserve;
-    this.placement = new EnginePlacement(engines, limitedPlacement);
+    this.placement = new EnginePlacement(engines, limitedPlacement, cost);
     this.batchQueue = new BatchQueue(batchOrder);
   }
 
@@ -103,7 +118,13 @@
     if (request.isOnline()) {
       freeSlotReserve.recordArrival(now);
     }
-    if (!request.isOnline()) {
+    if (!memory.mayEverAdmit(request)) {
+      decisions.add(
+          refusal(
+              request,
+              now.plus(NO_ENGINE_RETRY_DELAY),
+              request.size().memoryTokens() + " tokens exceed the memory of the engines"));
+    } else if (!request.isOnline()) {
       batchQueue.add(request);
     } else if (!engines.hasUsable(now)) {
       decisions.add(
@@ -246,6 +267,11 @@
     return startWaitingRequests(now, new ArrayList<>());
   }
 
+  /** Sets the memory of each engine in tokens, zero if it is not limited. */
+  public synchronized void setEngineMemory(int tokens) {
+    memory.setCapacity(tokens);
+  }
+
   /**
    * Sets the share of all slots, and of engines' limits, that this scheduler may use, in [0, 1].
    */
@@ -339,7 +365,8 @@
       SlotRequest next = onlineQueue.next(withoutEngine, now);
       Option<EngineSlots> selected = selectEngine(next, now);
       if (selected.isEmpty()) {
-        if (!next.isRestricted()) {
+        boolean slotsWithoutMemory = memory.isLimited() && engines.freeSlots(now) > 0;
+        if (!next.isRestricted() && !slotsWithoutMemory) {
           return decisions;
         }
         withoutEngine.add(next);
@@ -377,29 +404,32 @@
   }
 
   private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
-    List<SlotRequest> withoutEngine = new ArrayList<>();
-    startBatchRequests(now, decisions, withoutEngine);
-    withoutEngine.forEach(batchQueue::add);
-  }
-
-  /** Those that only some engines may run, none of which is free, do not hold up the others. */
-  private void startBatchRequests(
-      Instant now, List<SlotDecision> decisions, List<SlotRequest> withoutEngine) {
-    while (!batchQueue.isEmpty()
+    Set<SlotRequest> overtaken = new HashSet<>();
+    int withoutMemory = 0;
+    while (batchQueue.size() > overtaken.size()
+        && withoutMemory <= MAX_OVERTAKEN
         && isWithinShare(now)
         && engines.freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
       batchQueue.updatePlan(() -> batchLoad(now), now);
-      SlotRequest next = batchQueue.first().get();
-      Option<EngineSlots> selected =
-          placement.selectCheapest(next, now, e -> e.hasFreeSlot() && !e.health().isRefusing());
-      if (selected.isEmpty() && !next.isRestricted()) {
+      Option<SlotRequest> first = batchQueue.firstExcept(overtaken);
+      if (first.isEmpty()) {
         return;
       }
-      batchQueue.remove(next.id());
-      if (selected.isEmpty()) {
-        withoutEngine.add(next);
+      SlotRequest next = first.get();
+      Option<EngineSlots> selected =
+          placement.selectCheapest(
+              next,
+              now,
+              e -> e.hasFreeSlot() && !e.health().isRefusing() && memory.admits(e, next));
+      if (selected.isEmpty() && (next.isRestricted() || memory.isLimited())) {
+        withoutMemory += next.isRestricted() ? 0 : 1;
+        overtaken.add(next);
         continue;
       }
+      if (selected.isEmpty()) {
+        return;
+      }
+      batchQueue.remove(next.id());
       grantSlot(next, selected.get(), now, decisions);
     }
   }
@@ -442,15 +472,19 @@
   private Option<EngineSlots> selectEngine(SlotRequest request, Instant now) {
     Option<EngineSlots> free =
         isWithinShare(now)
-            ? placement.selectCheapest(request, now, EngineSlots::hasFreeSlot)
+            ? placement.selectCheapest(
+                request, now, e -> e.hasFreeSlot() && memory.admits(e, request))
             : Option.none();
     return free.orElse(
         () ->
-            placement.selectCheapest(request, now, e -> !e.health().isProbing() && hasBatchRun(e)));
+            placement.selectCheapest(
+                request, now, e -> !e.health().isProbing() && mayYieldTo(request, e)));
   }
 
-  private static boolean hasBatchRun(EngineSlots engine) {
-    return engine.runs().values().stream().anyMatch(r -> !r.online());
+  private boolean mayYieldTo(SlotRequest request, EngineSlots engine) {
+    return engine
+        .batchRunToPreempt(batchRunTimes)
+        .exists(run -> memory.admitsInPlaceOf(engine, run, request));
   }
 
   /** Returns whether an engine that may run the request is listed on which it has not failed. */
