Slots: a request names its organisation also when its rate was charged before

Cause: SlotAsk named the organisation only where a rate was to be charged, so a request that ran again after its engine was lost belonged to none at the coordinator.

Change: SlotRequirements and SlotRequest have a field for the organisation beside the one that is charged. SlotAsk.organisation is set for every online request whose caller has one; charge still tells whether it is charged, so coordinators of earlier versions read it as before.

Test: SlotClientTest.requestThatWasChargedBeforeStillNamesItsOrganisation.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -372,6 +372,8 @@
         ask.getBatch() ? WorkClass.BATCH : WorkClass.ONLINE,
         ask.getRank(),
         Option.when(ask.getCharge(), () -> OrganisationId.of(ask.getOrganisation())),
+        Option.when(
+            !ask.getOrganisation().isEmpty(), () -> OrganisationId.of(ask.getOrganisation())),
         now,
         Deadline.at(now.plusNanos(ask.getStartWithinNanos())),
         Deadline.at(now.plusNanos(ask.getGiveUpWithinNanos())),
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -360,7 +360,7 @@
         .setService(requirements.service().value())
         .setBatch(requirements.workClass() == WorkClass.BATCH)
         .setRank(requirements.rank())
-        .setOrganisation(requirements.chargedTo().map(OrganisationId::value).getOrElse(""))
+        .setOrganisation(requirements.organisation().map(OrganisationId::value).getOrElse(""))
         .setCharge(first && requirements.chargedTo().isDefined())
         .setStartWithinNanos(Duration.between(now, requirements.startBy().at()).toNanos())
         .setGiveUpWithinNanos(requirements.giveUpAt().remaining(now).toNanos())
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -23,6 +23,7 @@
  * @param rank urgency among online requests, 0 is the highest
  * @param chargedTo organisation whose rate the start counts against, none if it counts against no
  *     rate
+ * @param organisation organisation that sent it, none if its caller has none
  * @param startBy latest start that still meets the objective; of a batch request, latest start that
  *     still meets its due time
  * @param giveUpAt when it expires
@@ -39,6 +40,7 @@
     WorkClass workClass,
     int rank,
     Option<OrganisationId> chargedTo,
+    Option<OrganisationId> organisation,
     Deadline startBy,
     Deadline giveUpAt,
     List<Long> promptParts,
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -152,6 +152,7 @@
             WorkClass.BATCH,
             route.get().rank(),
             Option.none(),
+            Option.none(),
             Deadline.at(job.due().at().minus(ports.times().estimateRemaining(eventData.size()))),
             job.giveUpAt(),
             ports.promptParts().apply(item.getHeadersList()),
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -180,6 +180,7 @@
             WorkClass.ONLINE,
             admitted.rank(),
             chargedOrganisation,
+            admitted.organisation().map(OrganisationPlan::id),
             sendCount == 0 ? limits.startBy() : limits.giveUpAt(),
             sendCount == 0 ? limits.giveUpAt() : limits.answerBy(),
             request.promptParts(),
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -25,6 +25,7 @@
  * @param workClass online or batch
  * @param rank urgency among online requests, 0 is the highest
  * @param chargedTo organisation whose rate the start counts against, none if it was counted before
+ * @param organisation organisation that sent it, none if its caller has none
  * @param receivedAt when the coordinator received it
  * @param startBy latest start that still meets the objective; of a batch request, latest start that
  *     still meets its due time
@@ -46,6 +47,7 @@
     WorkClass workClass,
     int rank,
     Option<OrganisationId> chargedTo,
+    Option<OrganisationId> organisation,
     Instant receivedAt,
     Deadline startBy,
     Deadline giveUpAt,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
@@ -74,6 +74,7 @@
             WorkClass.ONLINE,
             0,
             Option.none(),
+            Option.none(),
             Deadline.after(clock, Duration.ofMillis(200)),
             Deadline.after(clock, Duration.ofSeconds(2)),
             List.of(),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -141,6 +141,7 @@
               WorkClass.ONLINE,
               0,
               Option.none(),
+              Option.none(),
               Deadline.after(clock, Duration.ofSeconds(30)),
               Deadline.after(clock, Duration.ofSeconds(60)),
               List.of(),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -35,6 +35,7 @@
 
 /** Tests how a host compensates for lost messages. */
 class SlotClientTest {
+  private static final OrganisationId PARISH = OrganisationId.of("parish");
   private static final HostId A = HostId.of("a");
   private static final HostId B = HostId.of("b");
 
@@ -60,13 +61,18 @@
   }
 
   private long requestSlot(SlotClient client) {
+    return requestSlot(client, Option.some(PARISH));
+  }
+
+  private long requestSlot(SlotClient client, Option<OrganisationId> chargedTo) {
     SlotRequirements requirements =
         new SlotRequirements(
             RequestId.of("r"),
             ServiceName.of("s"),
             WorkClass.ONLINE,
             0,
-            Option.some(OrganisationId.of("parish")),
+            chargedTo,
+            Option.some(PARISH),
             Deadline.after(clock, Duration.ofMillis(200)),
             Deadline.after(clock, Duration.ofSeconds(2)),
             List.of(),
@@ -138,6 +144,14 @@
     assertThat(asks().get(1).message.getAsk().getCharge()).isFalse();
   }
 
+  /** Else a request that runs again after its engine was lost would belong to no organisation. */
+  @Test
+  void requestThatWasChargedBeforeStillNamesItsOrganisation() {
+    requestSlot(client, Option.none());
+    assertThat(asks().get(0).message.getAsk().getCharge()).isFalse();
+    assertThat(asks().get(0).message.getAsk().getOrganisation()).isEqualTo(PARISH.value());
+  }
+
   @Test
   void requestBeforeACoordinatorIsKnownWaitsAndIsChargedWithItsFirstMessage() {
     SlotClient starting = new SlotClient(peers(), clock, DataCentreId.of("dc"), List::of);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
@@ -172,6 +172,7 @@
             workClass,
             0,
             Option.none(),
+            Option.none(),
             now,
             Deadline.at(startBy),
             Deadline.at(giveUpAt),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
@@ -57,6 +57,7 @@
         workClass,
         0,
         Option.none(),
+        Option.none(),
         now,
         Deadline.at(now.plus(Duration.ofSeconds(2))),
         Deadline.at(now.plus(Duration.ofSeconds(5))),
