Refusals: callers refused while all engines are gone return after the engines

Cause: without a usable engine every caller was told to come back after 0.6 s. A caller returns once, so in an outage of 2 s most of them came back to no engine and were lost.

Change: ReturnAfterOutage states the latest time that the caller follows, a third of the time it has left, at least 30 ms and at most 2 s. Callers without an organisation are told 0.6 s as before.

A property with a fixed seed holds under a flood of one organisation: slots not exceeded, none without an online run while some wait, one decision for each attempt, no organisation and no data centre starves.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -53,7 +53,7 @@
   /** Earliest retry after a refusal; runs that are overdue may end at any moment. */
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(30);
 
-  /** Time after which a caller may retry if no engine of the service is usable. */
+  /** Time after which a caller without an organisation may retry if no engine is usable. */
   private static final Duration NO_ENGINE_RETRY_DELAY = Duration.ofMillis(600);
 
   private final EnginePool engines = new EnginePool();
@@ -108,7 +108,9 @@
     } else if (!engines.hasUsable(now)) {
       decisions.add(
           refusal(
-              request, now.plus(NO_ENGINE_RETRY_DELAY), "no engine of the service is available"));
+              request,
+              ReturnAfterOutage.returnTime(request, now).getOrElse(now.plus(NO_ENGINE_RETRY_DELAY)),
+              "no engine of the service is available"));
     } else if (!mayEverRun(request)) {
       decisions.add(
           refusal(
