--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -401,6 +401,10 @@
   }
 
   private void finish(String outcome) {
+    if (done) {
+      // The caller's connection failed as the end was written, and cancelled the run.
+      return;
+    }
     done = true;
     answerTimeout.cancel(false);
     updateOrigin();
@@ -765,6 +769,9 @@
       }
       buffered.writeBytes(parser.unparsedBytes());
       forwardBuffered();
+      if (done) {
+        return;
+      }
       whole = true;
       sink.onEnd(new Outcome.Done());
       finish("status " + head.status());
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/ExchangeHandler.java
@@ -132,7 +132,8 @@
     Exchange current = exchange;
     exchange = null;
     context.close();
-    if (current != null) {
+    // As this process stops it closes the connection itself, which is no evidence on the upstream.
+    if (current != null && !context.channel().eventLoop().isShuttingDown()) {
       current.fail(kind, message);
     }
   }
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -13,6 +15,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.http.StreamListener;
@@ -32,20 +35,28 @@
    */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-  private final EventLoopGroup group;
+  private final Supplier<EventLoopGroup> groups;
   private final InstantSource clock;
   private final IdleConnectionPool idleConnections;
   private final AtomicLong lastConnection = new AtomicLong();
 
-  private UpstreamHttpClient(EventLoopGroup group, InstantSource clock) {
-    this.group = group;
+  private UpstreamHttpClient(Supplier<EventLoopGroup> groups, InstantSource clock) {
+    this.groups = groups;
     this.clock = clock;
     this.idleConnections = new IdleConnectionPool(clock);
   }
 
   /** Returns a client on the threads of {@code group}, which the caller starts and stops. */
   public static UpstreamHttpClient of(EventLoopGroup group, InstantSource clock) {
-    return new UpstreamHttpClient(group, clock);
+    return new UpstreamHttpClient(() -> group, clock);
+  }
+
+  /**
+   * Returns a client that opens each connection on the threads that {@code groups} then supplies. A
+   * group that is shut down ends its connections without an end of their requests.
+   */
+  public static UpstreamHttpClient of(Supplier<EventLoopGroup> groups, InstantSource clock) {
+    return new UpstreamHttpClient(groups, clock);
   }
 
   /** Sends a request; the listener receives the response and exactly one end. */
@@ -79,10 +90,15 @@
     }
   }
 
+  private static Class<? extends SocketChannel> channelType(EventLoopGroup group) {
+    return group instanceof EpollEventLoopGroup ? EpollSocketChannel.class : NioSocketChannel.class;
+  }
+
   private void connect(InetSocketAddress address, Exchange exchange) {
+    EventLoopGroup group = groups.get();
     new Bootstrap()
         .group(group)
-        .channel(NioSocketChannel.class)
+        .channel(channelType(group))
         .option(ChannelOption.TCP_NODELAY, true)
         // Tells an orderly close by the upstream, an event, from any other end of the connection.
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
