Peer: heartbeats and their answers are carried by messages

Cause: a ping and its pong cost six frames, four of them heartbeats and answers, each answer a write and a wake-up more. Change: a heartbeat goes in the envelope of the message that makes it due; a reply sent while the message is handled carries the answer, else it goes at once as before. After a third of the time allowed an unanswered heartbeat is repeated in a frame of its own, which earlier versions answer too. The timer waits for the next message for one interval after the last; the time within which a message is covered by a heartbeat and the time to an answer are the same as before. MalformedFramesTest passes the new argument of the handler.

--- a/peer/src/main/java/org/waxwingcourse/peer/Frames.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/Frames.java
@@ -15,6 +15,12 @@
   /** The channel number of heartbeats, which no {@link PeerChannel} has. */
   static final int HEARTBEAT_CHANNEL = 0;
 
+  /** In place of a heartbeat's sequence number, for no heartbeat. */
+  static final long NO_SEQUENCE = 0;
+
+  /** Most bytes of a frame beyond the payload of its message. */
+  static final int MAX_OVERHEAD_BYTES = 48;
+
   private static final int LENGTH_BYTES = 4;
 
   private Frames() {}
@@ -34,10 +40,20 @@
 
   /** Returns a frame that contains a message of the given channel. */
   static ByteBuf encode(int channel, byte[] payload) {
+    return encode(channel, payload, NO_SEQUENCE, NO_SEQUENCE);
+  }
+
+  /**
+   * Returns a frame that contains a message of the given channel, a heartbeat and the answer to
+   * one; {@link #NO_SEQUENCE} for none of them.
+   */
+  static ByteBuf encode(int channel, byte[] payload, long heartbeat, long answered) {
     return encode(
         Envelope.newBuilder()
             .setChannel(channel)
             .setPayload(UnsafeByteOperations.unsafeWrap(payload))
+            .setHeartbeat(heartbeat)
+            .setAnswered(answered)
             .build());
   }
 
--- a/peer/src/main/java/org/waxwingcourse/peer/InboundMessageHandler.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/InboundMessageHandler.java
@@ -18,11 +18,15 @@
   private final HostId from;
   private final HandlerTable handlers;
   private final Counters counters;
+  private final HeartbeatAnswers answers;
+  private long offered = Frames.NO_SEQUENCE;
 
-  InboundMessageHandler(HostId from, HandlerTable handlers, Counters counters) {
+  InboundMessageHandler(
+      HostId from, HandlerTable handlers, Counters counters, HeartbeatAnswers answers) {
     this.from = from;
     this.handlers = handlers;
     this.counters = counters;
+    this.answers = answers;
   }
 
   @Override
@@ -31,14 +35,38 @@
     counters.received(frame.readableBytes());
     Envelope envelope = Frames.decode(frame, Envelope.parser());
     if (envelope.getChannel() == Frames.HEARTBEAT_CHANNEL) {
-      answerHeartbeat(ctx, Heartbeat.parseFrom(envelope.getPayload()));
+      answerHeartbeat(ctx, Heartbeat.parseFrom(envelope.getPayload()).getSequence());
     } else {
+      if (envelope.getAnswered() != Frames.NO_SEQUENCE) {
+        answers.onAnswer(from, envelope.getAnswered());
+      }
+      if (envelope.getHeartbeat() != Frames.NO_SEQUENCE) {
+        offerAnswer(ctx, envelope.getHeartbeat());
+      }
       handlers.deliver(from, envelope.getChannel(), envelope.getPayload().toByteArray());
     }
   }
 
-  private void answerHeartbeat(ChannelHandlerContext ctx, Heartbeat heartbeat) {
-    ByteBuf answer = Frames.heartbeat(heartbeat.getSequence(), true);
+  /** Lets a message that answers the one just received carry the answer to its heartbeat too. */
+  private void offerAnswer(ChannelHandlerContext ctx, long sequence) {
+    if (answers.offer(from, sequence)) {
+      offered = sequence;
+    } else {
+      answerHeartbeat(ctx, sequence);
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (offered != Frames.NO_SEQUENCE && answers.withdraw(from, offered)) {
+      answerHeartbeat(ctx, offered);
+    }
+    offered = Frames.NO_SEQUENCE;
+    ctx.fireChannelReadComplete();
+  }
+
+  private void answerHeartbeat(ChannelHandlerContext ctx, long sequence) {
+    ByteBuf answer = Frames.heartbeat(sequence, true);
     counters.sent(answer.readableBytes());
     ctx.writeAndFlush(answer);
   }
--- a/peer/src/main/java/org/waxwingcourse/peer/Link.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/Link.java
@@ -23,6 +23,7 @@
   private static final EventLog LOG = EventLog.of(Link.class);
   private static final Duration BASE_RETRY_DELAY = Duration.ofMillis(50);
   private static final int MAX_DOUBLINGS = 10;
+  private static final long MAX_FIRST_SEQUENCE = 1L << 40;
 
   /**
    * Opens a connection and reports the result with {@link #onAuthenticated} or {@link #onClosed}.
@@ -32,6 +33,9 @@
     void dial(Link link, long attempt);
   }
 
+  /** A message that is not written yet. */
+  private record Message(int channel, byte[] payload) {}
+
   private enum State {
     IDLE,
     DIALLING,
@@ -44,10 +48,15 @@
   private final RandomGenerator random;
   private final Counters counters;
   private final Dialler dialler;
-  private final Deque<ByteBuf> queue = new ArrayDeque<>();
+  private final Deque<Message> queue = new ArrayDeque<>();
   private State state = State.IDLE;
   private long attempt;
   private long queuedBytes;
+  private long lastSequence;
+
+  /** A heartbeat of the other host that the next message may answer. */
+  private long answerDue = Frames.NO_SEQUENCE;
+
   private io.netty.channel.Channel connection;
   private HeartbeatMonitor monitor;
   private int consecutiveFailures;
@@ -67,20 +76,22 @@
     this.counters = counters;
     this.dialler = dialler;
     this.retryAt = Deadline.at(Instant.MIN);
+    // Not the numbers of an earlier process, whose last heartbeats may be answered to this one.
+    this.lastSequence = random.nextLong(1, MAX_FIRST_SEQUENCE);
   }
 
   HostId host() {
     return host;
   }
 
-  /** Sends, queues or drops a frame and takes ownership of its reference. */
-  void send(ByteBuf frame) {
+  /** Sends, queues or drops a message. */
+  void send(int channel, byte[] payload) {
     long newAttempt = 0;
     synchronized (this) {
       if (state == State.IDLE && retryAt.isPast(clock.instant())) {
         newAttempt = nextAttempt();
       }
-      writeOrQueue(frame);
+      writeOrQueue(new Message(channel, payload));
     }
     if (newAttempt > 0) {
       dialler.dial(this, newAttempt);
@@ -93,31 +104,53 @@
     return attempt;
   }
 
-  private void writeOrQueue(ByteBuf frame) {
+  private void writeOrQueue(Message message) {
     switch (state) {
-      case OPEN -> writeMessage(frame);
-      case DIALLING -> enqueue(frame);
-      default -> drop(frame);
+      case OPEN -> writeMessage(message);
+      case DIALLING -> enqueue(message);
+      default -> counters.dropped.increment();
     }
   }
 
-  private void enqueue(ByteBuf frame) {
-    int bytes = frame.readableBytes();
+  private void enqueue(Message message) {
+    int bytes = message.payload.length + Frames.MAX_OVERHEAD_BYTES;
     if (queuedBytes + bytes > settings.maxQueuedBytes()) {
-      drop(frame);
+      counters.dropped.increment();
       return;
     }
     queuedBytes += bytes;
-    queue.add(frame);
+    queue.add(message);
   }
 
-  private void writeMessage(ByteBuf frame) {
+  private void writeMessage(Message message) {
     if (!connection.isWritable()) {
-      drop(frame);
+      counters.dropped.increment();
       return;
     }
-    writeFrame(frame);
-    sendHeartbeat(monitor.onSend(clock.instant()));
+    long heartbeat = monitor.onSend(clock.instant()).orElse(Frames.NO_SEQUENCE);
+    writeFrame(Frames.encode(message.channel, message.payload, heartbeat, answerDue));
+    answerDue = Frames.NO_SEQUENCE;
+  }
+
+  /**
+   * Offers the answer to a heartbeat of the other host to the next message; returns false if the
+   * connection is not open, so that the answer has to go another way.
+   */
+  synchronized boolean offerAnswer(long sequence) {
+    if (state != State.OPEN) {
+      return false;
+    }
+    answerDue = sequence;
+    return true;
+  }
+
+  /** Takes an offered answer back; returns false if a message has taken it. */
+  synchronized boolean withdrawAnswer(long sequence) {
+    if (answerDue != sequence) {
+      return false;
+    }
+    answerDue = Frames.NO_SEQUENCE;
+    return true;
   }
 
   private void sendHeartbeat(OptionalLong sequence) {
@@ -131,11 +164,6 @@
     connection.writeAndFlush(frame);
   }
 
-  private void drop(ByteBuf frame) {
-    counters.dropped.increment();
-    frame.release();
-  }
-
   /**
    * Starts to use a connection whose handshake is complete, or closes it if a later attempt was
    * made.
@@ -146,7 +174,7 @@
       return;
     }
     connection = authenticated;
-    monitor = new HeartbeatMonitor(settings, clock.instant());
+    monitor = new HeartbeatMonitor(settings, lastSequence, clock.instant());
     state = State.OPEN;
     consecutiveFailures = 0;
     while (!queue.isEmpty()) {
@@ -174,9 +202,9 @@
     state = State.IDLE;
     connection = null;
     queuedBytes = 0;
-    while (!queue.isEmpty()) {
-      drop(queue.poll());
-    }
+    lastSequence = monitor == null ? lastSequence : monitor.lastSequence();
+    counters.dropped.add(queue.size());
+    queue.clear();
   }
 
   private Duration nextRetryDelay() {
@@ -190,6 +218,13 @@
     return state == State.OPEN;
   }
 
+  /** Records the answer to a heartbeat that a message of the other host has brought. */
+  synchronized void onHeartbeatAnswer(long sequence) {
+    if (state == State.OPEN) {
+      monitor.onAnswer(sequence);
+    }
+  }
+
   /** Records the answer to a heartbeat on the connection of the given attempt. */
   synchronized void onHeartbeatAnswer(long ofAttempt, long sequence) {
     if (ofAttempt == attempt && state == State.OPEN) {
@@ -210,6 +245,7 @@
       } else if (monitor.isIdle(now)) {
         closeConnection();
       } else {
+        sendHeartbeat(monitor.pollRepetition(now));
         sendHeartbeat(monitor.pollHeartbeat(now));
       }
     }
--- a/peer/src/main/java/org/waxwingcourse/peer/NettyPeerTransport.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/NettyPeerTransport.java
@@ -56,6 +56,7 @@
   private final Counters counters = new Counters();
   private final HandlerTable handlers = new HandlerTable();
   private final ConcurrentMap<HostId, Link> links = new ConcurrentHashMap<>();
+  private final HeartbeatAnswers answers = new LinkAnswers();
   private final AtomicInteger unauthenticated = new AtomicInteger();
   private NioEventLoopGroup group;
 
@@ -127,7 +128,7 @@
     } else if (to.equals(settings.self())) {
       selfDelivery.execute(() -> handlers.deliver(to, channel.number(), payload));
     } else {
-      links.computeIfAbsent(to, this::newLink).send(Frames.encode(channel.number(), payload));
+      links.computeIfAbsent(to, this::newLink).send(channel.number(), payload);
     }
   }
 
@@ -211,7 +212,7 @@
     connection
         .pipeline()
         .addLast(new IdleStateHandler(idleMillis, 0, 0, TimeUnit.MILLISECONDS))
-        .addLast(new InboundMessageHandler(from, handlers, counters));
+        .addLast(new InboundMessageHandler(from, handlers, counters, answers));
   }
 
   @Override
@@ -238,4 +239,27 @@
       }
     };
   }
+
+  /** Answers heartbeats with messages on the connection to the same host. */
+  private final class LinkAnswers implements HeartbeatAnswers {
+    @Override
+    public boolean offer(HostId host, long sequence) {
+      Link link = links.get(host);
+      return link != null && link.offerAnswer(sequence);
+    }
+
+    @Override
+    public boolean withdraw(HostId host, long sequence) {
+      Link link = links.get(host);
+      return link == null || link.withdrawAnswer(sequence);
+    }
+
+    @Override
+    public void onAnswer(HostId host, long sequence) {
+      Link link = links.get(host);
+      if (link != null) {
+        link.onHeartbeatAnswer(sequence);
+      }
+    }
+  }
 }
--- a/peer/src/main/java/org/waxwingcourse/peer/PeerSettings.java
+++ b/peer/src/main/java/org/waxwingcourse/peer/PeerSettings.java
@@ -72,6 +72,22 @@
         threads);
   }
 
+  /** Returns a copy of these settings with the given number of network threads. */
+  public PeerSettings withThreads(int count) {
+    return new PeerSettings(
+        self,
+        listen,
+        secret,
+        heartbeatInterval,
+        silenceTimeout,
+        connectTimeout,
+        idleTimeout,
+        maxRetryDelay,
+        maxFrameBytes,
+        maxQueuedBytes,
+        count);
+  }
+
   /** Returns a copy of these settings with the given size limits in bytes. */
   public PeerSettings withSizeLimits(int frameBytes, int queuedBytes) {
     return new PeerSettings(
--- a/peer/src/test/java/org/waxwingcourse/peer/MalformedFramesTest.java
+++ b/peer/src/test/java/org/waxwingcourse/peer/MalformedFramesTest.java
@@ -24,6 +24,23 @@
   private static final PeerSettings SETTINGS = LoopbackFleet.settings(HostId.of("b"));
   private static final int MAX_FRAME_BYTES = 256;
 
+  /** As if there were no connection to the sender. */
+  private static final HeartbeatAnswers NO_CONNECTION =
+      new HeartbeatAnswers() {
+        @Override
+        public boolean offer(HostId host, long sequence) {
+          return false;
+        }
+
+        @Override
+        public boolean withdraw(HostId host, long sequence) {
+          return true;
+        }
+
+        @Override
+        public void onAnswer(HostId host, long sequence) {}
+      };
+
   @Property(seed = "4101", tries = 300)
   void arbitraryBytesDoNotPassTheHandshake(@ForAll @Size(max = 200) byte[] bytes) {
     List<HostId> authenticated = new ArrayList<>();
@@ -51,7 +68,7 @@
     EmbeddedChannel channel =
         new EmbeddedChannel(
             Frames.decoder(MAX_FRAME_BYTES),
-            new InboundMessageHandler(HostId.of("a"), handlers, new Counters()));
+            new InboundMessageHandler(HostId.of("a"), handlers, new Counters(), NO_CONNECTION));
     channel.writeInbound(withLengthPrefix(bytes));
     channel.checkException();
     assertThat(delivered).allMatch(p -> p.length <= bytes.length);
