Fleet: queues are checked while there is work, one network thread between hosts

Cause: two timers of 20 ms, one of 100 ms and one of 300 ms woke every host, though only the coordinator has queues and a coordinator is first chosen once; a second network thread had to be woken for half of the replies. Change: QueueTimer runs the checks from the first message of a host until no request waits and none has come for 2.5 s; the other steps run with the ping tick of 130 ms. PeerSettings.withThreads, 1 in FleetNode.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -12,10 +12,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.waxwingcourse.fleet.coordinate.Coordinator;
 import org.waxwingcourse.fleet.coordinate.CoordinatorLink;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.HostEngines;
+import org.waxwingcourse.fleet.coordinate.QueueTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineEntryReader;
@@ -54,13 +56,16 @@
 public final class FleetNode implements Service {
   private static final EventLog LOG = EventLog.of(FleetNode.class);
 
-  /** Interval between pings; a host counts as lost after three pings without a pong. */
+  /**
+   * Interval between pings; a host counts as lost after three pings without a pong. The other steps
+   * of an idle host are run with them.
+   */
   private static final Duration PING_INTERVAL = Duration.ofMillis(130);
 
-  /** Interval between checks for entries that were kept after an outage of the store. */
-  private static final Duration LAPSED_CHECK_INTERVAL = Duration.ofMillis(100);
-
-  /** Interval between checks of the queues; small compared with the allowed waiting time. */
+  /**
+   * Interval between checks of the queues while there is work; small compared with the allowed
+   * waiting time.
+   */
   private static final Duration QUEUE_CHECK_INTERVAL = Duration.ofMillis(20);
 
   /**
@@ -68,8 +73,8 @@
    */
   private static final Duration JOB_CHECK_INTERVAL = Duration.ofMillis(1500);
 
-  /** Interval between checks whether the quarantine has changed and must be stored. */
-  private static final Duration QUARANTINE_CHECK_INTERVAL = Duration.ofMillis(300);
+  /** Number of ping intervals between checks whether the quarantine must be stored. */
+  private static final int QUARANTINE_CHECK_TICKS = 2;
 
   /** Interval between removals of jobs whose retention has ended. */
   private static final Duration JOB_REMOVAL_INTERVAL = Duration.ofSeconds(30);
@@ -82,6 +87,12 @@
 
   private static final Duration PEER_SILENCE_LIMIT = Duration.ofMillis(900);
 
+  /**
+   * One thread reads a message and writes the reply; a second one would have to be woken for half
+   * of the replies, and a host has about one core.
+   */
+  private static final int PEER_THREADS = 1;
+
   /** How long callers may use an answer about hosts; they may keep it three times as long. */
   public static final Duration HOST_LIST_LIFETIME = Duration.ofSeconds(2);
 
@@ -112,6 +123,7 @@
   private final SecureRandom random;
   private volatile NettyPeerTransport peerTransport;
   private volatile Option<StopSchedule> stopSchedule = Option.none();
+  private int quarantineTicks;
 
   /**
    * The external services and formats that a host depends on.
@@ -298,18 +310,32 @@
   private void startComponents(String secret) {
     PeerSettings peerSettings =
         PeerSettings.of(settings.host(), settings.peerAddress(), FleetSecret.of(secret))
-            .withHeartbeatTiming(PEER_HEARTBEAT_INTERVAL, PEER_SILENCE_LIMIT);
+            .withHeartbeatTiming(PEER_HEARTBEAT_INTERVAL, PEER_SILENCE_LIMIT)
+            .withThreads(PEER_THREADS);
     NettyPeerTransport connectedTransport =
         NettyPeerTransport.of(peerSettings, this::findPeerAddress, clocks.steady(), random);
     connectedTransport.setHandler(PeerChannel.FLEET, messageRouter::onMessage);
     connectedTransport.start();
     peerTransport = connectedTransport;
     peers.connect(connectedTransport);
-    repeat(PING_INTERVAL, coordinatorLink::updateAttachment);
-    repeat(LAPSED_CHECK_INTERVAL, storeView::removeLapsed);
-    repeat(QUEUE_CHECK_INTERVAL, coordinator::processQueues);
-    repeat(QUEUE_CHECK_INTERVAL, coordinatorLink::attachEarly);
-    repeat(QUARANTINE_CHECK_INTERVAL, () -> runIfCoordinator(quarantineKeeper::saveIfChanged));
+    QueueTimer queueTimer =
+        new QueueTimer(
+            timer, QUEUE_CHECK_INTERVAL, guarded(coordinator::processQueues), coordinator::hasWork);
+    coordinator.setMessageListener(queueTimer::wake);
+    // One timer for all, since each wake-up of an idle host costs more than these steps.
+    repeat(
+        PING_INTERVAL,
+        coordinatorLink::updateAttachment,
+        storeView::removeLapsed,
+        queueTimer::runIfResting,
+        this::saveQuarantineIfDue);
+    QueueTimer earlyTimer =
+        new QueueTimer(
+            timer,
+            QUEUE_CHECK_INTERVAL,
+            guarded(coordinatorLink::attachEarly),
+            () -> !coordinatorLink.hasChosen());
+    earlyTimer.wake();
     repeat(JOB_CHECK_INTERVAL, () -> runIfCoordinator(supervisor::checkRunners));
     repeat(JOB_REMOVAL_INTERVAL, () -> runIfCoordinator(expiredJobRemover::removeExpired));
     LOG.write(
@@ -328,18 +354,28 @@
     return storeView.fleetHosts().findHost(host).map(FleetHost::peerAddress);
   }
 
-  private void repeat(Duration interval, Runnable step) {
+  private void saveQuarantineIfDue() {
+    quarantineTicks = (quarantineTicks + 1) % QUARANTINE_CHECK_TICKS;
+    if (quarantineTicks == 0) {
+      runIfCoordinator(quarantineKeeper::saveIfChanged);
+    }
+  }
+
+  private void repeat(Duration interval, Runnable... steps) {
+    List<Runnable> guarded = Stream.of(steps).map(FleetNode::guarded).toList();
     timer.scheduleWithFixedDelay(
-        () -> {
-          try {
-            step.run();
-          } catch (RuntimeException e) {
-            LOG.write(Event.STEP_FAILED, e.toString());
-          }
-        },
-        0,
-        interval.toMillis(),
-        TimeUnit.MILLISECONDS);
+        () -> guarded.forEach(Runnable::run), 0, interval.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns a step whose failure is logged, so that it and the others are run again. */
+  private static Runnable guarded(Runnable step) {
+    return () -> {
+      try {
+        step.run();
+      } catch (RuntimeException e) {
+        LOG.write(Event.STEP_FAILED, e.toString());
+      }
+    };
   }
 
   private static ScheduledExecutorService createTimer() {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -81,6 +81,12 @@
 
   private static final Duration ENGINES_CHECK_INTERVAL = Duration.ofMillis(10);
 
+  /**
+   * Time after the last message of a host in which queues may change with the time: hosts report
+   * their runs every second while they have any.
+   */
+  private static final Duration ACTIVE_TIME = Duration.ofMillis(2500);
+
   private final PeerTransport peers;
   private final InstantSource clock;
   private final OrganisationRateLimiter rates =
@@ -95,6 +101,8 @@
   private volatile double fleetShare;
   private volatile Map<UpstreamId, ListedEngine> listed = Map.of();
   private volatile Instant firstAskAt = Instant.MAX;
+  private volatile Instant lastMessageAt = Instant.MIN;
+  private volatile Runnable onMessage = () -> {};
 
   /** An engine and the time at which this coordinator learned of it. */
   private record ListedEngine(EngineEntry entry, Instant since) {}
@@ -202,7 +210,27 @@
     services.values().forEach(s -> execute(s.removeHost(host, clock.instant())));
   }
 
-  /** Starts or refuses waiting requests that are due. Called every few milliseconds. */
+  /** Sets what is called after a message of a host has come, before it is handled. */
+  public void setMessageListener(Runnable listener) {
+    onMessage = listener;
+  }
+
+  private void recordMessage(Instant now) {
+    lastMessageAt = now;
+    onMessage.run();
+  }
+
+  /** Returns whether queues may change with the time. */
+  public boolean hasWork() {
+    return clock.instant().isBefore(lastMessageAt.plus(ACTIVE_TIME))
+        || !pacedRequests.isEmpty()
+        || services.values().stream().anyMatch(SlotScheduler::isWaitedFor);
+  }
+
+  /**
+   * Starts or refuses waiting requests that are due. Called every few milliseconds while there is
+   * work, and at intervals of a tenth of a second otherwise.
+   */
   public void processQueues() {
     Instant now = clock.instant();
     if (screening.update(now)) {
@@ -214,6 +242,7 @@
 
   void onAsk(HostId from, SlotAsk ask) {
     Instant now = clock.instant();
+    recordMessage(now);
     SlotRequest request = toSlotRequest(from, ask, now);
     if (pacedRequests.contains(request.id())) {
       return;
@@ -301,6 +330,7 @@
             end.getEvents());
     RunId id = new RunId(from, end.getNumber());
     Instant now = clock.instant();
+    recordMessage(now);
     granted.recordEnd(id, runEnd.how() == RunEnd.How.NOT_SENT);
     boolean refusesMore = false;
     if (end.getEngineBoot() != 0) {
@@ -332,6 +362,7 @@
   }
 
   void onSilence(HostId from, long number) {
+    recordMessage(clock.instant());
     services.values().forEach(s -> s.recordSilence(new RunId(from, number), clock.instant()));
   }
 
@@ -341,6 +372,7 @@
    */
   void onRunning(HostId from, RunningList list) {
     Instant now = clock.instant();
+    recordMessage(now);
     Set<RunId> listed =
         list.getRunsList().stream()
             .map(r -> new RunId(from, r.getNumber()))
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -210,6 +210,11 @@
     }
   }
 
+  /** Returns whether a coordinator has been chosen since this process started. */
+  public synchronized boolean hasChosen() {
+    return coordinatorId != null;
+  }
+
   private synchronized boolean mayChooseEarly() {
     Instant now = clocks.instant();
     if (coordinatorId != null || !candidates.haveAnswered(now)) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/PacedRequests.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/PacedRequests.java
@@ -34,6 +34,11 @@
     return due;
   }
 
+  /** Returns whether no request is held. */
+  public synchronized boolean isEmpty() {
+    return queue.isEmpty();
+  }
+
   /** Returns whether a request is held. */
   public synchronized boolean contains(RunId id) {
     return queue.stream().anyMatch(p -> p.request.id().equals(id));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -272,6 +272,11 @@
     return startWaitingRequests(now, decisions);
   }
 
+  /** Returns whether requests wait for a slot. */
+  public synchronized boolean isWaitedFor() {
+    return onlineQueue.size() + batchQueue.size() > 0;
+  }
+
   /** Returns the present load, without engines that are leaving and the runs that end there. */
   public synchronized SlotLoad load(Instant now) {
     int slots = 0;
