--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -19,7 +19,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.evacuate.EngineConditions;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -153,7 +155,9 @@
               Option.none(),
               fingerprint,
               stream,
-              Option.none());
+              HomeRegions.ANY,
+              Option.none(),
+              RequestSize.UNKNOWN);
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
       return listener.number;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/evacuate/EngineConditionsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/evacuate/EngineConditionsTest.java
@@ -53,7 +53,7 @@
     return new Plan(
         1,
         plan.routes(),
-        Map.of(SERVICE, new ServicePlan(SERVICE, 8, terms)),
+        Map.of(SERVICE, new ServicePlan(SERVICE, 8, terms, 0)),
         plan.limits(),
         plan.organisations());
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -183,7 +185,9 @@
             work,
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            HomeRegions.ANY,
+            RequestSize.UNKNOWN);
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineLossReplay.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineLossReplay.java
@@ -13,6 +13,8 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -194,6 +196,7 @@
             work.online ? WorkClass.ONLINE : WorkClass.BATCH,
             0,
             Option.none(),
+            Option.none(),
             now,
             Deadline.at(work.online ? startBy : dueAt.minusMillis((long) ITEM_RUN_MILLIS)),
             Deadline.at(work.online ? giveUpAt : dueAt.plusSeconds(60)),
@@ -204,7 +207,9 @@
             Option.when(!work.online, () -> new BatchWork(Deadline.at(dueAt), 0)),
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            HomeRegions.ANY,
+            RequestSize.UNKNOWN);
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineMemoryTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineMemoryTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -56,6 +57,7 @@
         workClass,
         0,
         Option.none(),
+        Option.none(),
         now,
         dueAt,
         dueAt,
@@ -67,6 +69,7 @@
         Option.none(),
         Option.none(),
         Option.none(),
+        HomeRegions.ANY,
         size);
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/HomeRegionPlacementTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/HomeRegionPlacementTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.engine.EngineCondition;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
@@ -45,6 +46,7 @@
             workClass,
             0,
             Option.none(),
+            Option.none(),
             now,
             Deadline.at(now.plusSeconds(10)),
             Deadline.at(now.plusSeconds(20)),
@@ -56,7 +58,8 @@
             Option.none(),
             Option.none(),
             Option.none(),
-            HomeRegions.of(List.of(regions)));
+            HomeRegions.of(List.of(regions)),
+            RequestSize.UNKNOWN);
     return scheduler.submit(request, now);
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/OnlineReplay.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/OnlineReplay.java
@@ -14,6 +14,8 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -251,7 +253,9 @@
             work,
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            HomeRegions.ANY,
+            RequestSize.UNKNOWN);
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/PlacementReplay.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/PlacementReplay.java
@@ -15,6 +15,8 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -208,6 +210,7 @@
             work.online ? WorkClass.ONLINE : WorkClass.BATCH,
             0,
             Option.none(),
+            Option.none(),
             now,
             Deadline.at(work.online ? work.arrivedAt.plusMillis(216) : dueAt.minusMillis(4800)),
             Deadline.at(work.online ? work.arrivedAt.plusSeconds(2) : dueAt.plusSeconds(60)),
@@ -218,7 +221,9 @@
             Option.when(!work.online, () -> new BatchWork(Deadline.at(dueAt), work.doneEvents)),
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            HomeRegions.ANY,
+            RequestSize.UNKNOWN);
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.RequestRate;
+import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -109,7 +111,9 @@
         Option.none(),
         Option.none(),
         Option.none(),
-        Option.none());
+        Option.none(),
+        HomeRegions.ANY,
+        RequestSize.UNKNOWN);
   }
 
   void publishEngines() {
@@ -185,7 +189,9 @@
             () -> new BatchWork(Deadline.at(now.plus(startWithin).plus(BATCH_RUN)), 0)),
         Option.none(),
         Option.none(),
-        Option.none());
+        Option.none(),
+        HomeRegions.ANY,
+        RequestSize.UNKNOWN);
   }
 
   void run(Duration span) {
