--- a/model/src/main/java/org/waxwingcourse/model/id/HostId.java
+++ b/model/src/main/java/org/waxwingcourse/model/id/HostId.java
@@ -30,4 +30,16 @@
   public String toString() {
     return value;
   }
+
+  // Written out: a start would spend milliseconds on linking the generated methods of each record.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof HostId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/model/src/main/java/org/waxwingcourse/model/id/RequestId.java
+++ b/model/src/main/java/org/waxwingcourse/model/id/RequestId.java
@@ -41,4 +41,16 @@
   public String toString() {
     return value;
   }
+
+  // Written out: a start would spend milliseconds on linking the generated methods of each record.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RequestId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/model/src/main/java/org/waxwingcourse/model/id/Revision.java
+++ b/model/src/main/java/org/waxwingcourse/model/id/Revision.java
@@ -30,4 +30,16 @@
   public int compareTo(Revision other) {
     return Long.compare(value, other.value);
   }
+
+  // Written out: a start would spend milliseconds on linking the generated methods of each record.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Revision that && value == that.value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
--- a/store/src/main/java/org/waxwingcourse/store/LeaseId.java
+++ b/store/src/main/java/org/waxwingcourse/store/LeaseId.java
@@ -13,4 +13,16 @@
   public static LeaseId of(long value) {
     return new LeaseId(value);
   }
+
+  // Written out: a start would spend milliseconds on linking the generated methods of each record.
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof LeaseId that && value == that.value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
