Directory: hosts lost in an outage or behind a cut are no longer named

Cause: the list of hosts is kept while the store is out of reach or recovers, and by a host that is cut off; callers were sent to hosts lost long before.

Change: while the store is out of reach or recovers the coordinator tells its hosts which of them are attached, as it does after its start. Pongs are as before while the store answers.

The fixture now records signs of the store and removes lapsed entries as FleetNode does.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -178,6 +178,9 @@
     if (knowsEngines()) {
       recordHeard();
     }
+    if (follower.isFollowing() && candidates.isInContact(self.id())) {
+      collectedHosts.recordCurrentList(now);
+    }
     recordFirstTick(now);
     List<HostId> order = candidates.order();
     ownPingTicks = pingIntervalTicks(order);
@@ -236,20 +239,35 @@
     if (isCollecting(now)) {
       collectedHosts.record(collected(), now);
     }
-    return storeView.fleetHosts().callerHosts().stream()
-        .filter(h -> h.id().equals(self.id()) || collectedHosts.mayBeNamed(h.id(), now))
-        .toList();
+    List<FleetHost> listed = storeView.fleetHosts().callerHosts();
+    List<FleetHost> running =
+        listed.stream()
+            .filter(h -> h.id().equals(self.id()) || collectedHosts.mayBeNamed(h.id(), now))
+            .toList();
+    return running.isEmpty() ? listed : running;
   }
 
-  /** Returns whether this host coordinates and has started recently. */
+  /**
+   * Returns whether this host coordinates and knows better than the store which hosts run, as it
+   * has started recently, or as the store is out of reach or recovers.
+   */
   private synchronized boolean isCollecting(Instant now) {
     return self.id().equals(coordinatorId)
         && !attachedHosts.isEmpty()
-        && now.isBefore(firstTickAt.plus(CollectedHosts.COLLECTION_TIME));
+        && (now.isBefore(firstTickAt.plus(CollectedHosts.COLLECTION_TIME))
+            || !candidates.isInContact(self.id())
+            || storeView.contact().isRecovering());
   }
 
   private synchronized List<HostId> collected() {
-    List<HostId> hosts = new ArrayList<>(attachedHosts.keySet());
+    Instant oldest = clocks.instant().minus(CollectedHosts.MAX_PING_AGE);
+    List<HostId> hosts = new ArrayList<>();
+    attachedHosts.forEach(
+        (host, attachment) -> {
+          if (!attachment.pingedAt.isBefore(oldest)) {
+            hosts.add(host);
+          }
+        });
     hosts.add(self.id());
     return hosts;
   }
@@ -317,6 +335,9 @@
     streams.apply(from, pong);
     synchronized (this) {
       if (from.equals(coordinatorId)) {
+        if (pong.getInContact()) {
+          collectedHosts.recordCurrentList(now);
+        }
         collectedHosts.record(pong.getAttachedList().stream().map(HostId::of).toList(), now);
       }
       if (from.equals(coordinatorId) && pong.getBucketsCount() > 0) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -67,6 +67,9 @@
   /** Hosts that are down. */
   final Set<HostId> silent = new HashSet<>();
 
+  /** Hosts that do not reach the store. */
+  final Set<HostId> withoutStore = new HashSet<>();
+
   /** Hosts that run and reach no other host. */
   final Set<HostId> cutOff = new HashSet<>();
 
@@ -224,7 +227,11 @@
       for (int i = 0; i < members.size(); i++) {
         Member member = members.get(i);
         if ((step + i) % (TICK.toMillis() / STEP.toMillis()) == 0 && !silent.contains(member.id)) {
-          member.storeView.evidence().recordOwnRead(clocks.now());
+          if (!withoutStore.contains(member.id)) {
+            member.storeView.evidence().recordOwnRead(clocks.now());
+            member.storeView.contact().recordSign();
+          }
+          member.storeView.removeLapsed();
           member.link.updateAttachment();
         }
         member.coordinator.processQueues();
