--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -172,18 +172,7 @@
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
     EngineSender calls = new EngineAnswerWatch(outside.calls(), engines, clocks.wall());
-    Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
-    follower =
-        new StoreFollower(
-            outside.store(),
-            storeView,
-            clocks,
-            timer,
-            outside.sources(),
-            operators -> {
-              conditions.onRead(operators);
-              evacuations.onOrders(operators.entries());
-            });
+    follower = createFollower(outside);
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper =
         new QuarantineKeeper(
@@ -447,6 +436,20 @@
         Revision.NONE);
   }
 
+  private StoreFollower createFollower(Dependencies outside) {
+    Evacuations evacuations = new Evacuations(outside.store(), outside.evacuations());
+    return new StoreFollower(
+        outside.store(),
+        storeView,
+        clocks,
+        timer,
+        outside.sources(),
+        operators -> {
+          conditions.onRead(operators);
+          evacuations.onOrders(operators.entries());
+        });
+  }
+
   private OnlineService createOnlineService(
       EngineSender calls, SlotClient slots, MetricRegistry metrics) {
     return new OnlineService(
