--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/CloseDelimitedResponseTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/CloseDelimitedResponseTest.java
@@ -26,9 +26,13 @@
   /** More than the socket buffers of a loopback connection hold. */
   private static final int LONG_BODY = 32 << 20;
 
-  private final EventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoopGroup group = createGroup();
   private final UpstreamHttpClient client = UpstreamHttpClient.of(group, Clock.systemUTC());
 
+  EventLoopGroup createGroup() {
+    return new NioEventLoopGroup(1);
+  }
+
   @AfterEach
   void stop() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/upstream/src/test/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClientTest.java
+++ b/upstream/src/test/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClientTest.java
@@ -34,7 +34,7 @@
 class UpstreamHttpClientTest {
   private static final long PATIENCE_SECONDS = 10;
 
-  private final EventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoopGroup group = createGroup();
   private final ManualClock clock = ManualClock.at(Instant.ofEpochSecond(1000));
   private final UpstreamHttpClient client = UpstreamHttpClient.of(group, clock);
   private final AtomicInteger connections = new AtomicInteger();
@@ -43,6 +43,10 @@
 
   UpstreamHttpClientTest() throws IOException {}
 
+  EventLoopGroup createGroup() {
+    return new NioEventLoopGroup(1);
+  }
+
   @AfterEach
   void stop() throws IOException {
     server.close();
