Records with sizes have one constructor

Cause: constructors without a size exceeded the number of parameters that checkstyle allows.

Change: they are removed; tests state RequestSize.UNKNOWN. No test checks anything else than before.

Measured: mvn -o verify -pl fleet,platform -am -DskipTests is clean.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -50,38 +50,6 @@
     Option<StreamNeeds> stream,
     Option<SoftwareId> preferred,
     RequestSize size) {
-  /** Creates the parameters of a request of which no size is stated. */
-  public SlotRequirements(
-      RequestId requestId,
-      ServiceName service,
-      WorkClass workClass,
-      int rank,
-      Option<OrganisationId> chargedTo,
-      Deadline startBy,
-      Deadline giveUpAt,
-      List<Long> promptParts,
-      Set<UpstreamId> avoidedEngines,
-      Option<BatchWork> batchWork,
-      Option<RequestFingerprint> fingerprint,
-      Option<StreamNeeds> stream,
-      Option<SoftwareId> preferred) {
-    this(
-        requestId,
-        service,
-        workClass,
-        rank,
-        chargedTo,
-        startBy,
-        giveUpAt,
-        promptParts,
-        avoidedEngines,
-        batchWork,
-        fingerprint,
-        stream,
-        preferred,
-        RequestSize.UNKNOWN);
-  }
-
   /** Copies the collections. */
   public SlotRequirements {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -92,43 +92,7 @@
       Consumer<RunningJob> onStarted,
       Consumer<RunningJob> onFinished,
       Function<List<ItemHeader>, List<Long>> promptParts,
-      Function<List<ItemHeader>, RequestSize> sizes) {
-    /** Creates the ports of a runner whose items state no size. */
-    Ports(
-        RunnerName self,
-        HostEntryRegistration registration,
-        JobStore store,
-        InstantSource clock,
-        InstantSource wall,
-        ScheduledExecutorService timer,
-        RandomGenerator random,
-        StoreView storeView,
-        EngineDirectory engines,
-        EngineSender calls,
-        SlotSource slots,
-        BatchRunTimes times,
-        Consumer<RunningJob> onStarted,
-        Consumer<RunningJob> onFinished,
-        Function<List<ItemHeader>, List<Long>> promptParts) {
-      this(
-          self,
-          registration,
-          store,
-          clock,
-          wall,
-          timer,
-          random,
-          storeView,
-          engines,
-          calls,
-          slots,
-          times,
-          onStarted,
-          onFinished,
-          promptParts,
-          h -> RequestSize.UNKNOWN);
-    }
-  }
+      Function<List<ItemHeader>, RequestSize> sizes) {}
 
   JobRunner(Ports ports) {
     this.ports = ports;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -120,37 +120,7 @@
       EngineSender calls,
       SlotSource slots,
       Function<List<ItemHeader>, List<Long>> promptParts,
-      Function<List<ItemHeader>, RequestSize> sizes) {
-    /** Creates the ports of a service whose items state no size. */
-    public Ports(
-        Store store,
-        HostEntryRegistration registration,
-        PeerTransport peers,
-        InstantSource clock,
-        InstantSource wall,
-        ScheduledExecutorService timer,
-        RandomGenerator random,
-        StoreView storeView,
-        EngineDirectory engines,
-        EngineSender calls,
-        SlotSource slots,
-        Function<List<ItemHeader>, List<Long>> promptParts) {
-      this(
-          store,
-          registration,
-          peers,
-          clock,
-          wall,
-          timer,
-          random,
-          storeView,
-          engines,
-          calls,
-          slots,
-          promptParts,
-          h -> RequestSize.UNKNOWN);
-    }
-  }
+      Function<List<ItemHeader>, RequestSize> sizes) {}
 
   /** Creates the service of one process. */
   public JobService(HostId host, long boot, Ports ports) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRequest.java
@@ -40,36 +40,6 @@
     Instant arrivedAt,
     Option<Deadline> deadline,
     RequestSize size) {
-  /** Creates a request of which no size is stated. */
-  public OnlineRequest(
-      RequestId id,
-      String host,
-      String method,
-      String target,
-      List<Header> headers,
-      byte[] body,
-      Option<String> key,
-      List<Long> promptParts,
-      Option<Long> resumeAfter,
-      Option<String> resumes,
-      Instant arrivedAt,
-      Option<Deadline> deadline) {
-    this(
-        id,
-        host,
-        method,
-        target,
-        headers,
-        body,
-        key,
-        promptParts,
-        resumeAfter,
-        resumes,
-        arrivedAt,
-        deadline,
-        RequestSize.UNKNOWN);
-  }
-
   /** Copies the lists. */
   public OnlineRequest {
     headers = List.copyOf(headers);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -60,46 +60,6 @@
     Option<StreamKey> stream,
     Option<SoftwareId> software,
     RequestSize size) {
-  /** Creates a request of which no size is stated. */
-  public SlotRequest(
-      RunId id,
-      RequestId requestId,
-      ServiceName service,
-      WorkClass workClass,
-      int rank,
-      Option<OrganisationId> chargedTo,
-      Instant receivedAt,
-      Deadline startBy,
-      Deadline giveUpAt,
-      List<Long> promptParts,
-      DataCentreId dataCentre,
-      Set<UpstreamId> avoidedEngines,
-      Set<UpstreamId> connectedEngines,
-      Option<BatchWork> batchWork,
-      Option<RequestFingerprint> fingerprint,
-      Option<StreamKey> stream,
-      Option<SoftwareId> software) {
-    this(
-        id,
-        requestId,
-        service,
-        workClass,
-        rank,
-        chargedTo,
-        receivedAt,
-        startBy,
-        giveUpAt,
-        promptParts,
-        dataCentre,
-        avoidedEngines,
-        connectedEngines,
-        batchWork,
-        fingerprint,
-        stream,
-        software,
-        RequestSize.UNKNOWN);
-  }
-
   /** Copies the collections. */
   public SlotRequest {
     promptParts = List.copyOf(promptParts);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -148,7 +149,8 @@
               Option.none(),
               fingerprint,
               stream,
-              Option.none());
+              Option.none(),
+              RequestSize.UNKNOWN);
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
       return listener.number;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.fleet.slot.SlotScheduler;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -74,7 +75,8 @@
             Option.none(),
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            RequestSize.UNKNOWN);
     return client.requestSlot(
         requirements,
         new SlotListener() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/AnswerToEarlierProcessTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/AnswerToEarlierProcessTest.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -104,7 +105,8 @@
             new EngineDirectory(view.engineTable(), e -> Option.none()),
             (request, listener) -> () -> {},
             slots,
-            headers -> List.of()));
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN));
   }
 
   private static Entry entry(HostId host) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ClosedJobTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ClosedJobTest.java
@@ -19,6 +19,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -86,7 +87,8 @@
             (request, listener) -> () -> {},
             new SlotClient(
                 FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE, List::of),
-            headers -> List.of());
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN);
     hosts.put(host, new JobService(host, 1, ports));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
@@ -24,6 +24,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -164,7 +165,8 @@
             new BatchRunTimes(),
             started -> {},
             finished -> {},
-            headers -> List.of());
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN);
     slots.attachTo(COORDINATOR);
     new RunningJob(
             job,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/InterruptedTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/InterruptedTakeOverTest.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -74,7 +75,8 @@
               new BatchRunTimes(),
               job -> {},
               job -> {},
-              headers -> List.of()));
+              headers -> List.of(),
+              headers -> RequestSize.UNKNOWN));
 
   /** Without its route in the configuration the item would fail at once and end the job. */
   @BeforeEach
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -108,7 +109,8 @@
             new BatchRunTimes(),
             started -> {},
             finished -> {},
-            headers -> List.of());
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN);
     JobItem item = JobItem.newBuilder().setId("item-1").build();
     RunningJob job =
         new RunningJob(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
@@ -27,6 +27,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -130,7 +131,8 @@
         new BatchRunTimes(),
         job -> {},
         job -> {},
-        headers -> List.of());
+        headers -> List.of(),
+        headers -> RequestSize.UNKNOWN);
   }
 
   private ItemRun item() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.FleetMessageRouter;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -92,7 +93,8 @@
             new BatchRunTimes(),
             started -> {},
             finished -> {},
-            headers -> List.of());
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN);
     return new RunningJob(
         JobId.of("job-1"),
         new JobStore.StoredRecord(record, Revision.of(1)),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
@@ -21,6 +21,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -98,7 +99,8 @@
             new EngineDirectory(view.engineTable(), e -> Option.none()),
             (request, listener) -> () -> {},
             slots,
-            headers -> List.of());
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN);
     hosts.put(host, new JobService(host, 1, ports));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobReadCostTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobReadCostTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.FleetHost;
@@ -89,7 +90,8 @@
         new EngineDirectory(storeView.engineTable(), e -> Option.none()),
         (request, listener) -> () -> {},
         new SlotClient(FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE, List::of),
-        headers -> List.of());
+        headers -> List.of(),
+        headers -> RequestSize.UNKNOWN);
   }
 
   /** The restarted process does not run the job. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobSupervisorTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobSupervisorTest.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -78,7 +79,8 @@
                   (request, listener) -> () -> {},
                   new SlotClient(
                       FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE, List::of),
-                  headers -> List.of())));
+                  headers -> List.of(),
+                  headers -> RequestSize.UNKNOWN)));
 
   @BeforeEach
   void listLiveHost() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobTakeOverTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -85,7 +86,8 @@
         new BatchRunTimes(),
         job -> {},
         job -> {},
-        headers -> List.of());
+        headers -> List.of(),
+        headers -> RequestSize.UNKNOWN);
   }
 
   private void storeJobAcceptedBy(RunnerName name) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
@@ -24,6 +24,7 @@
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
@@ -129,7 +130,8 @@
             new BatchRunTimes(),
             started -> {},
             finished -> {},
-            headers -> List.of());
+            headers -> List.of(),
+            headers -> RequestSize.UNKNOWN);
     return new RunningJob(
         JobId.of("job-1"),
         new JobStore.StoredRecord(record, Revision.of(1)),
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -23,6 +23,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -146,7 +147,8 @@
                 new BatchRunTimes(),
                 job -> onStarted.run(),
                 job -> {},
-                headers -> List.of()));
+                headers -> List.of(),
+                headers -> RequestSize.UNKNOWN));
   }
 
   private void onSent(FleetMessage message) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.HostEntryRegistration;
@@ -59,7 +60,8 @@
         new EngineDirectory(storeView.engineTable(), e -> Option.none()),
         (request, listener) -> () -> {},
         new SlotClient(FleetFixtures.droppingPeers(), clock, FleetFixtures.DATA_CENTRE, List::of),
-        headers -> List.of());
+        headers -> List.of(),
+        headers -> RequestSize.UNKNOWN);
   }
 
   private static JobSubmission job(String id) {
@@ -138,7 +140,8 @@
                     null,
                     null,
                     null,
-                    null)),
+                    null,
+                    headers -> RequestSize.UNKNOWN)),
             new RunnerName(SELF, 1),
             clock,
             timer,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmittedOnceTest.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -89,7 +90,8 @@
             Option.none(),
             Option.none(),
             clock.instant(),
-            Option.none());
+            Option.none(),
+            RequestSize.UNKNOWN);
     service.serve(request, refused, new RecordingSink());
     assertThat(outcomes).hasSize(1).first().isInstanceOf(Outcome.Refused.class);
     assertThat(sent).noneMatch(FleetMessage::hasAsk);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
@@ -21,6 +21,7 @@
 import org.waxwingcourse.fleet.coordinate.SlotClient;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -99,7 +100,8 @@
             Option.none(),
             Option.none(),
             clock.instant(),
-            Option.none());
+            Option.none(),
+            RequestSize.UNKNOWN);
     service.serve(
         request, gate.admit("h", "/j/x", Option.none(), Option.none()), new RecordingSink());
     learnEngine("other-1", "other");
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -28,6 +28,7 @@
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.plan.RequestKind;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.quarantine.CrashingRequests;
@@ -197,7 +198,8 @@
             resumeAfter,
             resumes,
             clock.instant(),
-            Option.none());
+            Option.none(),
+            RequestSize.UNKNOWN);
     RecordingSink sink = new RecordingSink();
     sink.call = service.serve(request, gate.admit("h", "/q/x", Option.none(), Option.none()), sink);
     return sink;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineLossReplay.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineLossReplay.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -204,7 +205,8 @@
             Option.when(!work.online, () -> new BatchWork(Deadline.at(dueAt), 0)),
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            RequestSize.UNKNOWN);
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/PlacementReplay.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/PlacementReplay.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -218,7 +219,8 @@
             Option.when(!work.online, () -> new BatchWork(Deadline.at(dueAt), work.doneEvents)),
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            RequestSize.UNKNOWN);
     execute(scheduler.submit(request, now));
   }
 
