--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -52,6 +52,7 @@
 import org.waxwingcourse.peer.PeerChannel;
 import org.waxwingcourse.peer.PeerSettings;
 import org.waxwingcourse.policy.place.RendezvousHash;
+import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.wire.fleet.ItemHeader;
 
@@ -165,10 +166,7 @@
             clocks,
             timer,
             outside.sources(),
-            operators -> {
-              conditions.onRead(operators);
-              evacuations.onOrders(operators.entries());
-            });
+            operators -> onOrders(evacuations, operators));
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper =
         new QuarantineKeeper(
@@ -348,6 +346,11 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
+  private void onOrders(Evacuations evacuations, Snapshot operators) {
+    conditions.onRead(operators);
+    evacuations.onOrders(operators.entries());
+  }
+
   private Option<String> regionOf(DataCentreId dataCentre) {
     return Option.of(settings.regions().get(dataCentre));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotRequirements.java
@@ -55,36 +55,4 @@
     promptParts = List.copyOf(promptParts);
     avoidedEngines = Set.copyOf(avoidedEngines);
   }
-
-  /** Creates the parameters of a request that engines in all regions may run. */
-  public SlotRequirements(
-      RequestId requestId,
-      ServiceName service,
-      WorkClass workClass,
-      int rank,
-      Option<OrganisationId> chargedTo,
-      Deadline startBy,
-      Deadline giveUpAt,
-      List<Long> promptParts,
-      Set<UpstreamId> avoidedEngines,
-      Option<BatchWork> batchWork,
-      Option<RequestFingerprint> fingerprint,
-      Option<StreamNeeds> stream,
-      Option<SoftwareId> preferred) {
-    this(
-        requestId,
-        service,
-        workClass,
-        rank,
-        chargedTo,
-        startBy,
-        giveUpAt,
-        promptParts,
-        avoidedEngines,
-        batchWork,
-        fingerprint,
-        stream,
-        HomeRegions.ANY,
-        preferred);
-  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/plan/Route.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/plan/Route.java
@@ -45,38 +45,6 @@
     services = List.copyOf(services);
   }
 
-  /** Creates a route whose requests may go to engines in all regions. */
-  public Route(
-      String name,
-      String host,
-      String pathPrefix,
-      RequestKind kind,
-      Duration timeout,
-      Duration objective,
-      Duration gapObjective,
-      int rank,
-      List<WeightedService> services,
-      int maxAttempts,
-      boolean keyless,
-      boolean resumable,
-      Option<JobTerms> jobs) {
-    this(
-        name,
-        host,
-        pathPrefix,
-        kind,
-        timeout,
-        objective,
-        gapObjective,
-        rank,
-        services,
-        maxAttempts,
-        keyless,
-        resumable,
-        jobs,
-        HomeRegions.ANY);
-  }
-
   /** Returns this route with the given home regions. */
   public Route withHomes(HomeRegions regions) {
     return new Route(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotRequest.java
@@ -67,46 +67,6 @@
     connectedEngines = Set.copyOf(connectedEngines);
   }
 
-  /** Creates a request that engines in all regions may run. */
-  public SlotRequest(
-      RunId id,
-      RequestId requestId,
-      ServiceName service,
-      WorkClass workClass,
-      int rank,
-      Option<OrganisationId> chargedTo,
-      Instant receivedAt,
-      Deadline startBy,
-      Deadline giveUpAt,
-      List<Long> promptParts,
-      DataCentreId dataCentre,
-      Set<UpstreamId> avoidedEngines,
-      Set<UpstreamId> connectedEngines,
-      Option<BatchWork> batchWork,
-      Option<RequestFingerprint> fingerprint,
-      Option<StreamKey> stream,
-      Option<SoftwareId> software) {
-    this(
-        id,
-        requestId,
-        service,
-        workClass,
-        rank,
-        chargedTo,
-        receivedAt,
-        startBy,
-        giveUpAt,
-        promptParts,
-        dataCentre,
-        avoidedEngines,
-        connectedEngines,
-        batchWork,
-        fingerprint,
-        stream,
-        software,
-        HomeRegions.ANY);
-  }
-
   /** Returns whether an engine may run it. */
   boolean accepts(EngineEntry engine) {
     return homes.allow(engine.condition().region()) && (!isOnline() || continuesAt(engine));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.fleet.engine.EngineCondition;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.plan.CallerLimits;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.JobTerms;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
@@ -100,7 +101,8 @@
         3,
         false,
         true,
-        Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)));
+        Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)),
+        HomeRegions.ANY);
   }
 
   /** Returns a keyless route for requests of the given kind to service {@code s}. */
@@ -123,7 +125,8 @@
         maxAttempts,
         true,
         true,
-        Option.none());
+        Option.none(),
+        HomeRegions.ANY);
   }
 
   /** Returns a configuration with a single route. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/RecentlyListedEngineTest.java
@@ -14,6 +14,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
 import org.waxwingcourse.fleet.view.StoreView;
@@ -81,6 +82,7 @@
             Option.none(),
             Option.none(),
             Option.none(),
+            HomeRegions.ANY,
             Option.none());
     client.requestSlot(
         requirements,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -20,6 +20,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.SoftwareId;
 import org.waxwingcourse.fleet.evacuate.EngineConditions;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.stream.StreamNeeds;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -155,6 +156,7 @@
               Option.none(),
               fingerprint,
               stream,
+              HomeRegions.ANY,
               Option.none());
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -16,6 +16,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.fleet.slot.SlotScheduler;
 import org.waxwingcourse.model.id.DataCentreId;
@@ -74,6 +75,7 @@
             Option.none(),
             Option.none(),
             Option.none(),
+            HomeRegions.ANY,
             Option.none());
     return client.requestSlot(
         requirements,
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.waxwingcourse.fleet.plan.CallerLimits;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.OrganisationPlan;
 import org.waxwingcourse.fleet.plan.OrganisationTable;
 import org.waxwingcourse.fleet.plan.Plan;
@@ -72,7 +73,8 @@
         1,
         keyless,
         false,
-        Option.none());
+        Option.none(),
+        HomeRegions.ANY);
   }
 
   private void applyPlan(int document) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BatchOverloadSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -182,7 +183,8 @@
             work,
             Option.none(),
             Option.none(),
-            Option.none());
+            Option.none(),
+            HomeRegions.ANY);
     execute(scheduler.submit(request, now));
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SlotSimulation.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.RequestRate;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -108,7 +109,8 @@
         Option.none(),
         Option.none(),
         Option.none(),
-        Option.none());
+        Option.none(),
+        HomeRegions.ANY);
   }
 
   void publishEngines() {
@@ -183,7 +185,8 @@
             () -> new BatchWork(Deadline.at(now.plus(startWithin).plus(BATCH_RUN)), 0)),
         Option.none(),
         Option.none(),
-        Option.none());
+        Option.none(),
+        HomeRegions.ANY);
   }
 
   void run(Duration span) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.SoftwareId;
+import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.model.id.DataCentreId;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
@@ -69,7 +70,8 @@
             () -> new BatchWork(Deadline.at(now.plus(Duration.ofSeconds(18))), 0)),
         Option.none(),
         Option.none(),
-        software);
+        software,
+        HomeRegions.ANY);
   }
 
   private List<SlotDecision> submitStream(EngineEntry begunBy) {
