--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -55,6 +55,7 @@
 import org.waxwingcourse.peer.PeerChannel;
 import org.waxwingcourse.peer.PeerSettings;
 import org.waxwingcourse.policy.place.RendezvousHash;
+import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.wire.fleet.ItemHeader;
 
@@ -366,6 +367,11 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
+  private void onOrders(Evacuations evacuations, Snapshot operators) {
+    conditions.onRead(operators);
+    evacuations.onOrders(operators.entries());
+  }
+
   private Option<String> regionOf(DataCentreId dataCentre) {
     return Option.of(settings.regions().get(dataCentre));
   }
