--- a/fleet/src/main/java/org/waxwingcourse/fleet/log/LineQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/log/LineQueue.java
@@ -26,6 +26,7 @@
   private final OutputStream stream;
   private final Thread writer = new Thread(this::writeLines, THREAD);
   private volatile boolean stopped;
+  private boolean failed;
 
   LineQueue(OutputStream stream) {
     this.stream = new BufferedOutputStream(stream);
@@ -91,7 +92,11 @@
     }
   }
 
-  private static void report(IOException e) {
-    System.err.println("a log line cannot be written: " + e);
+  /** Reports the first failure only: standard error may be the same disk that is full. */
+  private void report(IOException e) {
+    if (!failed) {
+      failed = true;
+      System.err.println("log lines cannot be written: " + e);
+    }
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -99,9 +99,14 @@
     return Option.of(planned.peekFirst());
   }
 
-  /** Returns the request that is to start next without those in {@code left}. */
+  /** Returns the planned request that is to start next without those in {@code left}. */
   Option<SlotRequest> firstExcept(Set<SlotRequest> left) {
     return Option.ofOptional(
         planned.stream().filter(r -> waiting.containsKey(r.id()) && !left.contains(r)).findFirst());
   }
+
+  /** Returns the first request without those in {@code left}, whether it is planned or not. */
+  Option<SlotRequest> firstWaitingExcept(Set<SlotRequest> left) {
+    return Option.ofOptional(waiting.values().stream().filter(r -> !left.contains(r)).findFirst());
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -419,6 +419,9 @@
         && engines.freeSlots(now) > freeSlotReserve.reservedSlots(now)) {
       batchQueue.updatePlan(() -> batchLoad(now), now);
       Option<SlotRequest> first = batchQueue.firstExcept(overtaken);
+      if (first.isEmpty() && overtaken.stream().anyMatch(SlotRequest::isRestricted)) {
+        first = batchQueue.firstWaitingExcept(overtaken);
+      }
       if (first.isEmpty()) {
         return;
       }
