--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -55,7 +55,6 @@
 import org.waxwingcourse.peer.PeerChannel;
 import org.waxwingcourse.peer.PeerSettings;
 import org.waxwingcourse.policy.place.RendezvousHash;
-import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
 import org.waxwingcourse.wire.fleet.ItemHeader;
 
@@ -350,7 +349,7 @@
         coordinatorLink::updateAttachment,
         storeView::removeLapsed,
         this::readEntriesOfReturnedEngines,
-        queueTimer::runIfResting,
+        queueTimer::runIfIdle,
         this::saveQuarantineIfDue);
     QueueTimer earlyTimer =
         new QueueTimer(
@@ -367,11 +366,6 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
-  private void onOrders(Evacuations evacuations, Snapshot operators) {
-    conditions.onRead(operators);
-    evacuations.onOrders(operators.entries());
-  }
-
   private Option<String> regionOf(DataCentreId dataCentre) {
     return Option.of(settings.regions().get(dataCentre));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/QueueTimer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/QueueTimer.java
@@ -44,7 +44,7 @@
   }
 
   /** Runs the step once on the thread of the timer if it is not running regularly. */
-  public void runIfResting() {
+  public void runIfIdle() {
     if (!running) {
       step.run();
     }
@@ -55,7 +55,7 @@
       step.run();
     } finally {
       synchronized (this) {
-        // Work that comes after this check finds that the timer rests, and wakes it.
+        // Work that comes after this check finds the timer idle and starts it again.
         running = false;
         if (hasWork.getAsBoolean()) {
           running = true;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/evacuate/OrderReader.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/evacuate/OrderReader.java
@@ -8,9 +8,6 @@
 /** Reads the orders to evacuate a data centre's engines, as operators write them. */
 @FunctionalInterface
 public interface OrderReader {
-  /** Reads nothing, for deployments without such orders. */
-  OrderReader NONE = entry -> Option.none();
-
   /**
    * Returns the data centre that an entry orders to evacuate, or why the order cannot be read; none
    * if the entry is no such order.
