--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -312,7 +312,7 @@
   }
 
   private boolean isIdle() {
-    return online.activeRequests() == 0 && jobs.countRunning() == 0;
+    return online.activeRequests() == 0 && jobs.countRunning() == 0 && jobs.countUnanswered() == 0;
   }
 
   @Override
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -91,6 +92,7 @@
   private final PendingAnswers<JobPage> pendingReads;
   private final CloseNotifier closeNotifier;
   private final JobCloser closer;
+  private final AtomicInteger unanswered = new AtomicInteger();
 
   /**
    * The dependencies of the service.
@@ -174,6 +176,10 @@
    * coordinator, if some host has reached the store lately.
    */
   public CompletableFuture<JobAnswer> submitJob(JobSubmission job) {
+    return track(acceptOrForward(job));
+  }
+
+  private CompletableFuture<JobAnswer> acceptOrForward(JobSubmission job) {
     return intake
         .submit(job, ports.wall().instant())
         .thenCompose(
@@ -227,6 +233,11 @@
   /** Returns the results from a position on, waiting up to {@code patience} for the first one. */
   public CompletableFuture<JobAnswer> readResults(
       JobId job, OrganisationId organisation, int after, Duration patience) {
+    return track(findResults(job, organisation, after, patience));
+  }
+
+  private CompletableFuture<JobAnswer> findResults(
+      JobId job, OrganisationId organisation, int after, Duration patience) {
     Option<RunningJob> runningJob = runner.findJob(job);
     if (runningJob.isDefined() && runningJob.get().isHeld()) {
       return runningJob.get().organisation().equals(organisation)
@@ -256,6 +267,11 @@
   /** Returns the body of an item that has no result yet. */
   public CompletableFuture<JobAnswer> readItemBody(
       JobId job, OrganisationId organisation, String item) {
+    return track(findItemBody(job, organisation, item));
+  }
+
+  private CompletableFuture<JobAnswer> findItemBody(
+      JobId job, OrganisationId organisation, String item) {
     Option<RunningJob> runningJob = runner.findJob(job);
     if (runningJob.isDefined() && runningJob.get().organisation().equals(organisation)) {
       return completed(findBody(runningJob.get().items(), item));
@@ -279,7 +295,18 @@
 
   /** Closes a job. One that cannot be closed now is closed later, if the store answers by then. */
   public CompletableFuture<JobAnswer> closeJob(JobId job, OrganisationId organisation) {
-    return closer.close(job, organisation);
+    return track(closer.close(job, organisation));
+  }
+
+  /** Counts a call of a caller as unanswered until its answer is known. */
+  private CompletableFuture<JobAnswer> track(CompletableFuture<JobAnswer> answer) {
+    unanswered.incrementAndGet();
+    return answer.whenComplete((a, error) -> unanswered.decrementAndGet());
+  }
+
+  /** Returns the number of calls of callers that have no answer yet. */
+  public int countUnanswered() {
+    return unanswered.get();
   }
 
   /** Returns the number of jobs that run here. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/AdmissionGate.java
@@ -125,8 +125,7 @@
       return Either.left(denialIfCertain(RefusalCode.NOT_FOUND, "no route matches the request"));
     }
     if (!endsBeforeStop.test(route.get().answerBy(clocks.instant(), callerDeadline))) {
-      Instant at = clocks.instant().plus(OTHER_HOST_RETRY_DELAY);
-      return Either.left(new Refusal(RefusalCode.STOPPING, "this node is shutting down", at));
+      return Either.left(stopping());
     }
     if (route.get().keyless() || plan.organisations().isEmpty()) {
       return Either.right(new Admitted(plan, route.get(), Option.none()));
@@ -141,8 +140,15 @@
     return Either.right(new Admitted(plan, route.get(), organisation));
   }
 
-  /** Returns the organisation to which a key belongs, for calls that are not subject to a route. */
-  public Either<Refusal, OrganisationId> identify(Option<String> key) {
+  /**
+   * Returns the organisation to which a key belongs, for calls that are not subject to a route.
+   *
+   * @param answerBy when the call is answered at the latest
+   */
+  public Either<Refusal, OrganisationId> identify(Option<String> key, Deadline answerBy) {
+    if (!endsBeforeStop.test(answerBy)) {
+      return Either.left(stopping());
+    }
     if (storeView.plan().isEmpty()) {
       return Either.left(unavailable("this host has no configuration yet"));
     }
@@ -185,6 +191,11 @@
         : unavailable("no recent evidence that the routes and keys are current");
   }
 
+  private Refusal stopping() {
+    Instant at = clocks.instant().plus(OTHER_HOST_RETRY_DELAY);
+    return new Refusal(RefusalCode.STOPPING, "this node is shutting down", at);
+  }
+
   private Refusal unavailable(String message) {
     return new Refusal(
         RefusalCode.UNAVAILABLE, message, clocks.instant().plus(NO_EVIDENCE_RETRY_DELAY));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/AdmissionGateTest.java
@@ -151,6 +151,17 @@
     assertThat(answer).isEqualTo(expected);
   }
 
+  @Test
+  void stoppingHostRefusesACallWithoutARouteThatIsAnsweredAfterItsEnd() {
+    applyPlan(1);
+    Instant now = steady.instant();
+    stopAt = now.plusMillis(1000);
+    assertThat(gate.identify(Option.some("k"), Deadline.at(now.plusMillis(900))).get())
+        .isEqualTo(OrganisationId.of("parish"));
+    assertThat(gate.identify(Option.some("k"), Deadline.at(now.plusMillis(1100))).getLeft().code())
+        .isEqualTo(RefusalCode.STOPPING);
+  }
+
   @Test
   void requestWaitsForTheFirstConfigurationOfAStartingHost() throws Exception {
     CompletableFuture<?> early =
