--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -46,6 +46,7 @@
 import org.waxwingcourse.model.request.Refusal;
 import org.waxwingcourse.model.request.RefusalCode;
 import org.waxwingcourse.model.request.WorkClass;
+import org.waxwingcourse.model.time.Deadline;
 
 /**
  * Runs one request from its admission to its final answer. The request is sent again only if no
@@ -201,7 +202,7 @@
             admitted.rank(),
             chargedOrganisation,
             admitted.organisation().map(OrganisationPlan::id),
-            sendCount == 0 ? limits.startBy() : limits.giveUpAt(),
+            startBy(),
             sendCount == 0 ? limits.giveUpAt() : limits.answerBy(),
             request.promptParts(),
             triedEngines,
@@ -216,6 +217,14 @@
     awaited = Option.some(pendingSlot);
   }
 
+  /** Returns the latest start. A refusal would cut an answer of which the caller has a part. */
+  private Deadline startBy() {
+    if (headForwarded) {
+      return limits.answerBy();
+    }
+    return sendCount == 0 ? limits.startBy() : limits.giveUpAt();
+  }
+
   private Option<StreamNeeds> streamNeeds() {
     boolean begun = takesUp || begunBy.isDefined();
     return Option.when(
@@ -351,7 +360,11 @@
       return;
     }
     awaited = Option.none();
-    endWithoutSlot(code, retryTime, reason);
+    if (headForwarded && code == RefusalCode.OVERLOADED) {
+      requestSlotAt(retryTime);
+    } else {
+      endWithoutSlot(code, retryTime, reason);
+    }
   }
 
   private void endWithoutSlot(RefusalCode code, Instant retryTime, String reason) {
@@ -431,9 +444,14 @@
   }
 
   private void requestSlotLater() {
-    ports
-        .timer()
-        .schedule(this::requestSlotAgain, GRANT_RETURN_DELAY.toNanos(), TimeUnit.NANOSECONDS);
+    requestSlotAt(now());
+  }
+
+  /** Requests a slot at a given time, or after a short while if that is later. */
+  private void requestSlotAt(Instant time) {
+    Duration delay = Duration.between(now(), time);
+    long nanos = Math.max(GRANT_RETURN_DELAY.toNanos(), delay.toNanos());
+    ports.timer().schedule(this::requestSlotAgain, nanos, TimeUnit.NANOSECONDS);
   }
 
   private void logMove(String reason) {
