--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -33,6 +33,8 @@
 import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.PlanReader;
 import org.waxwingcourse.fleet.quarantine.QuarantineKeeper;
+import org.waxwingcourse.fleet.reach.DirectSender;
+import org.waxwingcourse.fleet.reach.ReachMonitor;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
@@ -122,6 +124,7 @@
   private final QuarantineKeeper quarantineKeeper;
   private final CoordinatorLink coordinatorLink;
   private final FleetMessageRouter messageRouter;
+  private final ReachMonitor reach;
   private final AdmissionGate gate;
   private final OnlineService online;
   private final JobService jobs;
@@ -171,7 +174,8 @@
     engines = new EngineDirectory(storeView.engineTable(), outside.engineReader(), conditions);
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
-    EngineSender calls = new EngineAnswerWatch(outside.calls(), engines, clocks.wall());
+    reach = new ReachMonitor(outside.calls(), engines::all, clocks.steady());
+    EngineSender calls = watched(new DirectSender(outside.calls(), reach));
     follower = createFollower(outside);
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper =
@@ -197,6 +201,8 @@
     online = createOnlineService(calls, slots, metrics);
     jobs = createJobService(self, outside, calls, slots);
     messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
+    coordinatorLink.exchangeReach(reach);
+    reach.setChangeListener(coordinatorLink::reportReach);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
     expiredJobRemover =
         new ExpiredJobRemover(outside.store(), clocks.wall(), settings.jobRetention());
@@ -348,6 +354,7 @@
         PING_INTERVAL,
         coordinatorLink::updateAttachment,
         storeView::removeLapsed,
+        reach::recheck,
         this::readEntriesOfReturnedEngines,
         queueTimer::runIfIdle,
         this::saveQuarantineIfDue);
@@ -366,6 +373,11 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
+  /** Returns a sender that records what engines say of themselves in their answers. */
+  private EngineSender watched(EngineSender calls) {
+    return new EngineAnswerWatch(calls, engines, clocks.wall());
+  }
+
   private Option<String> regionOf(DataCentreId dataCentre) {
     return Option.of(settings.regions().get(dataCentre));
   }
@@ -522,6 +534,7 @@
     metrics.register(
         "engines.limited",
         (Gauge<Long>) () -> engines.all().stream().filter(e -> e.limit().isDefined()).count());
+    metrics.register("engines.out_of_reach", (Gauge<Boolean>) reach::isOutOfReach);
     metrics.register("engines.refusing", (Gauge<Integer>) coordinator::countRefusingEngines);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -106,6 +106,9 @@
   private volatile Instant lastMessageAt = Instant.MIN;
   private volatile Runnable onMessage = () -> {};
 
+  /** Hosts that reach no engine; what their runs meet says nothing about engines. */
+  private final Set<HostId> outOfReach = ConcurrentHashMap.newKeySet();
+
   /** An engine and the time at which this coordinator learned of it. */
   private record ListedEngine(EngineEntry entry, Instant since) {}
 
@@ -215,6 +218,7 @@
     pacedRequests.removeIf(id -> id.host().equals(host));
     screening.removeHost(host);
     granted.removeHost(host);
+    outOfReach.remove(host);
     services.values().forEach(s -> execute(s.removeHost(host, clock.instant())));
   }
 
@@ -357,7 +361,28 @@
     if (refusesMore) {
       refuseWaiting(now);
     }
-    services.values().forEach(s -> execute(s.endRun(id, runEnd, clock.instant())));
+    RunEnd weighed = weigh(from, runEnd);
+    services.values().forEach(s -> execute(s.endRun(id, weighed, clock.instant())));
+  }
+
+  /**
+   * Sets whether a host reaches no engine. What it has reported of engines lately is then revoked.
+   */
+  public void setOutOfReach(HostId host, boolean isOutOfReach) {
+    if (!isOutOfReach) {
+      if (outOfReach.remove(host)) {
+        LOG.write(Event.HOST_REACHES_ENGINES, host);
+      }
+    } else if (outOfReach.add(host)) {
+      LOG.write(Event.HOST_OUT_OF_REACH, host);
+      services.values().forEach(s -> execute(s.revokeReports(host, clock.instant())));
+    }
+  }
+
+  /** Returns an end without what a host that reaches no engine says of its engine. */
+  private RunEnd weigh(HostId from, RunEnd end) {
+    boolean isWitness = end.how() == RunEnd.How.CONNECTION_REFUSED || !outOfReach.contains(from);
+    return isWitness || !end.lostEngine() ? end : RunEnd.of(RunEnd.How.CANCELLED);
   }
 
   private static RunEnd.How howOf(SlotEnd end) {
@@ -377,7 +402,9 @@
 
   void onSilence(HostId from, long number) {
     recordMessage(clock.instant());
-    services.values().forEach(s -> s.recordSilence(new RunId(from, number), clock.instant()));
+    if (!outOfReach.contains(from)) {
+      services.values().forEach(s -> s.recordSilence(new RunId(from, number), clock.instant()));
+    }
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.coordinate;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.waxwingcourse.fleet.reach.ReachMonitor;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -99,6 +101,7 @@
   private final CrashingRequestExchange crashingRequests;
   private final EngineStatementExchange statements;
   private final StreamExchange streams;
+  private volatile Option<ReachExchange> reachExchange = Option.none();
   private final CollectedHosts collectedHosts = new CollectedHosts();
   private HostId coordinatorId;
   private Instant firstTickAt;
@@ -147,6 +150,11 @@
     this.heardAt = clocks.now();
   }
 
+  /** Tells other hosts whether this host reaches engines. Called before the first ping. */
+  public void exchangeReach(ReachMonitor reach) {
+    reachExchange = Option.some(new ReachExchange(self.id(), coordinator, reach));
+  }
+
   /** Returns whether the engines known here are those that the store lists. */
   private boolean knowsEngines() {
     return candidates.isInContact(self.id()) && follower.isEngineListCurrent();
@@ -200,9 +208,20 @@
       ping(order, now);
     }
     updateFollowing(now);
+    updateOwnReach();
     coordinator.setFleetShare(fleetShare());
   }
 
+  private void updateOwnReach() {
+    if (isCoordinator()) {
+      reachExchange.forEach(r -> r.updateOwn());
+    }
+  }
+
+  private synchronized boolean isCoordinator() {
+    return self.id().equals(coordinatorId);
+  }
+
   /**
    * Chooses the coordinator of a host that has just started as soon as the others have had time to
    * answer, without waiting for the next tick.
@@ -229,6 +248,16 @@
 
   /** Tells the coordinator at once what engines have said of themselves. */
   public void reportStatements() {
+    pingCoordinator();
+  }
+
+  /** Tells the coordinator at once whether this host reaches engines. */
+  public void reportReach() {
+    updateOwnReach();
+    pingCoordinator();
+  }
+
+  private void pingCoordinator() {
     HostId receiver;
     synchronized (this) {
       receiver = coordinatorId;
@@ -294,6 +323,7 @@
     crashingRequests.apply(from, ping);
     streams.apply(ping, clocks.instant());
     statements.apply(from, ping);
+    reachExchange.forEach(r -> r.apply(from, ping));
     if (ping.getAttached()) {
       AttachedHost attachedHost = new AttachedHost(clocks.instant(), ping.getTakesCallers());
       boolean isNew;
@@ -515,6 +545,7 @@
             .setAttached(host.equals(coordinatorId))
             .setTakesCallers(self.takesCallers());
     statements.addTo(ping, host);
+    reachExchange.forEach(r -> r.addTo(ping));
     views.addTo(ping, asksForViews);
     quarantine.addTo(ping, host);
     crashingRequests.addTo(ping, host);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineSender.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/engine/EngineSender.java
@@ -1,6 +1,7 @@
 package org.waxwingcourse.fleet.engine;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.id.UpstreamId;
 
@@ -17,4 +18,12 @@
   default List<UpstreamId> enginesWithIdleConnections() {
     return List.of();
   }
+
+  /** Opens and closes a connection; the result, which comes soon, is whether it could be opened. */
+  default CompletableFuture<Boolean> canConnect(EngineEntry engine) {
+    return CompletableFuture.completedFuture(true);
+  }
+
+  /** Tells that an engine has sent nothing for longer than a healthy one takes. */
+  default void reportSilence(EngineEntry engine) {}
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -431,6 +431,7 @@
     private void onSilence() {
       synchronized (ItemRun.this) {
         if (!slotReleased && attempt == this) {
+          ports.calls().reportSilence(entry);
           moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "silent");
         }
       }
@@ -446,7 +447,9 @@
           engine,
           reason,
           joined.lastEventId().getOrElse(0L));
-      failedOn.add(engine);
+      if (outcomeKind != RunEnd.How.NOT_SENT) {
+        failedOn.add(engine);
+      }
       moves++;
       losses = inVain ? losses + 1 : 0;
       breaks = inVain ? breaks + (mayRecur ? 1 : 0) : 0;
@@ -544,9 +547,11 @@
       if (failure.connectionRefused()) {
         return RunEnd.How.CONNECTION_REFUSED;
       }
-      return failure.kind() == CallFailure.Kind.LOST
-          ? RunEnd.How.ENGINE_BROKE_OFF
-          : RunEnd.How.ENGINE_LOST;
+      return switch (failure.kind()) {
+        case LOST -> RunEnd.How.ENGINE_BROKE_OFF;
+        case OUT_OF_REACH -> RunEnd.How.NOT_SENT;
+        default -> RunEnd.How.ENGINE_LOST;
+      };
     }
 
     @Override
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -631,6 +631,7 @@
 
     private void handleSilence() {
       ports.slots().reportSilence(slot);
+      ports.calls().reportSilence(engine);
       boolean anotherAllowed = runCount + 1 < route.maxAttempts() && mayBeSentAgain();
       if (mayRunAgain() && anotherAllowed && isStream()) {
         runCount++;
@@ -805,11 +806,10 @@
 
     private void onFailure(CallFailure failure) {
       String reason = "engine " + engine.id() + ": " + failure.message();
-      RunEnd.How lost =
-          failure.kind() == CallFailure.Kind.MALFORMED
-              ? RunEnd.How.ENGINE_LOST
-              : RunEnd.How.ENGINE_BROKE_OFF;
-      if (failure.connectionRefused()) {
+      RunEnd.How lost = outcomeOf(failure.kind());
+      if (failure.kind() == CallFailure.Kind.OUT_OF_REACH) {
+        onOutOfReach(reason);
+      } else if (failure.connectionRefused()) {
         refusedConnections++;
         retryAfterNoRun(RunEnd.How.CONNECTION_REFUSED, reason);
       } else if (failure.kind() == CallFailure.Kind.NOT_SENT) {
@@ -823,6 +823,25 @@
       }
     }
 
+    private static RunEnd.How outcomeOf(CallFailure.Kind kind) {
+      return switch (kind) {
+        case MALFORMED -> RunEnd.How.ENGINE_LOST;
+        default -> RunEnd.How.ENGINE_BROKE_OFF;
+      };
+    }
+
+    /** The engine may be sound, and this host may soon know others that reach it. */
+    private void onOutOfReach(String reason) {
+      triedEngines.remove(engine.id());
+      cancelAttempt(RunEnd.How.NOT_SENT);
+      if (mayBeSentAgain() && !limits.answerBy().isPast(now())) {
+        logMove(reason);
+        requestSlotLater();
+      } else {
+        retryOrEnd(reason);
+      }
+    }
+
     private void onComplete() {
       runCount++;
       boolean failed = head.status() >= 500;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SilenceReports.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SilenceReports.java
@@ -45,9 +45,7 @@
     }
     Set<UpstreamId> unfounded =
         recordAndFindUnfounded(host, reported.entry().id(), usedEngines, now);
-    for (UpstreamId id : unfounded) {
-      Option.of(engines.get(id)).forEach(e -> e.health().revokeFailuresSince(now.minus(WINDOW)));
-    }
+    revoke(unfounded, now);
     return unfounded.isEmpty();
   }
 
@@ -66,6 +64,17 @@
     return counts ? Set.of() : Set.copyOf(ofHost.keySet());
   }
 
+  /** Revokes the recent reports of a host that turns out to reach no engine. */
+  void revoke(HostId host, Instant now) {
+    Option.of(reports.remove(host)).forEach(r -> revoke(r.keySet(), now));
+  }
+
+  private void revoke(Set<UpstreamId> unfounded, Instant now) {
+    for (UpstreamId id : unfounded) {
+      Option.of(engines.get(id)).forEach(e -> e.health().revokeFailuresSince(now.minus(WINDOW)));
+    }
+  }
+
   void removeHost(HostId host) {
     reports.remove(host);
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -197,6 +197,12 @@
         .forEach(e -> e.health().recordSilence(now));
   }
 
+  /** Revokes the recent reports of a host that reaches no engine. */
+  public synchronized List<SlotDecision> revokeReports(HostId host, Instant now) {
+    silenceReports.revoke(host, now);
+    return startWaitingRequests(now, new ArrayList<>());
+  }
+
   /** Removes a waiting request that is no longer wanted. */
   public synchronized void withdrawRequest(RunId id) {
     onlineQueue.remove(id);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineAnswerWatch.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineAnswerWatch.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineBoot;
@@ -40,6 +41,16 @@
     return calls.enginesWithIdleConnections();
   }
 
+  @Override
+  public CompletableFuture<Boolean> canConnect(EngineEntry engine) {
+    return calls.canConnect(engine);
+  }
+
+  @Override
+  public void reportSilence(EngineEntry engine) {
+    calls.reportSilence(engine);
+  }
+
   private void recordLeaving(EngineRequest request, EngineAnswer answer) {
     engines.markLeaving(request.engine().boot(), request.id());
     if (answer.verdict() == EngineAnswer.Verdict.OTHER_ENGINE) {
--- a/http/src/main/java/org/waxwingcourse/http/CallFailure.java
+++ b/http/src/main/java/org/waxwingcourse/http/CallFailure.java
@@ -45,6 +45,11 @@
     /** The deadline passed before the response was complete; the request may have run. */
     TIMED_OUT,
     /** The caller cancelled the call; the request may have run. */
-    CANCELLED
+    CANCELLED,
+    /**
+     * This host can open no connection to any upstream, so no byte of the request was sent; this
+     * says nothing about the upstream.
+     */
+    OUT_OF_REACH
   }
 }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -145,6 +145,14 @@
       528, Level.WARN, "order \"{}\" to evacuate a data centre cannot be read: {}"),
   CONNECTION_REFUSED(
       540, Level.INFO, "engine \"{}\" refused the connection of request {} of host \"{}\""),
+  ENGINES_OUT_OF_REACH(
+      541,
+      Level.WARN,
+      "this host can open no connection to engines, tried {}"),
+  ENGINES_REACHED(542, Level.INFO, "this host can open connections to engines again"),
+  HOST_OUT_OF_REACH(
+      543, Level.WARN, "host \"{}\" reaches no engine; its reports about engines do not count"),
+  HOST_REACHES_ENGINES(544, Level.INFO, "host \"{}\" reaches engines again"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/UpstreamHttpClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -14,6 +15,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.waxwingcourse.http.CallFailure;
@@ -35,6 +37,9 @@
    */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
+  /** The same for a connection that only shows whether an upstream can be reached. */
+  private static final Duration CHECK_TIMEOUT = Duration.ofMillis(250);
+
   private final Supplier<EventLoopGroup> groups;
   private final InstantSource clock;
   private final IdleConnectionPool idleConnections;
@@ -81,6 +86,24 @@
     return idleConnections.upstreams();
   }
 
+  /** Opens a connection and closes it; the result is whether it could be opened. */
+  public CompletableFuture<Boolean> canConnect(InetSocketAddress upstream) {
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    EventLoopGroup group = groups.get();
+    new Bootstrap()
+        .group(group)
+        .channel(channelType(group))
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CHECK_TIMEOUT.toMillis())
+        .handler(new ChannelInboundHandlerAdapter())
+        .connect(upstream)
+        .addListener(
+            (io.netty.channel.ChannelFuture connected) -> {
+              connected.channel().close();
+              result.complete(connected.isSuccess());
+            });
+    return result;
+  }
+
   /** Uses a new connection if the idle one was closed meanwhile. */
   private void sendOnIdle(Channel idle, InetSocketAddress address, Exchange exchange) {
     if (idle.isActive()) {
