--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -35,6 +35,11 @@
 import org.waxwingcourse.fleet.quarantine.QuarantineKeeper;
 import org.waxwingcourse.fleet.reach.DirectSender;
 import org.waxwingcourse.fleet.reach.ReachMonitor;
+import org.waxwingcourse.fleet.relay.RelayClient;
+import org.waxwingcourse.fleet.relay.RelayHosts;
+import org.waxwingcourse.fleet.relay.RelayMessages;
+import org.waxwingcourse.fleet.relay.RelayServer;
+import org.waxwingcourse.fleet.relay.RelayingSender;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineAnswerWatch;
@@ -125,6 +130,8 @@
   private final CoordinatorLink coordinatorLink;
   private final FleetMessageRouter messageRouter;
   private final ReachMonitor reach;
+  private final RelayClient relayClient;
+  private final RelayServer relayServer;
   private final AdmissionGate gate;
   private final OnlineService online;
   private final JobService jobs;
@@ -175,7 +182,12 @@
     registration =
         new HostEntryRegistration(self, outside.store(), storeView, clocks, timer, random);
     reach = new ReachMonitor(outside.calls(), engines::all, clocks.steady());
-    EngineSender calls = watched(new DirectSender(outside.calls(), reach));
+    RelayHosts relayHosts = new RelayHosts(clocks.steady(), random);
+    relayClient = new RelayClient(self.boot(), peers, relayHosts, clocks.steady());
+    DirectSender direct = new DirectSender(outside.calls(), reach);
+    relayServer =
+        new RelayServer(peers, watched(direct), engines, clocks.steady(), () -> !isLeaving());
+    EngineSender calls = watched(new RelayingSender(direct, relayClient, relayHosts, reach));
     follower = createFollower(outside);
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper =
@@ -200,8 +212,10 @@
             storeView, clocks, () -> this.settings.trustLimit(), this::endsBeforeStop);
     online = createOnlineService(calls, slots, metrics);
     jobs = createJobService(self, outside, calls, slots);
-    messageRouter = new FleetMessageRouter(coordinatorLink, coordinator, slots, jobs);
-    coordinatorLink.exchangeReach(reach);
+    messageRouter =
+        new FleetMessageRouter(
+            coordinatorLink, coordinator, slots, jobs, new RelayMessages(relayClient, relayServer));
+    coordinatorLink.exchangeReach(reach, relayHosts);
     reach.setChangeListener(coordinatorLink::reportReach);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
     expiredJobRemover =
@@ -318,7 +332,10 @@
   }
 
   private boolean isIdle() {
-    return online.activeRequests() == 0 && jobs.countRunning() == 0 && jobs.countUnanswered() == 0;
+    return online.activeRequests() == 0
+        && jobs.countRunning() == 0
+        && jobs.countUnanswered() == 0
+        && relayServer.countOpen() == 0;
   }
 
   @Override
@@ -355,6 +372,8 @@
         coordinatorLink::updateAttachment,
         storeView::removeLapsed,
         reach::recheck,
+        relayClient::checkOpenRequests,
+        relayServer::cancelAbandoned,
         this::readEntriesOfReturnedEngines,
         queueTimer::runIfIdle,
         this::saveQuarantineIfDue);
@@ -535,6 +554,7 @@
         "engines.limited",
         (Gauge<Long>) () -> engines.all().stream().filter(e -> e.limit().isDefined()).count());
     metrics.register("engines.out_of_reach", (Gauge<Boolean>) reach::isOutOfReach);
+    metrics.register("requests.relayed", (Gauge<Integer>) relayServer::countOpen);
     metrics.register("engines.refusing", (Gauge<Integer>) coordinator::countRefusingEngines);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.reach.ReachMonitor;
+import org.waxwingcourse.fleet.relay.RelayHosts;
 import org.waxwingcourse.fleet.stream.StreamOrigins;
 import org.waxwingcourse.fleet.view.ClockReading;
 import org.waxwingcourse.fleet.view.Clocks;
@@ -150,9 +151,12 @@
     this.heardAt = clocks.now();
   }
 
-  /** Tells other hosts whether this host reaches engines. Called before the first ping. */
-  public void exchangeReach(ReachMonitor reach) {
-    reachExchange = Option.some(new ReachExchange(self.id(), coordinator, reach));
+  /**
+   * Tells other hosts whether this host reaches engines, and fills {@code relayHosts} with hosts
+   * that do while this host does not. Called before the first ping.
+   */
+  public void exchangeReach(ReachMonitor reach, RelayHosts relayHosts) {
+    reachExchange = Option.some(new ReachExchange(self.id(), coordinator, reach, relayHosts));
   }
 
   /** Returns whether the engines known here are those that the store lists. */
@@ -214,7 +218,7 @@
 
   private void updateOwnReach() {
     if (isCoordinator()) {
-      reachExchange.forEach(r -> r.updateOwn());
+      reachExchange.forEach(r -> r.updateOwn(collected()));
     }
   }
 
@@ -346,6 +350,7 @@
     quarantine.addTo(pong, ping);
     crashingRequests.addTo(pong, from);
     streams.addTo(pong, ping);
+    reachExchange.forEach(r -> r.addTo(pong, ping, collected()));
     if (ping.getAttached()) {
       if (isCollecting(clocks.instant())) {
         collected().forEach(h -> pong.addAttached(h.value()));
@@ -370,6 +375,7 @@
     streams.apply(from, pong);
     synchronized (this) {
       if (from.equals(coordinatorId)) {
+        reachExchange.forEach(r -> r.apply(pong));
         if (pong.getInContact()) {
           collectedHosts.recordCurrentList(now);
         }
@@ -590,6 +596,7 @@
     LOG.write(
         Event.HOST_DETACHED, host, ATTACHMENT_TIMEOUT.multipliedBy(pingIntervalTicks()).toMillis());
     coordinator.removeHost(host);
+    reachExchange.forEach(r -> r.removeHost(host));
   }
 
   /** Returns the share of the hosts serving callers that is attached here. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageRouter.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/FleetMessageRouter.java
@@ -9,6 +9,7 @@
   private final Coordinator coordinator;
   private final SlotClient slots;
   private final JobMessageHandler jobMessages;
+  private final RelayMessageHandler relayMessages;
 
   /** Handles messages about jobs. */
   public interface JobMessageHandler {
@@ -16,12 +17,20 @@
     void onJobMessage(HostId from, FleetMessage message);
   }
 
+  /** Handles messages about relayed requests. */
+  public interface RelayMessageHandler {
+    /** Handles a message about a relayed request. */
+    void onRelayMessage(HostId from, FleetMessage message);
+  }
+
   /** Creates a router to the given components. */
   public FleetMessageRouter(
       CoordinatorLink link,
       Coordinator coordinator,
       SlotClient slots,
-      JobMessageHandler jobMessages) {
+      JobMessageHandler jobMessages,
+      RelayMessageHandler relayMessages) {
+    this.relayMessages = relayMessages;
     this.link = link;
     this.coordinator = coordinator;
     this.slots = slots;
@@ -46,6 +55,8 @@
       case GRANT -> slots.onGrant(from, message.getGrant());
       case REFUSAL -> slots.onRefusal(message.getRefusal());
       case YIELD -> slots.onYield(message.getYield().getNumber());
+      case RELAY_REQUEST, RELAY_ANSWER, RELAY_CANCEL, RELAY_CHECK, RELAY_CHECK_ANSWER ->
+          relayMessages.onRelayMessage(from, message);
       default -> jobMessages.onJobMessage(from, message);
     }
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
@@ -1,19 +1,38 @@
 package org.waxwingcourse.fleet.coordinate;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.waxwingcourse.fleet.reach.ReachMonitor;
+import org.waxwingcourse.fleet.relay.RelayHosts;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.wire.fleet.Ping;
+import org.waxwingcourse.wire.fleet.Pong;
 
-/** The part of pings by which hosts that reach no engine make that known. */
+/**
+ * The parts of pings and pongs by which hosts that reach no engine make that known and learn which
+ * hosts do.
+ *
+ * <p>Safe for use by several threads.
+ */
 final class ReachExchange {
+  /** Maximum number of hosts that a pong names. */
+  private static final int MAX_NAMED = 8;
+
   private final HostId self;
   private final Coordinator coordinator;
   private final ReachMonitor reach;
+  private final RelayHosts relays;
+  private final Set<HostId> outOfReach = new HashSet<>();
 
-  ReachExchange(HostId self, Coordinator coordinator, ReachMonitor reach) {
+  ReachExchange(HostId self, Coordinator coordinator, ReachMonitor reach, RelayHosts relays) {
     this.self = self;
     this.coordinator = coordinator;
     this.reach = reach;
+    this.relays = relays;
   }
 
   void addTo(Ping.Builder ping) {
@@ -22,10 +41,47 @@
 
   void apply(HostId from, Ping ping) {
     coordinator.setOutOfReach(from, ping.getEnginesOutOfReach());
+    synchronized (this) {
+      if (ping.getEnginesOutOfReach()) {
+        outOfReach.add(from);
+      } else {
+        outOfReach.remove(from);
+      }
+    }
+  }
+
+  /** Names some hosts that reach engines to a host that reaches none. */
+  void addTo(Pong.Builder pong, Ping ping, Collection<HostId> attached) {
+    if (ping.getEnginesOutOfReach()) {
+      chooseReaching(attached).forEach(h -> pong.addRelays(h.value()));
+    }
+  }
+
+  void apply(Pong pong) {
+    if (reach.isOutOfReach()) {
+      relays.update(pong.getRelaysList().stream().map(HostId::of).toList());
+    }
   }
 
-  /** Updates what this host knows of itself as the coordinator. */
-  void updateOwn() {
+  /** Updates what this host knows of itself as the coordinator of the attached hosts. */
+  void updateOwn(Collection<HostId> attached) {
     coordinator.setOutOfReach(self, reach.isOutOfReach());
+    if (reach.isOutOfReach()) {
+      relays.update(chooseReaching(attached));
+    }
+  }
+
+  synchronized void removeHost(HostId host) {
+    outOfReach.remove(host);
+  }
+
+  private synchronized List<HostId> chooseReaching(Collection<HostId> attached) {
+    List<HostId> reaching = new ArrayList<>(attached);
+    reaching.removeAll(outOfReach);
+    if (reach.isOutOfReach()) {
+      reaching.remove(self);
+    }
+    Collections.shuffle(reaching);
+    return reaching.subList(0, Math.min(MAX_NAMED, reaching.size()));
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -826,6 +826,7 @@
     private static RunEnd.How outcomeOf(CallFailure.Kind kind) {
       return switch (kind) {
         case MALFORMED -> RunEnd.How.ENGINE_LOST;
+        case RELAY_LOST -> RunEnd.How.CANCELLED;
         default -> RunEnd.How.ENGINE_BROKE_OFF;
       };
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/CoordinatorLossTest.java
@@ -112,7 +112,9 @@
               slots,
               new StreamOrigins(),
               () -> registered);
-      router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
+      router =
+          new FleetMessageRouter(
+              link, coordinator, slots, (from, message) -> {}, (from, message) -> {});
     }
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -117,7 +117,9 @@
               slots,
               streams,
               () -> Revision.of(rank));
-      router = new FleetMessageRouter(link, coordinator, slots, (from, message) -> {});
+      router =
+          new FleetMessageRouter(
+              link, coordinator, slots, (from, message) -> {}, (from, message) -> {});
       conditions.follow(engines);
       engines.addListener(coordinator::setEngines);
       engines.addStatementListener(link::reportStatements);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/CrashingItemTest.java
@@ -71,7 +71,7 @@
           FleetFixtures.DATA_CENTRE,
           List::of);
   private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+      new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
   private final List<Instant> runs = new ArrayList<>();
   private int eventsOfEachRun;
   private CallFailure.Kind failure = CallFailure.Kind.LOST;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemDecisionTest.java
@@ -62,7 +62,7 @@
   private final List<String> runs = new CopyOnWriteArrayList<>();
   private final List<Boolean> results = new CopyOnWriteArrayList<>();
   private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+      new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
 
   @AfterEach
   void stop() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemStreamEndTest.java
@@ -75,7 +75,7 @@
           FleetFixtures.DATA_CENTRE,
           List::of);
   private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+      new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
 
   private record Run(EngineRequest request, EngineListener listener) {}
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemYieldTest.java
@@ -52,7 +52,7 @@
           FleetFixtures.DATA_CENTRE,
           List::of);
   private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+      new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
 
   @AfterEach
   void stop() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LeavingEngineItemTest.java
@@ -81,7 +81,7 @@
           FleetFixtures.DATA_CENTRE,
           List::of);
   private final FleetMessageRouter channel =
-      new FleetMessageRouter(null, null, slots, (from, m) -> {});
+      new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
 
   @AfterEach
   void stop() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -118,7 +118,7 @@
             List::of);
     slots.attachTo(COORDINATOR);
     recordedSlots = new RecordedSlots(slots);
-    channel = new FleetMessageRouter(null, null, slots, (from, m) -> {});
+    channel = new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
     runner =
         new JobRunner(
             new JobRunner.Ports(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/GrantedServiceTest.java
@@ -121,7 +121,7 @@
             .max()
             .getAsLong();
     SlotGrant.Builder grant = SlotGrant.newBuilder().setNumber(number).setEngine(engine);
-    new FleetMessageRouter(null, null, slots, (from, m) -> {})
+    new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {})
         .onMessage(COORDINATOR, FleetMessage.newBuilder().setGrant(grant).build().toByteArray());
   }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/OnlineRunFixture.java
@@ -81,7 +81,8 @@
           FleetFixtures.DATA_CENTRE,
           FleetFixtures.learningEngines(e -> onLearn.accept(e)));
   final RecordedSlots recordedSlots = new RecordedSlots(slots);
-  final FleetMessageRouter channel = new FleetMessageRouter(null, null, slots, (from, m) -> {});
+  final FleetMessageRouter channel =
+      new FleetMessageRouter(null, null, slots, (from, m) -> {}, (from, m) -> {});
   final CrashingRequests crashingRequests = new CrashingRequests();
   final StreamOrigins streams = new StreamOrigins();
   StoreView storeView;
--- a/http/src/main/java/org/waxwingcourse/http/CallFailure.java
+++ b/http/src/main/java/org/waxwingcourse/http/CallFailure.java
@@ -50,6 +50,11 @@
      * This host can open no connection to any upstream, so no byte of the request was sent; this
      * says nothing about the upstream.
      */
-    OUT_OF_REACH
+    OUT_OF_REACH,
+    /**
+     * The host that passed the request on was lost; the request may have run. This says nothing
+     * about the upstream.
+     */
+    RELAY_LOST
   }
 }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -148,11 +148,13 @@
   ENGINES_OUT_OF_REACH(
       541,
       Level.WARN,
-      "this host can open no connection to engines, tried {}"),
+      "this host can open no connection to engines, tried {}; other hosts send its requests"),
   ENGINES_REACHED(542, Level.INFO, "this host can open connections to engines again"),
   HOST_OUT_OF_REACH(
       543, Level.WARN, "host \"{}\" reaches no engine; its reports about engines do not count"),
   HOST_REACHES_ENGINES(544, Level.INFO, "host \"{}\" reaches engines again"),
+  REQUEST_RELAYED(545, Level.INFO, "request {} is relayed by host \"{}\" to engine \"{}\""),
+  RELAY_LOST(546, Level.WARN, "an answer that host \"{}\" relays is lost: {}"),
   // 600: batch jobs
   BATCH_JOB_ENDED(600, Level.INFO, "job \"{}\" ended as {}"),
   BATCH_CLAIM_LOST(601, Level.WARN, "claim on chunk {} of job \"{}\" is lost, fencing number {}"),
