--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -550,7 +550,7 @@
       return switch (failure.kind()) {
         case LOST -> RunEnd.How.ENGINE_BROKE_OFF;
         case OUT_OF_REACH -> RunEnd.How.NOT_SENT;
-        case RELAY_LOST -> RunEnd.How.CANCELLED;
+        case LINK_LOST -> RunEnd.How.CANCELLED;
         default -> RunEnd.How.ENGINE_LOST;
       };
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -320,8 +320,7 @@
 
   private void send(long slot, EngineEntry engine, SoftwareId engineSoftware) {
     sendCount++;
-    triedEngines.add(engine.id());
-    attempt = new Attempt(slot, engine, engineSoftware);
+    attempt = new Attempt(slot, engine, engineSoftware, triedEngines.add(engine.id()));
     sentRuns.add(attempt.sentRun);
     logContinuation(engine);
     EngineRequest call =
@@ -555,6 +554,10 @@
     private final EngineEntry engine;
     private final StreamRun run;
     private final SentRun sentRun;
+
+    /** Whether the request was not sent to the engine before. */
+    private final boolean isFirstOnEngine;
+
     private final Instant sentAt = now();
     private final ServerSentEventParser parser = new ServerSentEventParser();
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
@@ -572,7 +575,8 @@
             action -> call.afterPendingInput(action),
             this::onSilence);
 
-    Attempt(long slot, EngineEntry engine, SoftwareId engineSoftware) {
+    Attempt(long slot, EngineEntry engine, SoftwareId engineSoftware, boolean isFirstOnEngine) {
+      this.isFirstOnEngine = isFirstOnEngine;
       this.slot = slot;
       this.engine = engine;
       this.run = joined.beginRun(engineSoftware);
@@ -826,14 +830,16 @@
     private static RunEnd.How outcomeOf(CallFailure.Kind kind) {
       return switch (kind) {
         case MALFORMED -> RunEnd.How.ENGINE_LOST;
-        case RELAY_LOST -> RunEnd.How.CANCELLED;
+        case LINK_LOST -> RunEnd.How.CANCELLED;
         default -> RunEnd.How.ENGINE_BROKE_OFF;
       };
     }
 
     /** The engine may be sound, and this host may soon know others that reach it. */
     private void onOutOfReach(String reason) {
-      triedEngines.remove(engine.id());
+      if (isFirstOnEngine) {
+        triedEngines.remove(engine.id());
+      }
       cancelAttempt(RunEnd.How.NOT_SENT);
       if (mayBeSentAgain() && !limits.answerBy().isPast(now())) {
         logMove(reason);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/reach/DirectSender.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/reach/DirectSender.java
@@ -14,8 +14,8 @@
 import org.waxwingcourse.model.id.UpstreamId;
 
 /**
- * Sends requests to engines from this host. A connection that cannot be opened while no engine is
- * reached ends the request as out of reach, which says nothing about the engine.
+ * Sends requests to engines from this host. A connection that cannot be opened, or that is lost,
+ * while no engine is reached says nothing about the engine.
  */
 public final class DirectSender implements EngineSender {
   private final EngineSender calls;
@@ -29,9 +29,7 @@
 
   @Override
   public StreamCall send(EngineRequest request, EngineListener listener) {
-    CheckedAnswer answer = new CheckedAnswer(listener);
-    answer.call = calls.send(request, answer);
-    return answer.call;
+    return calls.send(request, new CheckedAnswer(listener));
   }
 
   @Override
@@ -53,7 +51,6 @@
   private final class CheckedAnswer implements EngineListener {
     private final EngineListener listener;
     private final Instant sentAt = reach.now();
-    private volatile StreamCall call;
 
     CheckedAnswer(EngineListener listener) {
       this.listener = listener;
@@ -61,9 +58,6 @@
 
     @Override
     public void onHead(EngineAnswer head) {
-      if (call != null && call.connection().exists(c -> c.request() == 1)) {
-        reach.recordConnected();
-      }
       listener.onHead(head);
     }
 
@@ -74,22 +68,28 @@
 
     @Override
     public void onEnd(Option<CallFailure> failure) {
-      if (failure.exists(f -> f.kind() == CallFailure.Kind.NOT_SENT)) {
-        reach.confirmOutOfReach(sentAt).thenAccept(out -> onNotSent(failure.get(), out));
+      Option<CallFailure.Kind> kind = failure.flatMap(f -> kindOutOfReach(f.kind()));
+      if (kind.isEmpty()) {
+        listener.onEnd(failure);
         return;
       }
-      if (failure.exists(f -> f.kind() == CallFailure.Kind.LOST)) {
-        reach.checkIfUnknown();
-      }
-      listener.onEnd(failure);
+      reach
+          .confirmOutOfReach(sentAt)
+          .thenAccept(
+              out ->
+                  listener.onEnd(
+                      out
+                          ? Option.some(new CallFailure(kind.get(), failure.get().message()))
+                          : failure));
     }
 
-    private void onNotSent(CallFailure failure, boolean outOfReach) {
-      listener.onEnd(
-          Option.some(
-              outOfReach
-                  ? new CallFailure(CallFailure.Kind.OUT_OF_REACH, failure.message())
-                  : failure));
+    /** Returns what a failure becomes if this host reaches no engine, none if it stays. */
+    private static Option<CallFailure.Kind> kindOutOfReach(CallFailure.Kind kind) {
+      return switch (kind) {
+        case NOT_SENT -> Option.some(CallFailure.Kind.OUT_OF_REACH);
+        case LOST -> Option.some(CallFailure.Kind.LINK_LOST);
+        default -> Option.none();
+      };
     }
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/reach/ReachMonitor.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/reach/ReachMonitor.java
@@ -23,8 +23,11 @@
 public final class ReachMonitor {
   private static final EventLog LOG = EventLog.of(ReachMonitor.class);
 
-  /** Number of engines that are tried in a check; the loss of some engines rarely takes all. */
-  private static final int CHECKED_ENGINES = 3;
+  /**
+   * Number of engines that are tried in a check. With a third of the engines lost, one check in
+   * seven hundred takes that for a cut, until the next one.
+   */
+  private static final int CHECKED_ENGINES = 6;
 
   private final EngineSender calls;
   private final Supplier<Collection<EngineEntry>> engines;
@@ -51,25 +54,22 @@
     return reach.isOutOfReach();
   }
 
-  /** Records that a connection to an engine was opened. */
-  void recordConnected() {
-    if (reach.recordConnected(clock.instant())) {
-      LOG.write(Event.ENGINES_REACHED);
-      onChange.run();
-    }
-  }
-
   Instant now() {
     return clock.instant();
   }
 
   /**
-   * Returns whether a connection that was begun at {@code begunAt} and could not be opened shows
-   * that this host reaches no engine; checks that if it is not known.
+   * Returns whether a connection that was begun at {@code begunAt} and failed shows that this host
+   * reaches no engine; checks that if it is not known.
    */
   CompletableFuture<Boolean> confirmOutOfReach(Instant begunAt) {
-    boolean isKnown = reach.isOutOfReach() || reach.hasConnectedAfter(begunAt);
-    return isKnown ? CompletableFuture.completedFuture(reach.isOutOfReach()) : check();
+    if (reach.isKnownSince(begunAt)) {
+      return CompletableFuture.completedFuture(reach.isOutOfReach());
+    }
+    // A check that is running may have reached an engine before the connection failed.
+    return check()
+        .thenCompose(
+            out -> reach.isKnownSince(begunAt) ? CompletableFuture.completedFuture(out) : check());
   }
 
   /** Checks whether engines are reached, unless that was shown recently. */
@@ -88,7 +88,6 @@
 
   /** Starts a check, or returns the one that is running; its result is whether none is reached. */
   private CompletableFuture<Boolean> check() {
-    List<EngineEntry> checked = chooseEngines();
     CompletableFuture<Boolean> started;
     synchronized (this) {
       if (running != null) {
@@ -97,39 +96,35 @@
       started = new CompletableFuture<>();
       running = started;
     }
+    Instant begunAt = clock.instant();
+    List<EngineEntry> checked = chooseEngines();
     AtomicInteger unreached = new AtomicInteger();
     if (checked.isEmpty()) {
-      complete(started, false);
+      complete(started, false, false);
     }
     for (EngineEntry engine : checked) {
       calls
           .canConnect(engine)
-          .thenAccept(connected -> onTried(connected, unreached, checked, started));
+          .whenComplete(
+              (connected, error) -> {
+                if (error == null && connected) {
+                  complete(started, false, reach.recordReached(begunAt));
+                } else if (unreached.incrementAndGet() == checked.size()) {
+                  complete(started, true, reach.recordUnreached(clock.instant()));
+                }
+              });
     }
     return started;
   }
 
-  private void onTried(
-      boolean connected,
-      AtomicInteger unreached,
-      List<EngineEntry> checked,
-      CompletableFuture<Boolean> started) {
-    if (connected) {
-      recordConnected();
-      complete(started, false);
-    } else if (unreached.incrementAndGet() == checked.size()) {
-      if (reach.recordUnreached(clock.instant())) {
-        LOG.write(Event.ENGINES_OUT_OF_REACH, checked.stream().map(EngineEntry::id).toList());
-        onChange.run();
-      }
-      complete(started, true);
-    }
-  }
-
-  private void complete(CompletableFuture<Boolean> started, boolean outOfReach) {
+  private void complete(CompletableFuture<Boolean> started, boolean outOfReach, boolean changed) {
     synchronized (this) {
       running = running == started ? null : running;
     }
+    if (changed) {
+      LOG.write(outOfReach ? Event.ENGINES_OUT_OF_REACH : Event.ENGINES_REACHED);
+      onChange.run();
+    }
     started.complete(outOfReach);
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
@@ -47,6 +47,7 @@
   private final AtomicLong lastNumber = new AtomicLong();
   private final Map<Long, RelayedCall> calls = new ConcurrentHashMap<>();
   private final Map<HostId, Instant> heardAt = new ConcurrentHashMap<>();
+  private volatile Instant checkedAt = Instant.MIN;
 
   /**
    * Creates a client.
@@ -76,10 +77,17 @@
   public void checkOpenRequests() {
     if (calls.isEmpty()) {
       heardAt.clear();
+      checkedAt = clock.instant();
       return;
     }
     Instant now = clock.instant();
-    calls.values().stream().filter(c -> c.isSilent(now)).forEach(this::onHostLost);
+    // A host that was paused has not read yet what the others have sent.
+    if (now.isBefore(checkedAt.plus(SILENCE_LIMIT))) {
+      calls.values().stream().filter(c -> c.isSilent(now)).forEach(this::onHostLost);
+    } else {
+      heardAt.replaceAll((host, at) -> now);
+    }
+    checkedAt = now;
     Map<HostId, List<Long>> open = new HashMap<>();
     calls.values().stream()
         .collect(Collectors.groupingBy(c -> c.host))
@@ -177,7 +185,7 @@
     }
 
     void lose(String reason) {
-      if (end(Option.some(new CallFailure(CallFailure.Kind.RELAY_LOST, reason)))) {
+      if (end(Option.some(new CallFailure(CallFailure.Kind.LINK_LOST, reason)))) {
         LOG.write(Event.RELAY_LOST, host, reason);
         sendCancel();
       }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayCodec.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayCodec.java
@@ -116,7 +116,7 @@
     return switch (message.getKind()) {
       case COMPLETE -> Option.none();
       case UNRECOGNIZED ->
-          Option.some(new CallFailure(CallFailure.Kind.RELAY_LOST, message.getMessage()));
+          Option.some(new CallFailure(CallFailure.Kind.LINK_LOST, message.getMessage()));
       default ->
           Option.some(
               new CallFailure(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/CutOffEngines.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/CutOffEngines.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
@@ -18,6 +19,7 @@
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.UpstreamId;
 
 /** Engines that stream a few events to the hosts that reach them. */
 final class CutOffEngines {
@@ -35,6 +37,9 @@
 
   final Map<HostId, Cut> cuts = new ConcurrentHashMap<>();
 
+  /** Engines whose machines refuse connections. */
+  final Set<UpstreamId> lost = ConcurrentHashMap.newKeySet();
+
   /** How often each request has reached an engine. */
   final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
@@ -50,14 +55,14 @@
       @Override
       public StreamCall send(EngineRequest request, EngineListener listener) {
         Run run = new Run(request, listener);
-        timer.execute(() -> run.connect(cutOf(host)));
+        timer.execute(() -> run.connect(cutBetween(host, request.engine().id())));
         return run::cancel;
       }
 
       @Override
       public CompletableFuture<Boolean> canConnect(EngineEntry engine) {
         CompletableFuture<Boolean> result = new CompletableFuture<>();
-        Cut cut = cutOf(host);
+        Cut cut = cutBetween(host, engine.id());
         long delay = cut == Cut.SILENT ? CHECK_TIMEOUT_MILLIS : 1;
         timer.schedule(() -> result.complete(cut == Cut.NONE), delay, TimeUnit.MILLISECONDS);
         return result;
@@ -65,8 +70,8 @@
     };
   }
 
-  private Cut cutOf(HostId host) {
-    return cuts.getOrDefault(host, Cut.NONE);
+  private Cut cutBetween(HostId host, UpstreamId engine) {
+    return lost.contains(engine) ? Cut.REFUSED : cuts.getOrDefault(host, Cut.NONE);
   }
 
   private final class Run {
--- a/http/src/main/java/org/waxwingcourse/http/CallFailure.java
+++ b/http/src/main/java/org/waxwingcourse/http/CallFailure.java
@@ -52,9 +52,10 @@
      */
     OUT_OF_REACH,
     /**
-     * The host that passed the request on was lost; the request may have run. This says nothing
-     * about the upstream.
+     * The way to the upstream was lost: this host reaches no upstream any longer, or the host that
+     * passed the request on is gone. The request may have run; this says nothing about the
+     * upstream.
      */
-    RELAY_LOST
+    LINK_LOST
   }
 }
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -148,7 +148,7 @@
   ENGINES_OUT_OF_REACH(
       541,
       Level.WARN,
-      "this host can open no connection to engines, tried {}; other hosts send its requests"),
+      "this host can open no connection to engines; other hosts send its requests"),
   ENGINES_REACHED(542, Level.INFO, "this host can open connections to engines again"),
   HOST_OUT_OF_REACH(
       543, Level.WARN, "host \"{}\" reaches no engine; its reports about engines do not count"),
