--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -186,7 +186,7 @@
     relayClient = new RelayClient(self.boot(), peers, relayHosts, clocks.steady());
     DirectSender direct = new DirectSender(outside.calls(), reach);
     relayServer =
-        new RelayServer(peers, watched(direct), engines, clocks.steady(), () -> !isLeaving());
+        new RelayServer(peers, watched(direct), engines, clocks.steady(), this::acceptsRelays);
     EngineSender calls = watched(new RelayingSender(direct, relayClient, relayHosts, reach));
     follower = createFollower(outside);
     coordinator = new Coordinator(peers, clocks.steady());
@@ -215,7 +215,7 @@
     messageRouter =
         new FleetMessageRouter(
             coordinatorLink, coordinator, slots, jobs, new RelayMessages(relayClient, relayServer));
-    coordinatorLink.exchangeReach(reach, relayHosts);
+    coordinatorLink.exchangeReach(reach, relayHosts, this::acceptsRelays);
     reach.setChangeListener(coordinatorLink::reportReach);
     supervisor = new JobSupervisor(outside.store(), storeView, clocks, jobs);
     expiredJobRemover =
@@ -392,6 +392,11 @@
         settings.callerAddress().map(Object::toString).getOrElse("no address"));
   }
 
+  /** Returns whether this host sends requests to engines for others. */
+  private boolean acceptsRelays() {
+    return !isLeaving() && !reach.isOutOfReach();
+  }
+
   /** Returns a sender that records what engines say of themselves in their answers. */
   private EngineSender watched(EngineSender calls) {
     return new EngineAnswerWatch(calls, engines, clocks.wall());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.waxwingcourse.fleet.reach.ReachMonitor;
 import org.waxwingcourse.fleet.relay.RelayHosts;
@@ -154,9 +155,13 @@
   /**
    * Tells other hosts whether this host reaches engines, and fills {@code relayHosts} with hosts
    * that do while this host does not. Called before the first ping.
+   *
+   * @param acceptsRelays whether this host sends requests for others now
    */
-  public void exchangeReach(ReachMonitor reach, RelayHosts relayHosts) {
-    reachExchange = Option.some(new ReachExchange(self.id(), coordinator, reach, relayHosts));
+  public void exchangeReach(
+      ReachMonitor reach, RelayHosts relayHosts, BooleanSupplier acceptsRelays) {
+    reachExchange =
+        Option.some(new ReachExchange(self.id(), coordinator, reach, relayHosts, acceptsRelays));
   }
 
   /** Returns whether the engines known here are those that the store lists. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.waxwingcourse.fleet.reach.ReachMonitor;
 import org.waxwingcourse.fleet.relay.RelayHosts;
 import org.waxwingcourse.model.id.HostId;
@@ -26,26 +27,43 @@
   private final Coordinator coordinator;
   private final ReachMonitor reach;
   private final RelayHosts relays;
-  private final Set<HostId> outOfReach = new HashSet<>();
+  private final BooleanSupplier acceptsRelays;
 
-  ReachExchange(HostId self, Coordinator coordinator, ReachMonitor reach, RelayHosts relays) {
+  /** Attached hosts that send requests for others. */
+  private final Set<HostId> relaying = new HashSet<>();
+
+  /**
+   * Creates an exchange.
+   *
+   * @param acceptsRelays whether this host sends requests for others now
+   */
+  ReachExchange(
+      HostId self,
+      Coordinator coordinator,
+      ReachMonitor reach,
+      RelayHosts relays,
+      BooleanSupplier acceptsRelays) {
     this.self = self;
     this.coordinator = coordinator;
     this.reach = reach;
     this.relays = relays;
+    this.acceptsRelays = acceptsRelays;
   }
 
   void addTo(Ping.Builder ping) {
-    ping.setEnginesOutOfReach(reach.isOutOfReach());
+    ping.setEnginesOutOfReach(reach.isOutOfReach()).setRelays(acceptsRelays.getAsBoolean());
   }
 
   void apply(HostId from, Ping ping) {
+    if (!ping.getAttached()) {
+      return;
+    }
     coordinator.setOutOfReach(from, ping.getEnginesOutOfReach());
     synchronized (this) {
-      if (ping.getEnginesOutOfReach()) {
-        outOfReach.add(from);
+      if (ping.getRelays()) {
+        relaying.add(from);
       } else {
-        outOfReach.remove(from);
+        relaying.remove(from);
       }
     }
   }
@@ -58,29 +76,22 @@
   }
 
   void apply(Pong pong) {
-    if (reach.isOutOfReach()) {
-      relays.update(pong.getRelaysList().stream().map(HostId::of).toList());
-    }
+    relays.update(pong.getRelaysList().stream().map(HostId::of).toList());
   }
 
   /** Updates what this host knows of itself as the coordinator of the attached hosts. */
   void updateOwn(Collection<HostId> attached) {
     coordinator.setOutOfReach(self, reach.isOutOfReach());
-    if (reach.isOutOfReach()) {
-      relays.update(chooseReaching(attached));
-    }
+    relays.update(reach.isOutOfReach() ? chooseReaching(attached) : List.of());
   }
 
   synchronized void removeHost(HostId host) {
-    outOfReach.remove(host);
+    relaying.remove(host);
   }
 
   private synchronized List<HostId> chooseReaching(Collection<HostId> attached) {
     List<HostId> reaching = new ArrayList<>(attached);
-    reaching.removeAll(outOfReach);
-    if (reach.isOutOfReach()) {
-      reaching.remove(self);
-    }
+    reaching.removeIf(h -> h.equals(self) ? !acceptsRelays.getAsBoolean() : !relaying.contains(h));
     Collections.shuffle(reaching);
     return reaching.subList(0, Math.min(MAX_NAMED, reaching.size()));
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayServer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayServer.java
@@ -39,6 +39,9 @@
   /** Maximum number of open requests; bounds the memory that other hosts can take here. */
   private static final int MAX_OPEN = 512;
 
+  /** Maximum size in bytes of the bodies of open requests. */
+  private static final long MAX_OPEN_BYTES = 16 << 20;
+
   /** A host that sends no check for this long is lost, and its requests are cancelled. */
   private static final Duration SILENCE_LIMIT = Duration.ofMillis(1200);
 
@@ -85,8 +88,10 @@
         engines
             .findUsable(UpstreamId.of(request.getEngine()), ServiceName.of(request.getService()))
             .filter(e -> e.startedAtMillis() == request.getEngineStartedMillis());
-    RelayedRun run = new RelayedRun(new RequestKey(from, request.getBoot(), request.getNumber()));
-    if (!acceptsRequests.getAsBoolean() || runs.size() >= MAX_OPEN) {
+    RelayedRun run =
+        new RelayedRun(
+            new RequestKey(from, request.getBoot(), request.getNumber()), request.getBody().size());
+    if (!acceptsRequests.getAsBoolean() || isFull()) {
       run.refuse("host accepts no relayed requests");
     } else if (engine.isEmpty()) {
       run.refuse("engine " + request.getEngine() + " is not listed on the relaying host");
@@ -95,6 +100,11 @@
     }
   }
 
+  private boolean isFull() {
+    return runs.size() >= MAX_OPEN
+        || runs.values().stream().mapToLong(r -> r.bodyBytes).sum() >= MAX_OPEN_BYTES;
+  }
+
   void onCancel(HostId from, RelayCancel cancel) {
     cancel(new RequestKey(from, cancel.getBoot(), cancel.getNumber()));
   }
@@ -137,13 +147,15 @@
   /** Passes an engine's answer on to the host whose caller waits for it. */
   private final class RelayedRun implements EngineListener {
     private final RequestKey key;
+    private final int bodyBytes;
     private final Instant startedAt = clock.instant();
     private StreamCall call;
     private boolean cancelled;
     private int position;
 
-    RelayedRun(RequestKey key) {
+    RelayedRun(RequestKey key, int bodyBytes) {
       this.key = key;
+      this.bodyBytes = bodyBytes;
     }
 
     void refuse(String reason) {
