--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -187,7 +187,7 @@
     DirectSender direct = new DirectSender(outside.calls(), reach);
     relayServer =
         new RelayServer(peers, watched(direct), engines, clocks.steady(), this::acceptsRelays);
-    EngineSender calls = watched(new RelayingSender(direct, relayClient, relayHosts, reach));
+    EngineSender calls = watched(new RelayingSender(direct, relayClient, relayHosts, reach, timer));
     follower = createFollower(outside);
     coordinator = new Coordinator(peers, clocks.steady());
     quarantineKeeper =
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayHosts.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayHosts.java
@@ -21,10 +21,14 @@
   /** A host that was lost during a relayed request gets no other one for this time. */
   private static final Duration FAILURE_PAUSE = Duration.ofSeconds(1);
 
+  /** An older list is not that of the present cut; several pings. */
+  private static final Duration LIST_LIFETIME = Duration.ofMillis(500);
+
   private final InstantSource clock;
   private final RandomGenerator random;
   private final Map<HostId, Instant> failedAt = new HashMap<>();
   private List<HostId> hosts = List.of();
+  private Instant updatedAt = Instant.MIN;
 
   /** Creates a list without hosts. */
   public RelayHosts(InstantSource clock, RandomGenerator random) {
@@ -35,9 +39,15 @@
   /** Replaces the hosts. */
   public synchronized void update(Collection<HostId> named) {
     hosts = List.copyOf(named);
+    updatedAt = clock.instant();
     failedAt.keySet().retainAll(hosts);
   }
 
+  /** Returns whether the coordinator knows of no host that reaches engines. */
+  synchronized boolean isNoneNamed() {
+    return hosts.isEmpty() && clock.instant().isBefore(updatedAt.plus(LIST_LIFETIME));
+  }
+
   /** Returns a host that was not tried and has not been lost lately, none if there is none. */
   synchronized Option<HostId> choose(Set<HostId> tried) {
     Instant now = clock.instant();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayingSender.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayingSender.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
@@ -34,18 +35,31 @@
   /** Maximum number of hosts that are asked to send one request. */
   private static final int MAX_RELAYS = 3;
 
+  private static final CallFailure NO_HOST_IN_REACH =
+      new CallFailure(CallFailure.Kind.OUT_OF_REACH, "no host reaches any engine");
+
   private final DirectSender direct;
   private final RelayClient relays;
   private final RelayHosts hosts;
   private final ReachMonitor reach;
+  private final Executor executor;
 
-  /** Creates a sender that prefers its own connections. */
+  /**
+   * Creates a sender that prefers its own connections.
+   *
+   * @param executor ends calls that are not sent at all
+   */
   public RelayingSender(
-      DirectSender direct, RelayClient relays, RelayHosts hosts, ReachMonitor reach) {
+      DirectSender direct,
+      RelayClient relays,
+      RelayHosts hosts,
+      ReachMonitor reach,
+      Executor executor) {
     this.direct = direct;
     this.relays = relays;
     this.hosts = hosts;
     this.reach = reach;
+    this.executor = executor;
   }
 
   @Override
@@ -87,6 +101,12 @@
       if (reach.isOutOfReach() && relay()) {
         return;
       }
+      if (reach.isOutOfReach() && hosts.isNoneNamed()) {
+        // A silent cut would hold the request, and its slot, until the connection times out.
+        current = () -> {};
+        executor.execute(() -> onEnd(Option.some(NO_HOST_IN_REACH)));
+        return;
+      }
       StreamCall sent = direct.send(request, this);
       current = current == null ? sent : current;
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayedAnswerTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayedAnswerTest.java
@@ -29,6 +29,14 @@
 class RelayedAnswerTest {
   private final ManualClock clock = ManualClock.at(RelayFixtures.START);
   private final RelayFixtures.Messages messages = new RelayFixtures.Messages();
+  private final RelayFixtures.RecordingListener answer = new RelayFixtures.RecordingListener();
+  private final RelayHosts hosts = new RelayHosts(clock, new Random(1));
+  private final RelayClient client =
+      new RelayClient(
+          RelayFixtures.BOOT, FleetFixtures.recordingPeers(messages::add), hosts, clock);
+  private final UnreachedEngines engines = new UnreachedEngines();
+  private final ReachMonitor reach =
+      new ReachMonitor(engines, () -> List.of(RelayFixtures.ENGINE), clock);
 
   static List<EngineAnswer> heads() {
     List<Header> headers = List.of(Header.of("Set-Cookie", "a"), Header.of("set-cookie", "b"));
@@ -80,19 +88,16 @@
         .isEqualTo(request.deadline().remaining(RelayFixtures.START));
   }
 
+  private void send() {
+    new RelayingSender(new DirectSender(engines, reach), client, hosts, reach, Runnable::run)
+        .send(RelayFixtures.request(), answer);
+  }
+
   /** A request that may have run was given to the next host, and ran twice. */
   @Test
   void requestWhoseHostFellSilentIsGivenToNoOther() {
-    RelayFixtures.RecordingListener answer = new RelayFixtures.RecordingListener();
-    RelayHosts hosts = new RelayHosts(clock, new Random(1));
     hosts.update(List.of(HostId.of("b"), HostId.of("c")));
-    RelayClient client =
-        new RelayClient(
-            RelayFixtures.BOOT, FleetFixtures.recordingPeers(messages::add), hosts, clock);
-    EngineSender unreached = new UnreachedEngines();
-    ReachMonitor reach = new ReachMonitor(unreached, () -> List.of(RelayFixtures.ENGINE), clock);
-    new RelayingSender(new DirectSender(unreached, reach), client, hosts, reach)
-        .send(RelayFixtures.request(), answer);
+    send();
     assertThat(messages.of(BodyCase.RELAY_REQUEST)).hasSize(1);
     clock.advance(RelayFixtures.millis(701));
     client.checkOpenRequests();
@@ -100,9 +105,32 @@
     assertThat(messages.of(BodyCase.RELAY_REQUEST)).hasSize(1);
   }
 
+  /** Each attempt waited for a connection to time out, for seconds in all. */
+  @Test
+  void requestIsNotSentWhileNoHostReachesEngines() {
+    reach.confirmOutOfReach(clock.instant());
+    hosts.update(List.of());
+    send();
+    assertThat(engines.sent).isZero();
+    assertThat(answer.calls).containsExactly("OUT_OF_REACH");
+  }
+
+  /** A host that has not been named others yet refused what they could have sent. */
+  @Test
+  void requestIsSentWhileItIsNotKnownWhoReachesEngines() {
+    hosts.update(List.of());
+    clock.advance(RelayFixtures.millis(500));
+    reach.confirmOutOfReach(clock.instant());
+    send();
+    assertThat(engines.sent).isEqualTo(1);
+  }
+
   private static final class UnreachedEngines implements EngineSender {
+    private int sent;
+
     @Override
     public StreamCall send(EngineRequest request, EngineListener listener) {
+      sent++;
       listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.NOT_SENT, "timed out")));
       return () -> {};
     }
