--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/CutOffEngines.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/CutOffEngines.java
@@ -24,7 +24,6 @@
 /** Engines that stream a few events to the hosts that reach them. */
 final class CutOffEngines {
   static final int EVENTS = 5;
-  private static final long EVENT_INTERVAL_MILLIS = 15;
   private static final long CONNECT_TIMEOUT_MILLIS = 700;
   private static final long CHECK_TIMEOUT_MILLIS = 250;
 
@@ -43,31 +42,60 @@
   /** How often each request has reached an engine. */
   final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
+  /** Time between two events of a stream. */
+  volatile long eventIntervalMillis = 15;
+
+  private final Map<HostId, HostSender> senders = new ConcurrentHashMap<>();
   private final ScheduledExecutorService timer;
 
   CutOffEngines(ScheduledExecutorService timer) {
     this.timer = timer;
   }
 
-  /** Returns what the given host sends requests with. */
+  /** Returns what a new process of the given host sends requests with. */
   EngineSender senderOf(HostId host) {
-    return new EngineSender() {
-      @Override
-      public StreamCall send(EngineRequest request, EngineListener listener) {
-        Run run = new Run(request, listener);
-        timer.execute(() -> run.connect(cutBetween(host, request.engine().id())));
-        return run::cancel;
-      }
+    HostSender sender = new HostSender(host);
+    senders.put(host, sender);
+    return sender;
+  }
 
-      @Override
-      public CompletableFuture<Boolean> canConnect(EngineEntry engine) {
-        CompletableFuture<Boolean> result = new CompletableFuture<>();
-        Cut cut = cutBetween(host, engine.id());
-        long delay = cut == Cut.SILENT ? CHECK_TIMEOUT_MILLIS : 1;
-        timer.schedule(() -> result.complete(cut == Cut.NONE), delay, TimeUnit.MILLISECONDS);
-        return result;
-      }
-    };
+  /** Ends all that the host's process has sent; nobody learns of it. */
+  void endProcessOf(HostId host) {
+    HostSender sender = senders.get(host);
+    sender.isRunning = false;
+    sender.runs.forEach(r -> r.ended.set(true));
+  }
+
+  /** Returns the number of streams that the given host's process receives from engines. */
+  long countUnderWay(HostId host) {
+    return senders.get(host).runs.stream().filter(r -> !r.ended.get()).count();
+  }
+
+  private final class HostSender implements EngineSender {
+    private final HostId host;
+    private final Set<Run> runs = ConcurrentHashMap.newKeySet();
+    private volatile boolean isRunning = true;
+
+    HostSender(HostId host) {
+      this.host = host;
+    }
+
+    @Override
+    public StreamCall send(EngineRequest request, EngineListener listener) {
+      Run run = new Run(request, listener);
+      runs.add(run);
+      timer.execute(() -> run.connect(cutBetween(host, request.engine().id()), isRunning));
+      return run::cancel;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> canConnect(EngineEntry engine) {
+      CompletableFuture<Boolean> result = new CompletableFuture<>();
+      Cut cut = cutBetween(host, engine.id());
+      long delay = cut == Cut.SILENT ? CHECK_TIMEOUT_MILLIS : 1;
+      timer.schedule(() -> result.complete(cut == Cut.NONE), delay, TimeUnit.MILLISECONDS);
+      return result;
+    }
   }
 
   private Cut cutBetween(HostId host, UpstreamId engine) {
@@ -86,7 +114,11 @@
       this.lastEvent = request.resumeAfter().getOrElse(0L);
     }
 
-    void connect(Cut cut) {
+    void connect(Cut cut, boolean isRunning) {
+      if (!isRunning || ended.get()) {
+        ended.set(true);
+        return;
+      }
       switch (cut) {
         case REFUSED ->
             end(Option.some(CallFailure.notConnected(new ConnectException("Connection refused"))));
@@ -113,7 +145,7 @@
       }
       lastEvent++;
       listener.onBytes(("id: " + lastEvent + "\ndata: w\n\n").getBytes(StandardCharsets.UTF_8));
-      timer.schedule(this::sendNext, EVENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+      timer.schedule(this::sendNext, eventIntervalMillis, TimeUnit.MILLISECONDS);
     }
 
     void cancel() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/FleetOfHosts.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/FleetOfHosts.java
@@ -8,12 +8,15 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -27,12 +30,19 @@
 import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.online.AnswerSink;
 import org.waxwingcourse.fleet.online.OnlineRequest;
+import org.waxwingcourse.fleet.plan.CallerLimits;
+import org.waxwingcourse.fleet.plan.HomeRegions;
+import org.waxwingcourse.fleet.plan.OrganisationTable;
+import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.RequestKind;
+import org.waxwingcourse.fleet.plan.Route;
+import org.waxwingcourse.fleet.plan.RouteTable;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.StoreFollower;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.request.Outcome;
+import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.model.time.MonotonicClock;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.store.Entry;
@@ -42,6 +52,26 @@
 /** Hosts in one process that share a store and connect over loopback. */
 abstract class FleetOfHosts {
   static final int ENGINES = 6;
+  static final Route STREAMS = FleetFixtures.onlineRoute(RequestKind.STREAM, 4);
+
+  /** A route whose requests may run at most once. */
+  static final Route ONCE =
+      new Route(
+          "once",
+          "h",
+          "/once/",
+          RequestKind.AT_MOST_ONCE,
+          STREAMS.timeout(),
+          STREAMS.objective(),
+          STREAMS.gapObjective(),
+          0,
+          STREAMS.services(),
+          4,
+          true,
+          false,
+          Option.none(),
+          HomeRegions.ANY);
+
   private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(20);
 
@@ -51,6 +81,10 @@
   private final InstantSource clock = MonotonicClock.start();
   private final MemoryStore store = MemoryStore.of(clock);
   private final int hostCount;
+
+  /** Answers that repeat, omit or reorder events. */
+  final Queue<String> brokenAnswers = new ConcurrentLinkedQueue<>();
+
   private int lastRequest;
 
   FleetOfHosts(int hostCount) {
@@ -84,6 +118,18 @@
     timer.shutdownNow();
   }
 
+  /** Ends a host's process without notice to its callers. */
+  final void stopHost(int host) {
+    engines.endProcessOf(idOf(host));
+    hosts.get(host).stop();
+  }
+
+  /** Starts a new process of a host that was stopped. */
+  final void restartHost(int host) throws IOException {
+    hosts.set(host, createHost(host));
+    hosts.get(host).start();
+  }
+
   static HostId idOf(int host) {
     return HostId.of("host-" + host);
   }
@@ -107,8 +153,16 @@
             new NoEvacuations(),
             entry -> Option.none(),
             document ->
-                Either.right(FleetFixtures.planOf(FleetFixtures.onlineRoute(RequestKind.STREAM))),
-            FleetFixtures::readEngine,
+                Either.right(
+                    new Plan(
+                        1,
+                        RouteTable.of(List.of(STREAMS, ONCE)),
+                        Map.of(),
+                        CallerLimits.DEFAULT,
+                        OrganisationTable.of(List.of()))),
+            // Streams go on at engines of the same version only.
+            entry ->
+                FleetFixtures.readEngine(entry).map(e -> e.withVersion(Option.some("version"))),
             engines.senderOf(idOf(i)),
             headers -> List.of(),
             headers -> RequestSize.UNKNOWN),
@@ -137,16 +191,22 @@
     return ended;
   }
 
-  /** Sends one request; the outcome is done if the caller gets all events, each once. */
+  /** Sends one stream; the outcome is done if the caller gets all events, each once. */
   final CompletableFuture<Outcome> serve(int host) {
-    RequestId id = RequestId.of("request-" + ++lastRequest);
+    return serve(host, STREAMS, Option.none());
+  }
+
+  /** Sends one request; its id starts with the name of the route. */
+  final CompletableFuture<Outcome> serve(int host, Route route, Option<Duration> timeLimit) {
+    RequestId id = RequestId.of(route.name() + "-" + ++lastRequest);
+    String target = route.pathPrefix() + "x";
     CompletableFuture<Outcome> ended = new CompletableFuture<>();
     OnlineRequest request =
         new OnlineRequest(
             id,
             "h",
             "POST",
-            "/q/x",
+            target,
             List.of(),
             new byte[0],
             Option.none(),
@@ -154,23 +214,25 @@
             Option.none(),
             Option.none(),
             clock.instant(),
-            Option.none(),
+            timeLimit.map(limit -> Deadline.at(clock.instant().plus(limit))),
             RequestSize.UNKNOWN);
     hosts
         .get(host)
         .onlineService()
         .serve(
             request,
-            hosts.get(host).gate().admit("h", "/q/x", Option.none(), Option.none()),
-            new CollectingSink(ended));
+            hosts.get(host).gate().admit("h", target, Option.none(), Option.none()),
+            new CollectingSink(id, ended));
     return ended;
   }
 
-  private static final class CollectingSink implements AnswerSink {
+  private final class CollectingSink implements AnswerSink {
+    private final RequestId id;
     private final StringBuilder text = new StringBuilder();
     private final CompletableFuture<Outcome> ended;
 
-    CollectingSink(CompletableFuture<Outcome> ended) {
+    CollectingSink(RequestId id, CompletableFuture<Outcome> ended) {
+      this.id = id;
       this.ended = ended;
     }
 
@@ -179,7 +241,7 @@
 
     @Override
     public void onBytes(byte[] bytes) {
-      text.append(new String(bytes, java.nio.charset.StandardCharsets.UTF_8));
+      text.append(new String(bytes, StandardCharsets.UTF_8));
     }
 
     @Override
@@ -189,6 +251,9 @@
         whole.append("id: ").append(i).append("\ndata: w\n\n");
       }
       boolean isWhole = text.toString().equals(whole.toString());
+      if (!whole.toString().startsWith(text.toString())) {
+        brokenAnswers.add(id + ": " + text);
+      }
       ended.complete(
           outcome instanceof Outcome.Done && !isWhole
               ? new Outcome.Unknown("events " + text)
