--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/CutOffEngines.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/CutOffEngines.java
@@ -42,6 +42,9 @@
   /** How often each request has reached an engine. */
   final Map<String, Integer> runs = new ConcurrentHashMap<>();
 
+  /** The host that has last sent each request to an engine. */
+  final Map<String, HostId> senderOfRun = new ConcurrentHashMap<>();
+
   /** Time between two events of a stream. */
   volatile long eventIntervalMillis = 15;
 
@@ -82,7 +85,7 @@
 
     @Override
     public StreamCall send(EngineRequest request, EngineListener listener) {
-      Run run = new Run(request, listener);
+      Run run = new Run(host, request, listener);
       runs.add(run);
       timer.execute(() -> run.connect(cutBetween(host, request.engine().id()), isRunning));
       return run::cancel;
@@ -103,12 +106,14 @@
   }
 
   private final class Run {
+    private final HostId host;
     private final EngineRequest request;
     private final EngineListener listener;
     private final AtomicBoolean ended = new AtomicBoolean();
     private long lastEvent;
 
-    Run(EngineRequest request, EngineListener listener) {
+    Run(HostId host, EngineRequest request, EngineListener listener) {
+      this.host = host;
       this.request = request;
       this.listener = listener;
       this.lastEvent = request.resumeAfter().getOrElse(0L);
@@ -128,6 +133,7 @@
                 CONNECT_TIMEOUT_MILLIS,
                 TimeUnit.MILLISECONDS);
         default -> {
+          senderOfRun.put(request.id().value(), host);
           runs.merge(request.id().value(), 1, Integer::sum);
           listener.onHead(new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, false, false));
           sendNext();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/FleetOfHosts.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/FleetOfHosts.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -85,6 +86,7 @@
   /** Answers that repeat, omit or reorder events. */
   final Queue<String> brokenAnswers = new ConcurrentLinkedQueue<>();
 
+  private final Map<String, HostId> askedHosts = new ConcurrentHashMap<>();
   private int lastRequest;
 
   FleetOfHosts(int hostCount) {
@@ -199,6 +201,7 @@
   /** Sends one request; its id starts with the name of the route. */
   final CompletableFuture<Outcome> serve(int host, Route route, Option<Duration> timeLimit) {
     RequestId id = RequestId.of(route.name() + "-" + ++lastRequest);
+    askedHosts.put(id.value(), idOf(host));
     String target = route.pathPrefix() + "x";
     CompletableFuture<Outcome> ended = new CompletableFuture<>();
     OnlineRequest request =
@@ -289,6 +292,13 @@
     }
   }
 
+  /** Returns how many requests another host than the asked one has sent to an engine last. */
+  final long countRelayed() {
+    return engines.senderOfRun.entrySet().stream()
+        .filter(e -> !e.getValue().equals(askedHosts.get(e.getKey())))
+        .count();
+  }
+
   final Map<String, Integer> runs() {
     return engines.runs;
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/ReachSoakTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/ReachSoakTest.java
@@ -53,6 +53,7 @@
   void answersAreWholeAndInTimeUnderFaultsOfSeed(long seed) throws Exception {
     Random random = new Random(seed);
     injectFaults(random);
+    assertThat(countRelayed()).as("relayed under %s", faults).isPositive();
     IntStream.range(0, HOSTS).forEach(h -> cut(CutOffEngines.Cut.NONE, h));
     for (int host : List.copyOf(stopped)) {
       restart(host);
