--- a/fleet/src/test/java/org/waxwingcourse/fleet/reach/FleetOfHosts.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/reach/FleetOfHosts.java
@@ -53,7 +53,7 @@
 /** Hosts in one process that share a store and connect over loopback. */
 abstract class FleetOfHosts {
   static final int ENGINES = 6;
-  static final Route STREAMS = FleetFixtures.onlineRoute(RequestKind.STREAM, 4);
+  static final Route STREAMS = FleetFixtures.onlineRoute(RequestKind.STREAM);
 
   /** A route whose requests may run at most once. */
   static final Route ONCE =
