--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -591,6 +591,7 @@
             .setOverRate(refuse.code() == RefusalCode.RATE_LIMITED)
             .setQuarantined(refuse.code() == RefusalCode.QUARANTINED)
             .setStreamUnknown(refuse.code() == RefusalCode.STREAM_UNKNOWN)
+            .setUnavailable(refuse.code() == RefusalCode.UNAVAILABLE)
             .setRetryAfterNanos(Math.max(0, retryAfter.toNanos()))
             .setReason(refuse.reason());
     send(request.id().host(), FleetMessage.newBuilder().setRefusal(message));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -346,6 +346,9 @@
     if (refusal.getStreamUnknown()) {
       return RefusalCode.STREAM_UNKNOWN;
     }
+    if (refusal.getUnavailable()) {
+      return RefusalCode.UNAVAILABLE;
+    }
     return refusal.getOverRate() ? RefusalCode.RATE_LIMITED : RefusalCode.OVERLOADED;
   }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -134,7 +134,11 @@
               "no engine of the service is available"));
     } else if (!mayEverRun(request)) {
       decisions.add(
-          refusal(request, now.plus(NO_ENGINE_RETRY_DELAY), request.describeRestriction()));
+          new SlotDecision.Refuse(
+              request,
+              RefusalCode.UNAVAILABLE,
+              now.plus(NO_ENGINE_RETRY_DELAY),
+              request.describeRestriction()));
     } else {
       submitOnline(request, now, decisions);
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/online/BegunStreamWithoutSlotTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/online/BegunStreamWithoutSlotTest.java
@@ -89,4 +89,14 @@
     assertThat(sink.outcomes).hasSize(1);
     assertThat(sink.outcomes.get(0)).isNotInstanceOf(Outcome.Done.class);
   }
+
+  /** It was held until its time limit although nothing could go on with it. */
+  @Test
+  void streamThatNoListedEngineMayGoOnWithEndsAtOnce() throws InterruptedException {
+    SlotRefusal.Builder refusal =
+        SlotRefusal.newBuilder().setNumber(nextAsk().getNumber()).setUnavailable(true);
+    channel.onMessage(
+        COORDINATOR, FleetMessage.newBuilder().setRefusal(refusal).build().toByteArray());
+    assertThat(sink.outcomes).hasSize(1).first().isInstanceOf(Outcome.Unknown.class);
+  }
 }
