--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
@@ -71,18 +71,27 @@
   /** Names some hosts that reach engines to a host that reaches none. */
   void addTo(Pong.Builder pong, Ping ping, Collection<HostId> attached) {
     if (ping.getEnginesOutOfReach()) {
+      pong.setNamesRelays(true);
       chooseReaching(attached).forEach(h -> pong.addRelays(h.value()));
     }
   }
 
   void apply(Pong pong) {
-    relays.update(pong.getRelaysList().stream().map(HostId::of).toList());
+    if (pong.getNamesRelays()) {
+      relays.update(pong.getRelaysList().stream().map(HostId::of).toList());
+    } else {
+      relays.clear();
+    }
   }
 
   /** Updates what this host knows of itself as the coordinator of the attached hosts. */
   void updateOwn(Collection<HostId> attached) {
     coordinator.setOutOfReach(self, reach.isOutOfReach());
-    relays.update(reach.isOutOfReach() ? chooseReaching(attached) : List.of());
+    if (reach.isOutOfReach()) {
+      relays.update(chooseReaching(attached));
+    } else {
+      relays.clear();
+    }
   }
 
   synchronized void removeHost(HostId host) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/reach/ReachMonitor.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/reach/ReachMonitor.java
@@ -62,7 +62,7 @@
    * Returns whether a connection that was begun at {@code begunAt} and failed shows that this host
    * reaches no engine; checks that if it is not known.
    */
-  CompletableFuture<Boolean> confirmOutOfReach(Instant begunAt) {
+  public CompletableFuture<Boolean> confirmOutOfReach(Instant begunAt) {
     if (reach.isKnownSince(begunAt)) {
       return CompletableFuture.completedFuture(reach.isOutOfReach());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
@@ -47,7 +47,7 @@
   private final AtomicLong lastNumber = new AtomicLong();
   private final Map<Long, RelayedCall> calls = new ConcurrentHashMap<>();
   private final Map<HostId, Instant> heardAt = new ConcurrentHashMap<>();
-  private volatile Instant checkedAt = Instant.MIN;
+  private volatile Instant checkedAt;
 
   /**
    * Creates a client.
@@ -60,6 +60,7 @@
     this.peers = peers;
     this.hosts = hosts;
     this.clock = clock;
+    this.checkedAt = clock.instant();
   }
 
   StreamCall send(HostId host, EngineRequest request, EngineListener listener) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayHosts.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayHosts.java
@@ -43,6 +43,13 @@
     failedAt.keySet().retainAll(hosts);
   }
 
+  /** Forgets the hosts: those that a later cut leaves in reach may be others. */
+  public synchronized void clear() {
+    hosts = List.of();
+    updatedAt = Instant.MIN;
+    failedAt.clear();
+  }
+
   /** Returns whether the coordinator knows of no host that reaches engines. */
   synchronized boolean isNoneNamed() {
     return hosts.isEmpty() && clock.instant().isBefore(updatedAt.plus(LIST_LIFETIME));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayClientTest.java
@@ -62,7 +62,7 @@
     send();
     client.onAnswer(RELAYING, RelayFixtures.headPart(number(), 0));
     check(SILENCE_CHECKS);
-    assertThat(answer.calls).containsExactly("head", "RELAY_LOST");
+    assertThat(answer.calls).containsExactly("head", "LINK_LOST");
     assertCancelSentFor(number());
     assertThat(hosts.choose(Set.of()).isEmpty()).isTrue();
   }
@@ -97,7 +97,7 @@
     client.onAnswer(RELAYING, RelayFixtures.headPart(number(), 0));
     client.onAnswer(RELAYING, RelayFixtures.bodyPart(number(), 2, "late"));
     client.onAnswer(RELAYING, RelayFixtures.endPart(number(), 3));
-    assertThat(answer.calls).containsExactly("head", "RELAY_LOST");
+    assertThat(answer.calls).containsExactly("head", "LINK_LOST");
     assertCancelSentFor(number());
   }
 
@@ -108,7 +108,7 @@
     answerCheck(number());
     assertThat(answer.calls).isEmpty();
     answerCheck(number());
-    assertThat(answer.calls).containsExactly("RELAY_LOST");
+    assertThat(answer.calls).containsExactly("LINK_LOST");
   }
 
   /** The answer to an old check ended a request that was sent after the check. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayedAnswerTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayedAnswerTest.java
@@ -18,6 +18,8 @@
 import org.waxwingcourse.fleet.engine.EngineSender;
 import org.waxwingcourse.fleet.engine.RequestRate;
 import org.waxwingcourse.fleet.engine.StatedLimit;
+import org.waxwingcourse.fleet.reach.DirectSender;
+import org.waxwingcourse.fleet.reach.ReachMonitor;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
@@ -69,7 +71,7 @@
 
   /** An end without a counterpart left the caller without one. */
   @ParameterizedTest
-  @EnumSource(value = CallFailure.Kind.class, mode = EnumSource.Mode.EXCLUDE, names = "RELAY_LOST")
+  @EnumSource(value = CallFailure.Kind.class, mode = EnumSource.Mode.EXCLUDE, names = "LINK_LOST")
   void allEndsPass(CallFailure.Kind kind) {
     Option<CallFailure> end = Option.some(new CallFailure(kind, "m", true));
     assertThat(RelayCodec.decode(RelayCodec.encode(end).build())).isEqualTo(end);
@@ -99,9 +101,12 @@
     hosts.update(List.of(HostId.of("b"), HostId.of("c")));
     send();
     assertThat(messages.of(BodyCase.RELAY_REQUEST)).hasSize(1);
-    clock.advance(RelayFixtures.millis(701));
     client.checkOpenRequests();
-    assertThat(answer.calls).containsExactly("RELAY_LOST");
+    clock.advance(RelayFixtures.millis(600));
+    client.checkOpenRequests();
+    clock.advance(RelayFixtures.millis(101));
+    client.checkOpenRequests();
+    assertThat(answer.calls).containsExactly("LINK_LOST");
     assertThat(messages.of(BodyCase.RELAY_REQUEST)).hasSize(1);
   }
 
