--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -223,7 +223,7 @@
 
   private void updateOwnReach() {
     if (isCoordinator()) {
-      reachExchange.forEach(r -> r.updateOwn(collected()));
+      reachExchange.forEach(r -> r.updateOwn(this::collected));
     }
   }
 
@@ -355,7 +355,7 @@
     quarantine.addTo(pong, ping);
     crashingRequests.addTo(pong, from);
     streams.addTo(pong, ping);
-    reachExchange.forEach(r -> r.addTo(pong, ping, collected()));
+    reachExchange.forEach(r -> r.addTo(pong, ping, this::collected));
     if (ping.getAttached()) {
       if (isCollecting(clocks.instant())) {
         collected().forEach(h -> pong.addAttached(h.value()));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/ReachExchange.java
@@ -1,12 +1,12 @@
 package org.waxwingcourse.fleet.coordinate;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.waxwingcourse.fleet.reach.ReachMonitor;
 import org.waxwingcourse.fleet.relay.RelayHosts;
 import org.waxwingcourse.model.id.HostId;
@@ -69,10 +69,10 @@
   }
 
   /** Names some hosts that reach engines to a host that reaches none. */
-  void addTo(Pong.Builder pong, Ping ping, Collection<HostId> attached) {
+  void addTo(Pong.Builder pong, Ping ping, Supplier<List<HostId>> attached) {
     if (ping.getEnginesOutOfReach()) {
       pong.setNamesRelays(true);
-      chooseReaching(attached).forEach(h -> pong.addRelays(h.value()));
+      chooseReaching(attached.get()).forEach(h -> pong.addRelays(h.value()));
     }
   }
 
@@ -85,10 +85,10 @@
   }
 
   /** Updates what this host knows of itself as the coordinator of the attached hosts. */
-  void updateOwn(Collection<HostId> attached) {
+  void updateOwn(Supplier<List<HostId>> attached) {
     coordinator.setOutOfReach(self, reach.isOutOfReach());
     if (reach.isOutOfReach()) {
-      relays.update(chooseReaching(attached));
+      relays.update(chooseReaching(attached.get()));
     } else {
       relays.clear();
     }
@@ -98,7 +98,7 @@
     relaying.remove(host);
   }
 
-  private synchronized List<HostId> chooseReaching(Collection<HostId> attached) {
+  private synchronized List<HostId> chooseReaching(List<HostId> attached) {
     List<HostId> reaching = new ArrayList<>(attached);
     reaching.removeIf(h -> h.equals(self) ? !acceptsRelays.getAsBoolean() : !relaying.contains(h));
     Collections.shuffle(reaching);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -89,16 +88,16 @@
       heardAt.replaceAll((host, at) -> now);
     }
     checkedAt = now;
-    Map<HostId, List<Long>> open = new HashMap<>();
     calls.values().stream()
-        .collect(Collectors.groupingBy(c -> c.host))
-        .forEach((host, ofHost) -> open.put(host, ofHost.stream().map(c -> c.number).toList()));
-    open.forEach(
-        (host, numbers) ->
-            send(
-                host,
-                FleetMessage.newBuilder()
-                    .setRelayCheck(RelayCheck.newBuilder().setBoot(boot).addAllOpen(numbers))));
+        .collect(
+            Collectors.groupingBy(
+                c -> c.host, Collectors.mapping(c -> c.number, Collectors.toList())))
+        .forEach(this::sendCheck);
+  }
+
+  private void sendCheck(HostId host, List<Long> open) {
+    RelayCheck.Builder check = RelayCheck.newBuilder().setBoot(boot).addAllOpen(open);
+    send(host, FleetMessage.newBuilder().setRelayCheck(check));
   }
 
   private void onHostLost(RelayedCall call) {
