--- a/review/standins-2/Host.java
+++ b/review/standins-2/Host.java
@@ -119,7 +119,11 @@
   @Override
   public void close() {
     if (process != null && process.isAlive()) {
-      process.destroyForcibly();
+      try {
+        process.destroyForcibly().waitFor(2, java.util.concurrent.TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
   }
 }
