--- a/review/10/EndlessBodyCase.java
+++ b/review/10/EndlessBodyCase.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Idempotent requests on a service of two engines. One of them is in trouble: the bodies of its
- * answers have no end. With LARGE=1 both engines are sound and answer with bodies of 1.2 MB.
+ * Idempotent requests on a service of six engines. One of them is in trouble: the bodies of its
+ * answers have no end. With LARGE=1 all engines are sound and answer with bodies of 1.2 MB.
  */
 final class EndlessBodyCase {
   private static final int REQUESTS = 40;
@@ -31,7 +31,7 @@
   }
 
   private static boolean answer(
-      Record record, String id, boolean endless, Http.Message m, OutputStream out)
+      Record record, String id, boolean endless, Slots slots, Http.Message m, OutputStream out)
       throws Exception {
     String attempt = m.header("X-Attempt-Id");
     if (m.header("X-Expected-Instance") != null && !m.header("X-Expected-Instance").equals(id)) {
@@ -41,6 +41,23 @@
               .getBytes(StandardCharsets.ISO_8859_1));
       return true;
     }
+    if (!slots.take()) {
+      out.write(
+          ("HTTP/1.1 503 S\r\nX-Attempt-Id: " + attempt
+                  + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+              .getBytes(StandardCharsets.ISO_8859_1));
+      return true;
+    }
+    try {
+      return run(record, id, endless, attempt, out);
+    } finally {
+      slots.give();
+    }
+  }
+
+  private static boolean run(
+      Record record, String id, boolean endless, String attempt, OutputStream out)
+      throws Exception {
     record.add(id, "runs " + attempt);
     int length = isLarge() ? LARGE_BYTES : SMALL_BYTES;
     out.write(
@@ -67,9 +84,10 @@
   }
 
   private static void addEngine(Stage stage, String id, boolean endless) throws Exception {
+    Slots slots = new Slots(8);
     Http.Server server =
         new Http.Server(
-            "127.0.0.1", 0, (m, s, out) -> answer(stage.record, id, endless, m, out));
+            "127.0.0.1", 0, (m, s, out) -> answer(stage.record, id, endless, slots, m, out));
     long born = System.currentTimeMillis();
     Http.thread(
         () -> {
@@ -160,7 +178,9 @@
            "tenants":[{"name":"kaje80","apiKeys":["k1"],"priority":1,"ratePerS":25,"burst":25}]}
           """);
       addEngine(stage, "i-0", Stage.trouble() && !isLarge());
-      addEngine(stage, "i-1", false);
+      for (int i = 1; i < 6; i++) {
+        addEngine(stage, "i-" + i, false);
+      }
       stage.addHost("edge-a-1", true);
       stage.addHost("edge-a-2", true);
       stage.addHost("storage-a-1", false);
--- a/review/6/CommitCase.java
+++ b/review/6/CommitCase.java
@@ -150,6 +150,8 @@
               + " runs, " + busy + " now; the store refused " + stage.kv.refusals.size()
               + " writes");
       boolean kept = listed.size() == ITEMS && wrong == 0;
+      stage.require(
+          kept || stage.awaitIdleEngines(1000), "engines had work of the job in the last 5 s");
       System.out.println(
           (kept ? "held: " : "broken: ") + listed.size() + " of " + ITEMS + " items listed");
       stage.end(kept ? 0 : 1);
--- a/review/7/CutStreamCase.java
+++ b/review/7/CutStreamCase.java
@@ -31,6 +31,7 @@
     private final long born = System.currentTimeMillis();
     private final Set<Integer> sending = ConcurrentHashMap.newKeySet();
     private final Http.Server server;
+    private final Slots slots = new Slots(8);
     private volatile boolean down;
 
     CrashingEngine(String id, Stage stage) throws Exception {
@@ -64,6 +65,21 @@
                 .getBytes(StandardCharsets.ISO_8859_1));
         return true;
       }
+      if (!slots.take()) {
+        out.write(
+            ("HTTP/1.1 503 S\r\nX-Attempt-Id: " + attempt
+                    + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+        return true;
+      }
+      try {
+        return run(attempt, out);
+      } finally {
+        slots.give();
+      }
+    }
+
+    private boolean run(String attempt, OutputStream out) throws Exception {
       int number = Integer.parseInt(attempt.substring(1));
       stage.record.add(id, "runs " + attempt);
       sending.add(number);
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -24,6 +24,8 @@
   private final Model model;
   private final long born = System.currentTimeMillis();
   private final AtomicInteger running = new AtomicInteger();
+  private final Slots queue;
+  private volatile long endedAt;
   final AtomicLong runs = new AtomicLong();
   private final Http.Server server;
   private volatile boolean closed;
@@ -32,6 +34,7 @@
   Engine(String id, int slots, Kv kv, Record record, Model model) throws IOException {
     this.id = id;
     this.slots = slots;
+    this.queue = new Slots(slots);
     this.kv = kv;
     this.record = record;
     this.model = model;
@@ -48,6 +51,11 @@
     return running.get();
   }
 
+  /** Returns when the last run ended, by the time of the record; 0 before the first. */
+  long endedAt() {
+    return endedAt;
+  }
+
   private void beat() {
     for (long sequence = 1; !closed; sequence++) {
       kv.put(
@@ -91,18 +99,20 @@
           Map.of("X-Attempt-Id", attempt, "X-Not-Executed", "1", "Content-Length", "0"));
       return true;
     }
-    if (running.incrementAndGet() > slots) {
-      running.decrementAndGet();
+    if (!queue.take()) {
       head(
           out,
           503,
           Map.of("X-Attempt-Id", attempt, "X-Not-Executed", "1", "Content-Length", "0"));
       return true;
     }
+    running.incrementAndGet();
     try {
       return run(m, attempt, out);
     } finally {
       running.decrementAndGet();
+      endedAt = record.millis();
+      queue.give();
     }
   }
 
--- a/review/standins-2/Kv.java
+++ b/review/standins-2/Kv.java
@@ -46,6 +46,7 @@
   private final Record record;
   private long revision = 100;
   private long lastLease = 1;
+  private long forgotten;
   private volatile Mode mode = Mode.SERVES;
   private boolean leasesPause = true;
   private long lastTick = now();
@@ -91,7 +92,7 @@
             });
         ended.forEach(this::endLease);
         while (!history.isEmpty() && history.peekFirst().at < now - HISTORY_MS) {
-          history.pollFirst();
+          forgotten = history.pollFirst().revision;
         }
       }
       try {
@@ -280,6 +281,10 @@
           Http.reset(socket);
           return false;
         }
+        if (after < forgotten) {
+          Http.answer(out, 410, "{}");
+          return true;
+        }
         for (Change c : history) {
           if (c.revision > after && c.key.startsWith(prefix)) {
             if (c.item == null) {
@@ -314,6 +319,17 @@
       refuse(machine, "more than " + ENTRIES + " entries", out);
       return;
     }
+    for (Object w : writes) {
+      String key = (String) Json.map(w).get("key");
+      if (key.startsWith("op/") || key.startsWith("servers/")) {
+        Http.answer(out, 403, "{}");
+        return;
+      }
+      if (key.length() > 200) {
+        refuse(machine, "key of " + key.length() + " bytes", out);
+        return;
+      }
+    }
     Map<String, byte[]> values = new LinkedHashMap<>();
     for (Object w : writes) {
       String key = (String) Json.map(w).get("key");
--- a/review/standins-2/Stage.java
+++ b/review/standins-2/Stage.java
@@ -64,6 +64,18 @@
     Thread.sleep(2000);
   }
 
+  /**
+   * Waits until the condition of the rule LOST for batch jobs holds, at most as long as given: no
+   * engine has a run, none has had one for 5 s. Returns whether it holds.
+   */
+  boolean awaitIdleEngines(long millis) throws Exception {
+    return await(
+        millis,
+        () ->
+            engines.stream()
+                .allMatch(e -> e.running() == 0 && e.endedAt() <= record.millis() - 5000));
+  }
+
   /** Ends the case as one that could not run. */
   void require(boolean holds, String problem) {
     if (!holds) {
