A failure on one entry or answer of the store ends no loop of calls

Callers saw: engines that came later got nothing, and engines that had left still got requests, on hosts whose watch had met an entry on which its handling fails; before that, hosts that started meanwhile served nothing. No line of the log said so.

Cause: the handling of answers runs in continuations whose future nobody looks at. What they throw is lost, and with it the next step: the watch that a read opens, the next poll, the retry, the next renewal of the host's lease. Also, one failing listener of a table hid the change from those after it, and a read that failed exceptionally left the reading of the configuration marked as in progress for good.

Why this works: StoreAnswers gives each such continuation a receiver of its failure, which logs W710 and takes the retry that a failed call takes. EngineEntryReader.ignoringFailures keeps a failure to its entry; W711 names entries that name no engine. A table goes on with its other listeners.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/EngineDirectory.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.waxwingcourse.fleet.engine.EngineBoot;
@@ -39,6 +41,9 @@
   private final EngineMarker marker;
   private final Object notification = new Object();
 
+  /** The keys of the entries that name no engine to use. */
+  private Set<String> ignored = Set.of();
+
   /** The entries as they were written. */
   private Map<UpstreamId, EngineEntry> entries = Map.of();
 
@@ -56,7 +61,7 @@
   /** The same, where {@code marker} adds to the entries what else is known of the engines. */
   public EngineDirectory(StoreTable table, EngineEntryReader reader, EngineMarker marker) {
     this.table = table;
-    this.reader = reader;
+    this.reader = reader.ignoringFailures();
     this.marker = marker;
     table.addListener(this::refresh);
   }
@@ -184,12 +189,18 @@
   public void refresh() {
     synchronized (this) {
       Map<UpstreamId, EngineEntry> current = new HashMap<>();
+      Set<String> unusable = new HashSet<>();
       for (Entry entry : table.entries()) {
-        for (EngineEntry engine : reader.read(entry)) {
+        Option<EngineEntry> read = reader.read(entry);
+        for (EngineEntry engine : read) {
           current.put(engine.id(), engine);
           marker.observe(engine, entry.modified());
         }
+        if (read.isEmpty() && unusable.add(entry.key()) && !ignored.contains(entry.key())) {
+          LOG.write(Event.ENGINE_ENTRY_IGNORED, entry.key(), entry.modified().value());
+        }
       }
+      ignored = unusable;
       statements.removeSuperseded(current);
       logChanges(current);
       setEntries(current);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/HostEntryRegistration.java
@@ -22,6 +22,7 @@
 import org.waxwingcourse.store.LeaseId;
 import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreAnswers;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
@@ -148,7 +149,13 @@
   /** Repeats the write until it is executed, since callers are sent here until then. */
   private void writeLeaving() {
     if (!stopped) {
-      lease.forEach(l -> writeEntry(l.id()).thenAccept(this::onLeavingWritten));
+      lease.forEach(
+          l ->
+              StoreAnswers.handle(
+                  writeEntry(l.id()),
+                  "a write of this host's entry as leaving",
+                  this::onLeavingWritten,
+                  failure -> scheduleStep(this::writeLeaving)));
     }
   }
 
@@ -165,9 +172,11 @@
   }
 
   private void readFleetEntries() {
-    store
-        .read(KeyRange.ofPrefix(StoreKeys.FLEET_PREFIX))
-        .thenAccept(answer -> answer.fold(this::retryRead, this::onFleetEntries));
+    StoreAnswers.handle(
+        store.read(KeyRange.ofPrefix(StoreKeys.FLEET_PREFIX)),
+        "a read of the fleet's entries",
+        answer -> answer.fold(this::retryRead, this::onFleetEntries),
+        this::retryRead);
   }
 
   private Void retryRead(StoreFailure failure) {
@@ -209,7 +218,11 @@
             .requireAbsent(StoreKeys.SECRET_KEY)
             .put(StoreKeys.SECRET_KEY, text)
             .build();
-    store.write(create).thenAccept(outcome -> scheduleStep(this::readFleetEntries, outcome));
+    StoreAnswers.handle(
+        store.write(create),
+        "a write of the fleet's secret",
+        outcome -> scheduleStep(this::readFleetEntries, outcome),
+        this::retryRead);
   }
 
   private void scheduleStep(Runnable step, WriteOutcome outcome) {
@@ -224,7 +237,11 @@
 
   private void requestLease() {
     if (!stopped) {
-      store.grantLease(LEASE_TIME_TO_LIVE).thenAccept(this::onLeaseGranted);
+      StoreAnswers.handle(
+          store.grantLease(LEASE_TIME_TO_LIVE),
+          "a request for a lease",
+          this::onLeaseGranted,
+          failure -> scheduleStep(this::requestLease));
     }
   }
 
@@ -236,7 +253,11 @@
     }
     lease = Option.none();
     term++;
-    writeEntry(answer.get().id()).thenAccept(outcome -> onWritten(answer.get(), outcome));
+    StoreAnswers.handle(
+        writeEntry(answer.get().id()),
+        "a write of this host's entry",
+        outcome -> onWritten(answer.get(), outcome),
+        failure -> scheduleStep(this::requestLease));
   }
 
   /**
@@ -304,14 +325,15 @@
       return;
     }
     Instant sentAt = clocks.instant();
-    store
-        .renewLease(lease.get().id())
-        .thenAccept(
-            answer -> {
-              storeView.contact().recordOutcome(answer);
-              answer.forEach(l -> storeResponseTime = Duration.between(sentAt, clocks.instant()));
-              onRenewed(answer);
-            });
+    StoreAnswers.handle(
+        store.renewLease(lease.get().id()),
+        "a renewal of this host's lease",
+        answer -> {
+          storeView.contact().recordOutcome(answer);
+          answer.forEach(l -> storeResponseTime = Duration.between(sentAt, clocks.instant()));
+          onRenewed(answer);
+        },
+        failure -> scheduleStep(this::sendRenewal));
   }
 
   private void onRenewed(Either<StoreFailure, Lease> answer) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreFollower.java
@@ -18,6 +18,7 @@
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreAnswers;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Watch;
 import org.waxwingcourse.store.WatchListener;
@@ -137,7 +138,15 @@
       readInProgress = true;
     }
     ClockReading sentAt = clocks.now();
-    store.read(operators).thenAccept(answer -> onConfiguration(sentAt, answer));
+    StoreAnswers.handle(
+        store.read(operators),
+        "a read of the configuration",
+        answer -> onConfiguration(sentAt, answer),
+        failure -> endRead());
+  }
+
+  private synchronized void endRead() {
+    readInProgress = false;
   }
 
   /** Reads when the recovery is to end, since it takes a sign of the store to end it. */
@@ -215,7 +224,11 @@
         expectedGeneration = generation;
         waitsForRetry = false;
       }
-      store.read(range).thenAccept(answer -> onRead(expectedGeneration, answer));
+      StoreAnswers.handle(
+          store.read(range),
+          "a read of range " + range.key(),
+          answer -> onRead(expectedGeneration, answer),
+          failure -> onReadFailure(expectedGeneration, failure));
     }
 
     /** Opens the watch now if it waits for its next retry. */
@@ -247,7 +260,6 @@
           scheduleRetry(expectedGeneration, answer.getLeft());
           return;
         }
-        failures = 0;
       }
       Snapshot snapshot = answer.get();
       LOG.write(
@@ -265,6 +277,15 @@
           return;
         }
         watch = store.watch(range, snapshot.revision(), this);
+        failures = 0;
+      }
+    }
+
+    private void onReadFailure(long expectedGeneration, StoreFailure failure) {
+      synchronized (StoreFollower.this) {
+        if (expectedGeneration == generation) {
+          scheduleRetry(expectedGeneration, failure);
+        }
       }
     }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreTable.java
@@ -9,6 +9,8 @@
 import java.util.TreeSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
+import org.waxwingcourse.model.event.Event;
+import org.waxwingcourse.model.event.EventLog;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.Snapshot;
@@ -29,6 +31,8 @@
  * made the change, one thread at a time: a listener that copies the content ends with the latest.
  */
 public final class StoreTable {
+  private static final EventLog LOG = EventLog.of(StoreTable.class);
+
   /** An odd constant with evenly spread bits, as used in Fibonacci hashing. */
   private static final long DIGEST_MULTIPLIER = 0x9e3779b97f4a7c15L;
 
@@ -220,10 +224,19 @@
     return meanings;
   }
 
+  /** The content has changed already, so no later read would make up for a listener left out. */
+  private static void notifyListener(Runnable listener) {
+    try {
+      listener.run();
+    } catch (RuntimeException e) {
+      LOG.write(Event.STEP_FAILED, e.toString());
+    }
+  }
+
   private void notifyListeners(boolean changed) {
     if (changed) {
       synchronized (notification) {
-        listeners.forEach(Runnable::run);
+        listeners.forEach(StoreTable::notifyListener);
       }
     }
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreView.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreView.java
@@ -47,7 +47,10 @@
   private StoreView(PlanReader planReader, Clocks clocks, Option<EngineEntryReader> engineReader) {
     this.planReader = planReader;
     this.engines =
-        engineReader.map(r -> new StoreTable(e -> meaning(r, e))).getOrElse(StoreTable::new);
+        engineReader
+            .map(EngineEntryReader::ignoringFailures)
+            .map(r -> new StoreTable(e -> meaning(r, e)))
+            .getOrElse(StoreTable::new);
     this.contact = new StoreContact(clocks);
     this.evidence = new FreshnessEvidence(clocks, contact::recordSign);
     hosts.addListener(() -> fleetHosts.set(FleetHosts.fromTable(hosts)));
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -234,6 +234,9 @@
       709,
       Level.INFO,
       "the store answers after {} ms without a sign; entries gone since are kept for {} ms"),
+  STORE_ANSWER_UNHANDLED(710, Level.ERROR, "the answer of the store to {} cannot be handled: {}"),
+  ENGINE_ENTRY_IGNORED(
+      711, Level.WARN, "entry \"{}\" of revision {} names no engine to use and is ignored"),
   // 800: caller interface
   REQUEST_FAILED(800, Level.ERROR, "internal error in request {}: {}"),
   REQUEST_DENIED(801, Level.INFO, "request {} is refused, {}: {}; configuration {}, evidence {}"),
