An entry among those of jobs that names no job hides no other

Callers could see: an item that nobody runs, results that cannot be read, and jobs that are never removed, for as long as an entry of another writer stood under runners/, jobs/ or among a job's parts.

Cause: JobSupervisor and ExpiredJobRemover took the job from the key without a look at it, and the readers of a job's parts the number of the part.

Why this works: an entry whose key names no job or part is passed over. The writes of orders and of the quarantine also have a receiver of their failure now, as a lost one left them marked as in progress for good.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/Evacuations.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/Evacuations.java
@@ -9,6 +9,7 @@
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreAnswers;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
 
@@ -51,7 +52,15 @@
   private void answer(HostId host) {
     Transaction write =
         Transaction.builder().put(format.answerKey(host), format.completedAnswer()).build();
-    store.write(write).thenAccept(outcome -> onWritten(host, outcome));
+    StoreAnswers.handle(
+        store.write(write),
+        "a write of the answer for host " + host,
+        outcome -> onWritten(host, outcome),
+        failure -> answerLater(host));
+  }
+
+  private synchronized void answerLater(HostId host) {
+    answered.remove(host);
   }
 
   private synchronized void onWritten(HostId host, WriteOutcome outcome) {
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ExpiredJobRemover.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ExpiredJobRemover.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreAnswers;
 import org.waxwingcourse.store.StoreFailure;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.wire.fleet.JobRecord;
@@ -47,7 +48,11 @@
 
   /** Checks all jobs once and removes the expired ones. */
   public void removeExpired() {
-    store.read(KeyRange.ofPrefix(StoreKeys.JOBS_PREFIX)).thenAccept(this::onJobs);
+    StoreAnswers.handle(
+        store.read(KeyRange.ofPrefix(StoreKeys.JOBS_PREFIX)),
+        "a read of all jobs",
+        this::onJobs,
+        failure -> {});
   }
 
   private void onJobs(Either<StoreFailure, Snapshot> answer) {
@@ -62,7 +67,8 @@
   }
 
   private boolean isExpired(Entry entry, Instant now) {
-    return JobStore.parseRecord(entry).exists(s -> isExpired(s.record(), now));
+    return StoreKeys.findJob(entry.key(), StoreKeys.JOBS_PREFIX).isDefined()
+        && JobStore.parseRecord(entry).exists(s -> isExpired(s.record(), now));
   }
 
   private boolean isExpired(JobRecord record, Instant now) {
@@ -75,7 +81,7 @@
   }
 
   private void removeJob(Entry entry) {
-    JobId job = JobId.of(entry.key().substring(StoreKeys.JOBS_PREFIX.length()));
+    JobId job = StoreKeys.findJob(entry.key(), StoreKeys.JOBS_PREFIX).get();
     JobRecord record = JobStore.parseRecord(entry).get().record();
     Transaction.Builder builder =
         Transaction.builder()
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
@@ -5,9 +5,11 @@
 import com.google.protobuf.Parser;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import io.vavr.control.Try;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.id.JobId;
@@ -106,16 +108,16 @@
         .thenApply(answer -> answer.flatMap(s -> parseInOrder(s, prefix, parser)));
   }
 
+  /** Parses the parts of a job in their order; a key that ends with no number names no part. */
   private static <M extends Message> Either<StoreFailure, List<M>> parseInOrder(
       Snapshot snapshot, String prefix, Parser<M> parser) {
+    SortedMap<Integer, Entry> ordered = new TreeMap<>();
+    for (Entry entry : snapshot.entries()) {
+      Try.of(() -> Integer.parseInt(entry.key().substring(prefix.length())))
+          .forEach(number -> ordered.put(number, entry));
+    }
     List<M> parts = new ArrayList<>();
-    List<Entry> ordered =
-        snapshot.entries().stream()
-            .sorted(
-                Comparator.comparingInt(
-                    (Entry e) -> Integer.parseInt(e.key().substring(prefix.length()))))
-            .toList();
-    for (Entry entry : ordered) {
+    for (Entry entry : ordered.values()) {
       Either<StoreFailure, M> part = parseMessage(entry, parser);
       if (part.isLeft()) {
         return Either.left(part.getLeft());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSupervisor.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobSupervisor.java
@@ -20,6 +20,7 @@
 import org.waxwingcourse.store.KeyRange;
 import org.waxwingcourse.store.Snapshot;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreAnswers;
 import org.waxwingcourse.store.StoreFailure;
 
 /**
@@ -55,7 +56,11 @@
 
   /** Checks all unfinished jobs once. */
   public void checkRunners() {
-    store.read(KeyRange.ofPrefix(StoreKeys.RUNNERS_PREFIX)).thenAccept(this::onRunners);
+    StoreAnswers.handle(
+        store.read(KeyRange.ofPrefix(StoreKeys.RUNNERS_PREFIX)),
+        "a read of the runners of jobs",
+        this::onRunners,
+        failure -> {});
   }
 
   private synchronized void onRunners(Either<StoreFailure, Snapshot> answer) {
@@ -66,14 +71,15 @@
     assignedAt.values().removeIf(at -> now.isAfter(at.plus(CLAIM_TIMEOUT)));
     Set<JobId> withRunner = new HashSet<>();
     for (Entry entry : answer.get().entries()) {
-      JobId job = JobId.of(entry.key().substring(StoreKeys.RUNNERS_PREFIX.length()));
-      Option<RunnerName> runner = RunnerName.decode(entry.text()).filter(this::isLive);
-      if (runner.isDefined()) {
-        withRunner.add(job);
-        remindRunner(job, runner.get().host(), now);
-      } else if (!assignedAt.containsKey(job)) {
-        assignedAt.put(job, now);
-        assignToNextHost(job);
+      for (JobId job : StoreKeys.findJob(entry.key(), StoreKeys.RUNNERS_PREFIX)) {
+        Option<RunnerName> runner = RunnerName.decode(entry.text()).filter(this::isLive);
+        if (runner.isDefined()) {
+          withRunner.add(job);
+          remindRunner(job, runner.get().host(), now);
+        } else if (!assignedAt.containsKey(job)) {
+          assignedAt.put(job, now);
+          assignToNextHost(job);
+        }
       }
     }
     remindAt.keySet().retainAll(withRunner);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantineKeeper.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantineKeeper.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.store.Entry;
 import org.waxwingcourse.store.Store;
+import org.waxwingcourse.store.StoreAnswers;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.store.WriteOutcome;
 import org.waxwingcourse.wire.fleet.CrashingRequest;
@@ -95,7 +96,11 @@
       writing = true;
       write = transaction();
     }
-    store.write(write).thenAccept(outcome -> onWritten(outcome, digest));
+    StoreAnswers.handle(
+        store.write(write),
+        "a write of the quarantine",
+        outcome -> onWritten(outcome, digest),
+        failure -> retryLater());
   }
 
   private List<CrashRecord> storedRequests() {
@@ -137,7 +142,12 @@
       storedAt = Revision.NONE;
       restore(lost.current());
     } else {
-      retryAt = Deadline.after(clocks.steady(), RETRY_DELAY);
+      retryLater();
     }
   }
+
+  private synchronized void retryLater() {
+    writing = false;
+    retryAt = Deadline.after(clocks.steady(), RETRY_DELAY);
+  }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreKeys.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/view/StoreKeys.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.view;
 
+import io.vavr.control.Option;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.JobId;
 
@@ -40,6 +41,16 @@
     return JOBS_PREFIX + job;
   }
 
+  /**
+   * Returns the job that a key of {@link #JOBS_PREFIX} or {@link #RUNNERS_PREFIX} names, none if it
+   * is the prefix alone.
+   */
+  public static Option<JobId> findJob(String key, String prefix) {
+    return Option.when(
+        key.startsWith(prefix) && key.length() > prefix.length(),
+        () -> JobId.of(key.substring(prefix.length())));
+  }
+
   /** Returns the key of one part of a job's items. */
   public static String itemsKey(JobId job, int part) {
     return "items/" + job + "/" + part;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobSupervisorTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobSupervisorTest.java
@@ -122,6 +122,15 @@
     assertThat(assignedHosts).containsExactly(LIVE);
   }
 
+  /** An entry of another writer, under the prefix alone, kept all jobs without a runner. */
+  @Test
+  void runnerEntryWithoutAJobHidesNoOtherJob() {
+    store.write(Transaction.builder().put(StoreKeys.RUNNERS_PREFIX, new byte[] {1}).build()).join();
+    storeRunner(new RunnerName(LIVE, 1));
+    check(CHECK_INTERVAL);
+    assertThat(assignedHosts).containsExactly(LIVE);
+  }
+
   /** A host that had dropped a job kept it from all others for as long as it lived. */
   @Test
   void runnerOfAJobIsRemindedOfIt() {
