Commits of results are bounded in the bytes that the store counts

Cause: ResultLog bounded a commit at 500,000 characters, and stopped only after the result that passed the bound. The store counts the bytes of the value, up to three for each character: 1.46 MB in the case, where it takes 1 MiB. The store rejects such a write for good, and the runner repeated the same write every 400 ms.

A commit that is rejected is halved, and a result that is rejected alone lets the others go first; the retry then backs off to 6.4 s. A result that fits into no value is listed as failed, with W639: it can be neither kept nor read, and must not hold up the rest of its job.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Returns the largest value in bytes that the store takes. */
+  int maxValueBytes() {
+    return store.maxValueBytes();
+  }
+
   /** Reads a job's record, none if there is no such job. */
   CompletableFuture<Either<StoreFailure, Option<StoredRecord>>> readRecord(JobId job) {
     return store
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ResultLog.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ResultLog.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.job;
 
+import com.google.protobuf.CodedOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import org.waxwingcourse.wire.fleet.JobRecord;
 import org.waxwingcourse.wire.fleet.JobResult;
+import org.waxwingcourse.wire.fleet.JobResults;
 
 /**
  * The results of a job at the host that runs it: those that its record lists, by position, and
@@ -17,13 +19,16 @@
  * <p>Not safe for use by several threads.
  */
 final class ResultLog {
-  /** Maximum characters of result text in one value; below the largest value of the store. */
-  private static final int MAX_PART_CHARS = 500_000;
+  /** Size in bytes above which a commit takes no further result; keeps each commit short. */
+  private static final int MAX_COMMIT_BYTES = 500_000;
 
   private final int itemCount;
+  private final int maxValueBytes;
   private final List<Integer> listed = new ArrayList<>();
   private final List<JobResult> committed = new ArrayList<>();
   private final Map<Integer, JobResult> pending = new LinkedHashMap<>();
+  private int maxPartResults = Integer.MAX_VALUE;
+  private int rejectedAlone;
 
   /** The results of one commit with the indexes of their items. */
   record Part(List<Integer> indexes, List<JobResult> results) {}
@@ -33,9 +38,11 @@
    *
    * @param stored the results that the store holds, by position; those beyond the record's list
    *     were committed after it was read
+   * @param maxValueBytes the largest value that the store takes
    */
-  ResultLog(int itemCount, JobRecord record, List<JobResult> stored) {
+  ResultLog(int itemCount, JobRecord record, List<JobResult> stored, int maxValueBytes) {
     this.itemCount = itemCount;
+    this.maxValueBytes = maxValueBytes;
     adopt(record, stored);
   }
 
@@ -56,27 +63,57 @@
     }
   }
 
+  /** Returns whether the store takes a value that holds this result alone. */
+  boolean fitsIntoValue(JobResult result) {
+    return storedBytes(result) <= maxValueBytes;
+  }
+
   /** Returns the results that fit into the next commit, none if there are none. */
   Part nextPart() {
     List<Integer> indexes = new ArrayList<>();
     List<JobResult> results = new ArrayList<>();
-    int charCount = 0;
+    int maxBytes = Math.min(MAX_COMMIT_BYTES, maxValueBytes);
+    int bytes = 0;
     for (Map.Entry<Integer, JobResult> entry : pending.entrySet()) {
-      if (charCount >= MAX_PART_CHARS) {
+      bytes += storedBytes(entry.getValue());
+      if (!results.isEmpty() && (bytes > maxBytes || results.size() == maxPartResults)) {
         break;
       }
       indexes.add(entry.getKey());
       results.add(entry.getValue());
-      charCount += entry.getValue().getText().length();
     }
     return new Part(List.copyOf(indexes), List.copyOf(results));
   }
 
+  private static int storedBytes(JobResult result) {
+    return CodedOutputStream.computeMessageSize(JobResults.RESULTS_FIELD_NUMBER, result);
+  }
+
+  /**
+   * Records that the store rejected a commit itself: the next one holds at most half as many
+   * results, so that one result on which the store insists holds up no other.
+   */
+  void recordRejected(Part part) {
+    maxPartResults = Math.max(1, part.results.size() / 2);
+    if (part.results.size() == 1) {
+      rejectedAlone++;
+      int index = part.indexes.get(0);
+      pending.put(index, pending.remove(index));
+    }
+  }
+
+  /** Returns how many commits of one result the store has rejected since it took the last one. */
+  int rejectedAlone() {
+    return rejectedAlone;
+  }
+
   /** Records that the store has executed a commit. */
   void confirm(Part part) {
     listed.addAll(part.indexes);
     committed.addAll(part.results);
     part.indexes.forEach(pending::remove);
+    maxPartResults = Integer.MAX_VALUE;
+    rejectedAlone = 0;
   }
 
   /** Returns whether a record lists more than is known here to be committed. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -39,9 +39,15 @@
   /** Time that a finished item waits for other items to share its commit. */
   private static final Duration COMMIT_DELAY = Duration.ofMillis(150);
 
-  /** Delay before a commit that the store refused is tried again. */
+  /**
+   * Delay before a commit that the store refused is tried again. It doubles while the store rejects
+   * one result after the other, since what it rejects once it mostly rejects for good.
+   */
   private static final Duration COMMIT_RETRY_DELAY = Duration.ofMillis(400);
 
+  /** Maximum number of times that the delay is doubled. */
+  private static final int MAX_DOUBLINGS = 4;
+
   private final JobId id;
   private final JobRunner.Ports ports;
   private final Runnable endListener;
@@ -78,7 +84,8 @@
     this.items = items;
     this.ports = ports;
     this.endListener = endListener;
-    results = new ResultLog(items.size(), stored.record(), storedResults);
+    results =
+        new ResultLog(items.size(), stored.record(), storedResults, ports.store().maxValueBytes());
     openCheck = new OpenJobCheck(askedAt.instant());
     due = deadline(stored.record().getDueMillis());
     giveUpAt = deadline(stored.record().getGiveUpMillis());
@@ -284,18 +291,34 @@
     if (ended) {
       return;
     }
-    results.add(
-        item.index(),
-        JobResult.newBuilder()
-            .setItem(item.item().getId())
-            .setCompleted(completed)
-            .setText(text)
-            .build());
+    results.add(item.index(), storable(newResult(item, completed, text)));
     if (!commitInProgress && !commitScheduled) {
       scheduleCommit(results.isLastKnown() ? Duration.ZERO : COMMIT_DELAY);
     }
   }
 
+  private static JobResult newResult(ItemRun item, boolean completed, String text) {
+    return JobResult.newBuilder()
+        .setItem(item.item().getId())
+        .setCompleted(completed)
+        .setText(text)
+        .build();
+  }
+
+  /** Returns the result, or that the item has failed if the store takes no value of its size. */
+  private JobResult storable(JobResult result) {
+    if (results.fitsIntoValue(result)) {
+      return result;
+    }
+    LOG.write(
+        Event.JOB_RESULT_TOO_LARGE,
+        result.getItem(),
+        id,
+        result.getSerializedSize(),
+        ports.store().maxValueBytes());
+    return result.toBuilder().setCompleted(false).clearText().build();
+  }
+
   private void scheduleCommit(Duration delay) {
     commitScheduled = true;
     ports.timer().schedule(this::commit, delay.toNanos(), TimeUnit.NANOSECONDS);
@@ -348,6 +371,9 @@
       }
       onCommitResolved();
     } else if (outcome instanceof WriteOutcome.NotSent notSent) {
+      if (notSent.failure().kind() == StoreFailure.Kind.REFUSED) {
+        recordRejected(part);
+      }
       scheduleCommitRetry(notSent.failure().message());
     } else {
       retryOnError(
@@ -388,6 +414,10 @@
     }
   }
 
+  private synchronized void recordRejected(ResultLog.Part part) {
+    results.recordRejected(part);
+  }
+
   private synchronized boolean isBehind(JobRecord record) {
     return results.isBehind(record);
   }
@@ -440,7 +470,8 @@
     LOG.write(Event.JOB_COMMIT_WAITS, id, reason, results.pendingCount());
     commitInProgress = false;
     if (!ended && !commitScheduled) {
-      scheduleCommit(COMMIT_RETRY_DELAY);
+      int doublings = Math.min(results.rejectedAlone(), MAX_DOUBLINGS);
+      scheduleCommit(COMMIT_RETRY_DELAY.multipliedBy(1L << doublings));
     }
   }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 import org.waxwingcourse.model.id.Revision;
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.store.KeyRange;
@@ -25,6 +26,7 @@
   private final MemoryStore store;
   private final Queue<WriteFault> writeFaults = new ArrayDeque<>();
   private final List<Transaction> lateWrites = new ArrayList<>();
+  private Predicate<Transaction> rejected = t -> false;
   private Runnable afterWrite = () -> {};
   private Runnable afterRead = () -> {};
   private CompletableFuture<Void> readGate = CompletableFuture.completedFuture(null);
@@ -48,6 +50,11 @@
     writeFaults.addAll(List.of(faults));
   }
 
+  /** Sets which writes the store rejects, however often they are repeated. */
+  void rejectWrites(Predicate<Transaction> which) {
+    rejected = which;
+  }
+
   /** Sets what happens after each write. */
   void afterWrite(Runnable action) {
     afterWrite = action;
@@ -76,6 +83,10 @@
 
   @Override
   public CompletableFuture<WriteOutcome> write(Transaction transaction) {
+    if (rejected.test(transaction)) {
+      return CompletableFuture.completedFuture(
+          new WriteOutcome.NotSent(new StoreFailure(StoreFailure.Kind.REFUSED, "rejected")));
+    }
     WriteFault fault = writeFaults.isEmpty() ? WriteFault.NONE : writeFaults.remove();
     CompletableFuture<WriteOutcome> outcome =
         CompletableFuture.completedFuture(new WriteOutcome.Unknown("the answer was lost"));
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -237,11 +237,13 @@
   }
 
   /** Finishes an item on the engine. Items whose engine has been silent for long ask again. */
-  void finish(int item, String text) {
+  void finish(int item, String... events) {
     grantAll();
     EngineListener run = runs.get("item-" + item);
     run.onHead(new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, false, false));
-    run.onBytes(("data: " + text + "\n\n").getBytes(StandardCharsets.US_ASCII));
+    for (String event : events) {
+      run.onBytes(("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+    }
     run.onEnd(Option.none());
   }
 
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -215,6 +215,10 @@
       638,
       Level.WARN,
       "job \"{}\" could not be ended for \"{}\"; it runs on until it is asked again"),
+  JOB_RESULT_TOO_LARGE(
+      639,
+      Level.ERROR,
+      "the result of item {} of job \"{}\" is listed as failed: {} bytes, the store takes {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
--- a/store/src/main/java/org/waxwingcourse/store/Store.java
+++ b/store/src/main/java/org/waxwingcourse/store/Store.java
@@ -10,6 +10,17 @@
  * watch counts as one call. No future completes exceptionally: failures are returned as values.
  */
 public interface Store {
+  /** The largest value in bytes that a store takes if it does not say otherwise. */
+  int DEFAULT_MAX_VALUE_BYTES = 1 << 20;
+
+  /**
+   * Returns the largest value in bytes that the store takes; it refuses a write with a larger one,
+   * however often that is repeated.
+   */
+  default int maxValueBytes() {
+    return DEFAULT_MAX_VALUE_BYTES;
+  }
+
   /** Reads the entries of a range at the latest revision. */
   CompletableFuture<Either<StoreFailure, Snapshot>> read(KeyRange range);
 
