A job that the store can never take is refused for good

Callers saw: 503, or 429, with a time to come back, each time that they submitted a batch job with an item larger than the largest value of the store, or with more items than a transaction holds; it could never be accepted.

Cause: items were split at 700,000 bytes whatever the largest value of the store; a single larger item was sent to the store as it was, and the store's rejection was taken for a passing failure.

Evidence: JobForwardingTest.jobThatTheStoreCanNeverTakeIsRefusedForGood failed before, with a refusal that invites a retry.

Parts are bounded by the largest value that the settings state. Another host is told of it as a refusal, which both versions read. The test passes (x86_64).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobAnswer.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobAnswer.java
@@ -22,6 +22,9 @@
    */
   record Refused(boolean overLimit, Duration retryAfter, String reason) implements JobAnswer {}
 
+  /** The job can never be stored, however often it is submitted. */
+  record TooLarge(String reason) implements JobAnswer {}
+
   /** Whether the call took effect is not known; the caller may repeat it. */
   record Unknown(String reason) implements JobAnswer {}
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobForwarder.java
@@ -126,6 +126,8 @@
                   : JobForwardAnswer.Result.REFUSED)
           .setRetryAfterNanos(refused.retryAfter().toNanos())
           .setReason(refused.reason());
+    } else if (answer instanceof JobAnswer.TooLarge tooLarge) {
+      message.setResult(JobForwardAnswer.Result.REFUSED).setReason(tooLarge.reason());
     } else if (answer instanceof JobAnswer.Unknown unknown) {
       message.setReason(unknown.reason());
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobIntake.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.job;
 
+import com.google.protobuf.CodedOutputStream;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
@@ -43,9 +44,7 @@
    */
   private static final int MAX_CONFLICTS = 6;
 
-  /**
-   * Maximum bytes of items in one value; below the largest value of the store, encoding included.
-   */
+  /** Maximum bytes of items in one value, where the store does not take less. */
   private static final int MAX_PART_BYTES = 700_000;
 
   /** Maximum number of parts that fit into one transaction beside the other writes. */
@@ -120,9 +119,11 @@
   }
 
   CompletableFuture<JobAnswer> submit(JobSubmission job, Instant wallNow) {
-    List<JobItems> parts = splitItems(job.items());
-    if (parts.size() > MAX_PARTS) {
-      return completed(new JobAnswer.Refused(true, LIMIT_RETRY_DELAY, "the job is too large"));
+    List<JobItems> parts = splitItems(job.items(), Math.min(MAX_PART_BYTES, store.maxValueBytes()));
+    Option<String> excess = excess(parts);
+    if (excess.isDefined()) {
+      LOG.write(Event.JOB_REFUSED, job.id(), excess.get(), job.tokens());
+      return completed(new JobAnswer.TooLarge(excess.get()));
     }
     if (patience.isStoreSilent(clock.instant())) {
       return completed(refuse(job, "the store has left the last job unanswered"));
@@ -138,6 +139,18 @@
         .thenApply(a -> a == null ? answerWithoutStore(job, limit) : a);
   }
 
+  /** Returns why the store can never take the items, none if it can. */
+  private Option<String> excess(List<JobItems> parts) {
+    int largest = parts.stream().mapToInt(JobItems::getSerializedSize).max().orElse(0);
+    if (largest > store.maxValueBytes()) {
+      return Option.some(
+          "an item has " + largest + " bytes, the store takes " + store.maxValueBytes());
+    }
+    return Option.when(
+        parts.size() > MAX_PARTS,
+        () -> "the items need " + parts.size() + " values, the store takes " + MAX_PARTS);
+  }
+
   /** The job is still accepted if the store answers later; its caller then finds it accepted. */
   private JobAnswer answerWithoutStore(JobSubmission job, Duration limit) {
     patience.recordSilence(clock.instant());
@@ -371,13 +384,13 @@
         .build();
   }
 
-  private static List<JobItems> splitItems(List<JobItem> items) {
+  private static List<JobItems> splitItems(List<JobItem> items, int maxBytes) {
     List<JobItems> parts = new ArrayList<>();
     JobItems.Builder part = JobItems.newBuilder();
     int bytes = 0;
     for (JobItem item : items) {
-      int size = item.getSerializedSize();
-      if (bytes > 0 && bytes + size > MAX_PART_BYTES) {
+      int size = CodedOutputStream.computeMessageSize(JobItems.ITEMS_FIELD_NUMBER, item);
+      if (bytes > 0 && bytes + size > maxBytes) {
         parts.add(part.build());
         part = JobItems.newBuilder();
         bytes = 0;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/JobForwardingTest.java
@@ -168,6 +168,17 @@
     assertThat(isStored()).isFalse();
   }
 
+  /** Guards against a caller that is told to come back with a job that the store never takes. */
+  @Test
+  void jobThatTheStoreCanNeverTakeIsRefusedForGood() {
+    for (JobSubmission job : List.of(job(1, 1 << 20), job(27, 700_000))) {
+      assertThat(hosts.get(CUT_OFF).submitJob(job).getNow(null))
+          .isInstanceOf(JobAnswer.TooLarge.class);
+      assertThat(isStored()).isFalse();
+    }
+    assertThat(submit(job(26, 690_000)).join()).isInstanceOf(JobAnswer.Accepted.class);
+  }
+
   @Test
   void jobOfAnotherOrganisationIsNotFound() {
     JobRecord other = JobRecord.newBuilder().setOrganisation("other").build();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/StoreRetryDelayTest.java
@@ -4,6 +4,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -119,7 +120,10 @@
             Proxy.newProxyInstance(
                 Store.class.getClassLoader(),
                 new Class<?>[] {Store.class},
-                (proxy, method, arguments) -> new CompletableFuture<>());
+                (proxy, method, arguments) ->
+                    method.isDefault()
+                        ? InvocationHandler.invokeDefault(proxy, method, arguments)
+                        : new CompletableFuture<>());
     HostEntryRegistration registration = ports().registration();
     JobIntake intake =
         new JobIntake(
