A response that breaks off does not look whole on an unkept connection

Cause: Ratpack sends a streamed response without a length and without chunks on a connection that is not to be kept. Such a response is whole when the connection is closed in order, and an incomplete one was ended by just that.

EngineAnswersEndToEndTest.streamThatBreaksOffDoesNotLookWholeOnAn- UnkeptConnection failed before for both versions of HTTP.

Why this works: a receiver of HTTP/1.1 gets chunks whether or not the connection is kept, so that a missing last chunk shows the break. For HTTP/1.0, which has no chunks, the connection of a broken response is reset. The test passes for both (x86_64).

--- a/node/src/main/java/org/waxwingcourse/node/web/ResponseDelivery.java
+++ b/node/src/main/java/org/waxwingcourse/node/web/ResponseDelivery.java
@@ -1,11 +1,10 @@
 package org.waxwingcourse.node.web;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GenericFutureListener;
 import java.time.Instant;
+import org.waxwingcourse.http.server.ResponseEnd;
 import org.waxwingcourse.model.request.Call;
 import org.waxwingcourse.model.request.Outcome;
 import org.waxwingcourse.model.request.Refusal;
@@ -30,7 +29,7 @@
   void start(Call call) {
     cancelOnDisconnect(call);
     response.abandoned().thenRun(call::cancel);
-    response.truncated().thenRun(this::closeAfterLastChunk);
+    response.truncated().thenRun(() -> ResponseEnd.breakOff(context));
     Promise.<ResponseStream.Start>async(
             downstream -> response.start().thenAccept(downstream::success))
         .then(this::send);
@@ -54,20 +53,10 @@
     if (start.contentType().startsWith(ResponseStream.EVENT_STREAM)) {
       context.getResponse().getHeaders().set("Cache-Control", "no-cache");
     }
+    ResponseEnd.sendInChunks(context);
     context.getResponse().sendStream(response);
   }
 
-  private void closeAfterLastChunk() {
-    Channel channel = context.getDirectChannelAccess().getChannel();
-    channel
-        .eventLoop()
-        .execute(
-            () ->
-                channel
-                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(ChannelFutureListener.CLOSE));
-  }
-
   private void cancelOnDisconnect(Call call) {
     Channel channel = context.getDirectChannelAccess().getChannel();
     GenericFutureListener<Future<Void>> onClose = closed -> call.cancel();
