A large answer is no slow receiver, and each answer has an end

Cause: OnlineRun passes a large answer on in one piece of 1 MiB, which ResponseBodyPublisher, bounded at 1 MiB, took for a receiver that is too slow. The run was cancelled, and with it its time limit; nobody was left to end the response. An answer without end met the same.

Pieces after the first are passed on as they come. Who gives a receiver up, or ends an answer incomplete, also closes its connection within 400 ms, even if the receiver takes no byte.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/AnswerSink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/AnswerSink.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.online;
 
+import java.util.concurrent.CompletableFuture;
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.model.request.Outcome;
 
@@ -15,6 +16,11 @@
   /** Called with the next bytes of the body. The sink owns the array. */
   void onBytes(byte[] bytes);
 
+  /** Returns a future that completes once the receiver is no longer behind; the sender pauses. */
+  default CompletableFuture<Void> drained() {
+    return CompletableFuture.completedFuture(null);
+  }
+
   /** Called at the end of the answer. */
   void onEnd(Outcome outcome);
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -567,6 +568,7 @@
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
     private long bodyBytes;
+    private boolean waitsForReceiver;
     private boolean slotReleased;
     private final SilenceWatch silenceWatch =
         new SilenceWatch(
@@ -703,7 +705,8 @@
         return;
       }
       buffered.writeBytes(bytes);
-      if (buffered.size() <= MAX_BUFFERED_BYTES) {
+      boolean begun = headForwarded && !isStream();
+      if (!begun && buffered.size() <= MAX_BUFFERED_BYTES) {
         return;
       }
       if (isStream()) {
@@ -711,6 +714,26 @@
         breakOff("an error of more than " + MAX_BUFFERED_BYTES + " bytes");
       } else {
         forwardBuffered();
+        waitForReceiver();
+      }
+    }
+
+    /** Reads the engine's answer only as fast as the caller takes it. */
+    private void waitForReceiver() {
+      CompletableFuture<Void> drained = sink.drained();
+      if (!drained.isDone() && !waitsForReceiver) {
+        waitsForReceiver = true;
+        call.setReading(false);
+        drained.thenRun(this::goOnReading);
+      }
+    }
+
+    private void goOnReading() {
+      synchronized (OnlineRun.this) {
+        waitsForReceiver = false;
+        if (!slotReleased) {
+          call.setReading(true);
+        }
       }
     }
 
--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayingSender.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayingSender.java
@@ -132,6 +132,11 @@
       cancelledCall.cancel();
     }
 
+    @Override
+    public void setReading(boolean reading) {
+      current().setReading(reading);
+    }
+
     @Override
     public Option<ConnectionUse> connection() {
       return current().connection();
--- a/http/src/main/java/org/waxwingcourse/http/StreamCall.java
+++ b/http/src/main/java/org/waxwingcourse/http/StreamCall.java
@@ -11,6 +11,12 @@
    */
   void cancel();
 
+  /**
+   * Stops or resumes reading the response, so that the sender gets no further than the receiver.
+   * What has been read already still arrives.
+   */
+  default void setReading(boolean reading) {}
+
   /** Returns the connection that the call uses, none if it has not been sent. */
   default Option<ConnectionUse> connection() {
     return Option.none();
--- a/http/src/main/java/org/waxwingcourse/http/server/ResponseEnd.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/ResponseEnd.java
@@ -2,11 +2,13 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import ratpack.handling.Context;
 
 /**
@@ -15,6 +17,9 @@
  * connection is closed in order (RFC 9112, 6.3).
  */
 public final class ResponseEnd {
+  /** The time that a receiver has for the last bytes of an incomplete response. */
+  private static final Duration LAST_BYTES_TIME = Duration.ofMillis(400);
+
   private ResponseEnd() {}
 
   /** Has a response sent in chunks if its receiver can read them; called before it is sent. */
@@ -29,25 +34,37 @@
 
   /**
    * Closes the connection of an incomplete response after the bytes that were already passed on,
-   * without a last chunk. Where there are no chunks, the connection is reset.
+   * without a last chunk. A receiver that does not take these bytes soon does without the rest.
    */
   public static void breakOff(Context context) {
     Channel channel = context.getDirectChannelAccess().getChannel();
-    boolean reset = !readsChunks(context);
+    Runnable close = () -> close(channel, !readsChunks(context));
     channel
         .eventLoop()
         .execute(
-            () ->
-                channel
-                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
-                    .addListener(written -> setReset(channel, reset))
-                    .addListener(ChannelFutureListener.CLOSE));
+            () -> {
+              channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> close.run());
+              closeLater(channel, close);
+            });
+  }
+
+  /** Closes the connection of an incomplete response even if its receiver takes no bytes. */
+  public static void breakOffSoon(Context context) {
+    Channel channel = context.getDirectChannelAccess().getChannel();
+    closeLater(channel, () -> close(channel, !readsChunks(context)));
+  }
+
+  private static void closeLater(Channel channel, Runnable close) {
+    Future<?> closing =
+        channel.eventLoop().schedule(close, LAST_BYTES_TIME.toMillis(), TimeUnit.MILLISECONDS);
+    channel.closeFuture().addListener(closed -> closing.cancel(false));
   }
 
-  private static void setReset(Channel channel, boolean reset) {
+  private static void close(Channel channel, boolean reset) {
     if (reset && channel.isOpen()) {
       channel.config().setOption(ChannelOption.SO_LINGER, 0);
     }
+    channel.close();
   }
 
   private static boolean readsChunks(Context context) {
--- a/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
+++ b/upstream/src/main/java/org/waxwingcourse/upstream/exchange/Exchange.java
@@ -180,6 +180,14 @@
     listener.onEnd(Option.some(new CallFailure(CallFailure.Kind.CANCELLED, "cancelled")));
   }
 
+  @Override
+  public void setReading(boolean reading) {
+    Channel channel = connection;
+    if (channel != null && !ended.get()) {
+      channel.config().setAutoRead(reading);
+    }
+  }
+
   @Override
   public Option<ConnectionUse> connection() {
     return Option.of(connectionUse);
@@ -282,6 +290,7 @@
         || connection.pipeline().get(ResponseDecoder.class).hasUndecodedBytes()) {
       connection.close();
     } else {
+      connection.config().setAutoRead(true);
       idleConnections.release(request.address(), connection, keepAlive);
     }
     listener.onEnd(Option.none());
