An engine whose plain answers have no end is held to account

Callers saw: requests that end at their time limit, again and again, as the engine that sends bodies without end goes on getting requests.

Cause: a run whose time is up ends as cancelled by this host, which says nothing of its engine.

Why this works: where an answer has begun and its caller has held it up for less than half of its time, the engine is reported as lost, which counts towards its ejection. Where the caller is the slow one, the run still ends as cancelled.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -394,7 +394,8 @@
       return;
     }
     boolean sent = attempt != null || runCount > 0;
-    cancelAttempt(RunEnd.How.CANCELLED);
+    boolean endless = attempt != null && attempt.isEndless();
+    cancelAttempt(endless ? RunEnd.How.ENGINE_LOST : RunEnd.How.CANCELLED);
     if (sent) {
       fail(new Outcome.Failed(504, "the answer was not complete in time"));
     } else {
@@ -568,7 +569,8 @@
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
     private long bodyBytes;
-    private boolean waitsForReceiver;
+    private Option<Instant> waitsForReceiverSince = Option.none();
+    private Duration waitedForReceiver = Duration.ZERO;
     private boolean slotReleased;
     private final SilenceWatch silenceWatch =
         new SilenceWatch(
@@ -721,8 +723,8 @@
     /** Reads the engine's answer only as fast as the caller takes it. */
     private void waitForReceiver() {
       CompletableFuture<Void> drained = sink.drained();
-      if (!drained.isDone() && !waitsForReceiver) {
-        waitsForReceiver = true;
+      if (!drained.isDone() && waitsForReceiverSince.isEmpty()) {
+        waitsForReceiverSince = Option.some(now());
         call.setReading(false);
         drained.thenRun(this::goOnReading);
       }
@@ -730,13 +732,28 @@
 
     private void goOnReading() {
       synchronized (OnlineRun.this) {
-        waitsForReceiver = false;
+        waitedForReceiver = waitedForReceiver();
+        waitsForReceiverSince = Option.none();
         if (!slotReleased) {
           call.setReading(true);
         }
       }
     }
 
+    private Duration waitedForReceiver() {
+      return waitsForReceiverSince
+          .map(since -> waitedForReceiver.plus(Duration.between(since, now())))
+          .getOrElse(waitedForReceiver);
+    }
+
+    /** Returns whether it is the engine, not the receiver, that holds up the end of the answer. */
+    boolean isEndless() {
+      Duration running = Duration.between(sentAt, now());
+      return headForwarded
+          && !isStream()
+          && waitedForReceiver().multipliedBy(2).compareTo(running) < 0;
+    }
+
     /** Closes the connection of an answer that this host does not read any further. */
     private void breakOff(String sent) {
       if (!slotReleased && !done) {
