A relayed answer waits for its receiver as a direct one does

Callers of a host that is cut off from engines could see: a large answer broken off that another host relays, if they took it more slowly than it came.

Cause: a relayed answer has no connection whose reading could stop, so all its parts went into the buffer of the response, which takes little more than 1 MiB.

Why this works: parts are held, in order, until the receiver goes on; 8 MiB for all answers of a host, beyond which the answer is lost, visibly. An answer whose end is held is whole, so that a check that calls it unknown no longer loses it. What is sent between hosts is the same.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/relay/RelayClient.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,11 +41,15 @@
   /** A relaying host that sends nothing for this long is lost; four checks and a margin. */
   private static final Duration SILENCE_LIMIT = Duration.ofMillis(700);
 
+  /** Maximum size in bytes of the parts of all answers that wait for their receivers. */
+  private static final long MAX_HELD_BYTES = 8L << 20;
+
   private final long boot;
   private final PeerTransport peers;
   private final RelayHosts hosts;
   private final InstantSource clock;
   private final AtomicLong lastNumber = new AtomicLong();
+  private final AtomicLong heldBytes = new AtomicLong();
   private final Map<Long, RelayedCall> calls = new ConcurrentHashMap<>();
   private final Map<HostId, Instant> heardAt = new ConcurrentHashMap<>();
   private volatile Instant checkedAt;
@@ -133,14 +139,21 @@
     peers.send(to, PeerChannel.FLEET, message.build().toByteArray());
   }
 
-  /** A request that another host sends. The parts of its answer arrive on one thread. */
+  /**
+   * A request that another host sends. The parts of its answer are handled one after the other;
+   * they are held while the receiver is behind, since the other host sends on.
+   */
   private final class RelayedCall implements StreamCall {
     private final long number;
     private final HostId host;
     private final EngineListener listener;
     private final Instant sentAt = clock.instant();
     private final AtomicBoolean ended = new AtomicBoolean();
+    private final Deque<RelayAnswer> held = new ArrayDeque<>();
     private volatile boolean isMissing;
+    private volatile boolean hasWholeAnswer;
+    private boolean reading = true;
+    private boolean handling;
     private int nextPosition;
 
     RelayedCall(long number, HostId host, EngineListener listener) {
@@ -152,10 +165,51 @@
     boolean isSilent(Instant now) {
       Instant heard = heardAt.getOrDefault(host, sentAt);
       Instant last = heard.isAfter(sentAt) ? heard : sentAt;
-      return now.isAfter(last.plus(SILENCE_LIMIT));
+      return !hasWholeAnswer && now.isAfter(last.plus(SILENCE_LIMIT));
     }
 
     void onPart(RelayAnswer part) {
+      hasWholeAnswer |= part.hasEnd();
+      synchronized (held) {
+        held.add(part);
+      }
+      if (heldBytes.addAndGet(part.getBody().size()) > MAX_HELD_BYTES) {
+        lose("its receiver is too slow");
+      }
+      handleHeld();
+    }
+
+    @Override
+    public void setReading(boolean on) {
+      synchronized (held) {
+        reading = on;
+      }
+      handleHeld();
+    }
+
+    private void handleHeld() {
+      synchronized (held) {
+        if (handling) {
+          return;
+        }
+        handling = true;
+      }
+      for (RelayAnswer part = takeHeld(); part != null; part = takeHeld()) {
+        handle(part);
+      }
+    }
+
+    /** Returns the next part, null if there is none that may be handled now. */
+    private RelayAnswer takeHeld() {
+      synchronized (held) {
+        RelayAnswer next = reading || ended.get() ? held.poll() : null;
+        handling = next != null;
+        heldBytes.addAndGet(next == null ? 0 : -next.getBody().size());
+        return next;
+      }
+    }
+
+    private void handle(RelayAnswer part) {
       if (part.getPosition() != nextPosition) {
         lose("part " + nextPosition + " of the answer was lost");
         return;
@@ -178,7 +232,7 @@
     }
 
     void onChecked(boolean unknown) {
-      if (unknown && isMissing) {
+      if (unknown && isMissing && !hasWholeAnswer) {
         lose("host \"" + host + "\" does not know the request");
       }
       isMissing = unknown;
@@ -198,6 +252,7 @@
       }
       calls.remove(number);
       listener.onEnd(failure);
+      handleHeld();
       return true;
     }
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/relay/RelayClientTest.java
@@ -144,4 +144,40 @@
     assertThat(answer.calls).containsExactly("CANCELLED");
     assertCancelSentFor(number());
   }
+
+  /** A large answer that its caller took more slowly than it came was broken off. */
+  @Test
+  void answerIsHeldInOrderWhileItsReceiverIsBehind() {
+    StreamCall call = send();
+    client.onAnswer(RELAYING, RelayFixtures.headPart(number(), 0));
+    call.setReading(false);
+    client.onAnswer(RELAYING, RelayFixtures.bodyPart(number(), 1, "a"));
+    client.onAnswer(RELAYING, RelayFixtures.bodyPart(number(), 2, "b"));
+    client.onAnswer(RELAYING, RelayFixtures.endPart(number(), 3));
+    answerCheck(number());
+    answerCheck(number());
+    check(SILENCE_CHECKS);
+    assertThat(answer.calls).containsExactly("head");
+    call.setReading(true);
+    assertThat(answer.calls).containsExactly("head", "a", "b", "whole");
+  }
+
+  /** Answers that nobody takes would fill the memory of the host. */
+  @Test
+  void answerOfWhichTooMuchIsHeldIsLost() {
+    StreamCall call = send();
+    client.onAnswer(RELAYING, RelayFixtures.headPart(number(), 0));
+    call.setReading(false);
+    String mebibyte = "x".repeat(1 << 20);
+    for (int i = 1; i <= 9; i++) {
+      client.onAnswer(RELAYING, RelayFixtures.bodyPart(number(), i, mebibyte));
+    }
+    assertThat(answer.calls).containsExactly("head", "LINK_LOST");
+    assertCancelSentFor(number());
+    answer.calls.clear();
+    client.send(RELAYING, RelayFixtures.request(), answer).setReading(false);
+    long second = messages.of(BodyCase.RELAY_REQUEST).get(1).getRelayRequest().getNumber();
+    client.onAnswer(RELAYING, RelayFixtures.bodyPart(second, 0, mebibyte));
+    assertThat(answer.calls).as("what the first one held is free again").isEmpty();
+  }
 }
