An item whose output can no longer be stored is ended at once

Callers could see: a host that runs out of memory, and jobs that move, as the engine of an item sends events without end.

Cause: the events of an item were kept until the engine ended the stream or the item's lifetime, however many.

Why this works: beyond the largest value of the store the result cannot be kept.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -88,7 +88,7 @@
   private final JobRunner.Ports ports;
   private final ResultListener listener;
   private final Set<UpstreamId> failedOn = new HashSet<>();
-  private final List<String> eventData = new ArrayList<>();
+  private final ItemOutput output = new ItemOutput();
   private final JoinedStream joined = JoinedStream.empty();
   private Attempt attempt;
   private long slotNumber;
@@ -160,11 +160,11 @@
             route.get().rank(),
             Option.none(),
             Option.none(),
-            Deadline.at(job.due().at().minus(ports.times().estimateRemaining(eventData.size()))),
+            Deadline.at(job.due().at().minus(ports.times().estimateRemaining(output.eventCount()))),
             job.giveUpAt(),
             ports.promptParts().apply(item.getHeadersList()),
             failedOn,
-            Option.some(new BatchWork(job.due(), eventData.size())),
+            Option.some(new BatchWork(job.due(), output.eventCount())),
             Option.none(),
             Option.none(),
             homes,
@@ -252,8 +252,8 @@
 
   /** Drops the events received so far, since no engine can go on with them. */
   private void beginAnew(String reason) {
-    LOG.write(Event.ITEM_BEGINS_ANEW, item.getId(), job.id(), eventData.size(), reason);
-    eventData.clear();
+    LOG.write(Event.ITEM_BEGINS_ANEW, item.getId(), job.id(), output.eventCount(), reason);
+    output.clear();
     joined.clear();
   }
 
@@ -414,7 +414,7 @@
           run);
       Duration first =
           firstEventAt == null ? Duration.ZERO : Duration.between(sentAt, firstEventAt);
-      RunEnd end = new RunEnd(outcomeKind, first, meanGap(), eventData.size());
+      RunEnd end = new RunEnd(outcomeKind, first, meanGap(), output.eventCount());
       ports.slots().endRun(requestNumber, end, entry.boot());
     }
 
@@ -511,7 +511,18 @@
       if (outOfPlace.isDefined()) {
         onEventOutOfPlace(event, outOfPlace.get());
       } else if (!event.isBlank()) {
-        eventData.add(event.data());
+        output.add(event.data());
+        endIfTooLarge();
+      }
+    }
+
+    /** Ends the item once its result can no longer be stored, be the engine's output endless. */
+    private void endIfTooLarge() {
+      int limit = ports.store().maxValueBytes();
+      if (output.bytes() > limit) {
+        LOG.write(Event.JOB_RESULT_TOO_LARGE, item.getId(), job.id(), output.bytes(), limit);
+        cancelAttempt(RunEnd.How.CANCELLED);
+        finish(false, "");
       }
     }
 
@@ -575,8 +586,8 @@
         slotNumber = 0;
         releaseSlot(success ? RunEnd.How.WHOLE : RunEnd.How.ENGINE_FAILED);
         if (success) {
-          ports.times().recordCompleted(eventData.size(), meanGap());
-          finish(true, String.join("\n", eventData));
+          ports.times().recordCompleted(output.eventCount(), meanGap());
+          finish(true, output.text());
         } else if (head.status() == UNPROCESSABLE) {
           LOG.write(Event.ITEM_REFUSED, item.getId(), job.id(), engine);
           finish(false, "");
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LargeResultsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LargeResultsTest.java
@@ -6,11 +6,15 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.waxwingcourse.fleet.engine.EngineAnswer;
+import org.waxwingcourse.fleet.engine.EngineListener;
+import org.waxwingcourse.store.Store;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.wire.fleet.JobResult;
 
@@ -83,6 +87,24 @@
     assertThat(stored()).filteredOn(r -> !r.getCompleted()).hasSize(1);
   }
 
+  /** An engine that sent events without end filled the memory of its host. */
+  @Test
+  void itemWhoseOutputGrowsBeyondAnyValueIsEndedBeforeTheOutputEnds() {
+    AtomicInteger cancelled = new AtomicInteger();
+    fixture.onRequest = (request, listener) -> cancelled::incrementAndGet;
+    runItems();
+    EngineListener run = fixture.runs.get("item-0");
+    run.onHead(new EngineAnswer(200, List.of(), EngineAnswer.Verdict.RUN, false, false));
+    byte[] event = ("data: " + "a".repeat(EVENT_CHARS) + "\n\n").getBytes(StandardCharsets.UTF_8);
+    for (int i = 0; i <= Store.DEFAULT_MAX_VALUE_BYTES / EVENT_CHARS; i++) {
+      run.onBytes(event);
+    }
+    assertThat(cancelled).hasValue(1);
+    fixture.timer.advance(RECOVERY);
+    assertThat(stored()).extracting(JobResult::getItem).containsExactly("item-0");
+    assertThat(stored().get(0).getCompleted()).isFalse();
+  }
+
   /** The store need not tell why it rejects a write, nor is it known for which of its results. */
   @Test
   void resultThatTheStoreRejectsHoldsUpNoOther() {
