A planned stop waits until responses have been written

Callers could see: a connection closed in the middle of the last bytes of a response that was known whole, as the process of a stopping host ends.

Cause: the end of a planned stop waited until no request was in progress. A request was over once its outcome was known, not once its response had left; 50 ms later connections were closed.

Why this works: each request of a caller that has been read counts until its response has been written or its connection is closed, and the stop ends early only when none is left; the time at which it ends at the latest is unchanged.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.stream.Stream;
 import org.waxwingcourse.fleet.coordinate.Coordinator;
 import org.waxwingcourse.fleet.coordinate.CoordinatorLink;
@@ -320,14 +321,18 @@
   /**
    * Waits until callers have had time to use other hosts and no request or job is in progress, or
    * until the stop limit is nearly reached.
+   *
+   * @param openExchanges returns how many requests of callers have been read whose response has not
+   *     been written yet
    */
-  public void awaitIdle() {
+  public void awaitIdle(IntSupplier openExchanges) {
     StopSchedule schedule = stopSchedule.get();
-    while (!schedule.mayEnd(isIdle(), clocks.instant())) {
+    while (!schedule.mayEnd(isIdle() && openExchanges.getAsInt() == 0, clocks.instant())) {
       sleepPollInterval();
     }
-    if (online.activeRequests() > 0) {
-      LOG.write(Event.STOP_CUT, online.activeRequests());
+    int cut = Math.max(online.activeRequests(), openExchanges.getAsInt());
+    if (cut > 0) {
+      LOG.write(Event.STOP_CUT, cut);
     }
   }
 
