--- a/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/online/OnlineRun.java
@@ -569,8 +569,7 @@
     private Instant lastActivityAt = sentAt;
     private int receivedEvents;
     private long bodyBytes;
-    private Option<Instant> waitsForReceiverSince = Option.none();
-    private Duration waitedForReceiver = Duration.ZERO;
+    private final ReceiverWait receiverWait = new ReceiverWait(ports.clock());
     private boolean slotReleased;
     private final SilenceWatch silenceWatch =
         new SilenceWatch(
@@ -723,8 +722,7 @@
     /** Reads the engine's answer only as fast as the caller takes it. */
     private void waitForReceiver() {
       CompletableFuture<Void> drained = sink.drained();
-      if (!drained.isDone() && waitsForReceiverSince.isEmpty()) {
-        waitsForReceiverSince = Option.some(now());
+      if (!drained.isDone() && receiverWait.begin()) {
         call.setReading(false);
         drained.thenRun(this::goOnReading);
       }
@@ -732,26 +730,19 @@
 
     private void goOnReading() {
       synchronized (OnlineRun.this) {
-        waitedForReceiver = waitedForReceiver();
-        waitsForReceiverSince = Option.none();
+        receiverWait.end();
         if (!slotReleased) {
           call.setReading(true);
         }
       }
     }
 
-    private Duration waitedForReceiver() {
-      return waitsForReceiverSince
-          .map(since -> waitedForReceiver.plus(Duration.between(since, now())))
-          .getOrElse(waitedForReceiver);
-    }
-
     /** Returns whether it is the engine, not the receiver, that holds up the end of the answer. */
     boolean isEndless() {
       Duration running = Duration.between(sentAt, now());
       return headForwarded
           && !isStream()
-          && waitedForReceiver().multipliedBy(2).compareTo(running) < 0;
+          && receiverWait.total().multipliedBy(2).compareTo(running) < 0;
     }
 
     /** Closes the connection of an answer that this host does not read any further. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LargeResultsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LargeResultsTest.java
@@ -78,7 +78,7 @@
   @Test
   void resultThatFitsIntoNoValueIsListedAsFailedAndHoldsUpNoOther() {
     runItems();
-    fixture.finish(0, events("\u3042", 2 * EVENTS + EVENTS));
+    fixture.finish(0, events("\u3042", 3 * EVENTS));
     for (int i = 1; i < ITEMS; i++) {
       fixture.finish(i, "text");
     }
--- a/http/src/main/java/org/waxwingcourse/http/server/ResponseEnd.java
+++ b/http/src/main/java/org/waxwingcourse/http/server/ResponseEnd.java
@@ -55,6 +55,9 @@
   }
 
   private static void closeLater(Channel channel, Runnable close) {
+    if (!channel.isOpen()) {
+      return;
+    }
     Future<?> closing =
         channel.eventLoop().schedule(close, LAST_BYTES_TIME.toMillis(), TimeUnit.MILLISECONDS);
     channel.closeFuture().addListener(closed -> closing.cancel(false));
