An item for which no slot can be requested holds up no other

Callers could see: accepted items that never run, though engines are free, after one item of their job for which the request for a slot fails.

Cause: the slots of a job's items are requested in one loop, which an exception ended; one in a task of the timer was lost with the task, and nothing else asks for the item again. The job counted as running, so that reminders changed nothing.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -61,6 +61,9 @@
   /** Delay before an item is tried again after a failed or refused attempt. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
+  /** Delay before an item is tried again for which no slot could be requested. */
+  private static final Duration FAILURE_RETRY_DELAY = Duration.ofSeconds(3);
+
   /** Delay before an item is tried again on whose prompt engines crash. */
   private static final Duration QUARANTINE_RETRY_DELAY = Duration.ofSeconds(3);
 
@@ -127,11 +130,27 @@
     return item;
   }
 
-  /** Requests a slot. */
+  /**
+   * Requests a slot, later if that fails: nothing else would ask for this item again, or for those
+   * after it.
+   */
   synchronized void requestSlot() {
     if (done) {
       return;
     }
+    try {
+      requestSlotNow();
+    } catch (RuntimeException e) {
+      LOG.write(Event.STEP_FAILED, "item " + item.getId() + " of job " + job.id() + ": " + e);
+      if (job.giveUpAt().isPast(ports.clock().instant())) {
+        finish(false, "");
+      } else {
+        scheduleRetry(FAILURE_RETRY_DELAY);
+      }
+    }
+  }
+
+  private void requestSlotNow() {
     if (!joined.canGoOn()) {
       beginAnew("an event has no id");
     }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.ManualTimer;
 import org.waxwingcourse.fleet.RecordedSlots;
@@ -40,6 +41,7 @@
 import org.waxwingcourse.standin.store.MemoryStore;
 import org.waxwingcourse.store.Transaction;
 import org.waxwingcourse.wire.fleet.FleetMessage;
+import org.waxwingcourse.wire.fleet.ItemHeader;
 import org.waxwingcourse.wire.fleet.JobItem;
 import org.waxwingcourse.wire.fleet.JobItems;
 import org.waxwingcourse.wire.fleet.JobRecord;
@@ -82,6 +84,9 @@
   /** Called with each request to the engine; returns the call. */
   BiFunction<EngineRequest, EngineListener, StreamCall> onRequest = (r, l) -> () -> {};
 
+  /** Reads the parts of an item's prompt, just before a slot is requested for it. */
+  Function<List<ItemHeader>, List<Long>> promptParts = headers -> List.of();
+
   /** Number of times that an item of the next job may fail; 0 stands for one. */
   int maxAttempts;
 
@@ -147,7 +152,7 @@
                 new BatchRunTimes(),
                 job -> onStarted.run(),
                 job -> {},
-                headers -> List.of(),
+                headers -> promptParts.apply(headers),
                 h -> RequestSize.UNKNOWN));
   }
 
