An item that has had no run for long has a line in the log (W640)

The hosts' logs could not tell what these waited for: ItemRun dropped the reason and the time of a refusal, and an item that asks again each 150 ms or 3 s writes nothing.

Each item now keeps why it has no run (WaitReason), since when, when it takes its next step, and the last refusal with the coordinator that gave it. A check every 1.5 s, beside that for jobs without a runner, writes W640 for items without a run for 5 s, or for 15 s if they wait for a slot, and again after 15 s. A check writes at most 8 lines, 4 for one job, and 1 of items that wait for a slot; what has been due for longest comes first, and jobs take turns. An attempt that the engine turned away, or that never reached it, counts as no run. When items run or are tried again is unchanged.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -389,7 +389,7 @@
             guarded(coordinatorLink::attachEarly),
             () -> !coordinatorLink.hasChosen());
     earlyTimer.wake();
-    repeat(JOB_CHECK_INTERVAL, () -> runIfCoordinator(supervisor::checkRunners));
+    repeat(JOB_CHECK_INTERVAL, jobs::checkWaits, () -> runIfCoordinator(supervisor::checkRunners));
     repeat(JOB_REMOVAL_INTERVAL, () -> runIfCoordinator(expiredJobRemover::removeExpired));
     LOG.write(
         Event.NODE_STARTED,
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -93,6 +93,7 @@
   private final Set<UpstreamId> failedOn = new HashSet<>();
   private final ItemOutput output = new ItemOutput();
   private final JoinedStream joined = JoinedStream.empty();
+  private final ItemWait wait;
   private Attempt attempt;
   private long slotNumber;
 
@@ -120,6 +121,7 @@
     this.job = job;
     this.ports = ports;
     this.listener = listener;
+    this.wait = new ItemWait(ports.clock().instant());
   }
 
   int index() {
@@ -130,6 +132,11 @@
     return item;
   }
 
+  /** Returns what the item waits for while it has no run. */
+  ItemWait waitState() {
+    return wait;
+  }
+
   /**
    * Requests a slot, later if that fails: nothing else would ask for this item again, or for those
    * after it.
@@ -145,7 +152,7 @@
       if (job.giveUpAt().isPast(ports.clock().instant())) {
         finish(false, "");
       } else {
-        scheduleRetry(FAILURE_RETRY_DELAY);
+        scheduleRetry(FAILURE_RETRY_DELAY, WaitReason.REQUEST_FAILED);
       }
     }
   }
@@ -156,7 +163,7 @@
     }
     Option<Plan> plan = ports.storeView().plan();
     if (plan.isEmpty()) {
-      scheduleRetry();
+      scheduleRetry(WaitReason.NO_CONFIGURATION);
       return;
     }
     Option<Route> route = job.route(plan.get());
@@ -168,7 +175,7 @@
     ServiceName service = route.get().selectService(ports.random().nextDouble());
     homes = plan.get().homes(route.get(), job.organisation());
     if (!ports.engines().mayServe(service, homes)) {
-      scheduleRetry();
+      scheduleRetry(WaitReason.NO_ENGINE);
       return;
     }
     SlotRequirements slotRequirements =
@@ -191,6 +198,7 @@
             ports.sizes().apply(item.getHeadersList()));
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
+    wait.onSlotRequested();
     slotNumber = pendingSlot.requestNumber;
   }
 
@@ -222,6 +230,9 @@
     pendingSlot.granted = true;
     waited = waited.plus(slotWait);
     slotUnused |= pendingSlot.requestNumber == slotNumber;
+    if (slotUnused) {
+      wait.onBlocked(WaitReason.RECORD_READ, Option.none(), ports.clock().instant());
+    }
     return true;
   }
 
@@ -240,7 +251,7 @@
             .filter(e -> joined.eventCount() == 0 || granted.forAll(e.software()::equals));
     if (entry.isEmpty()) {
       returnSlot(pendingSlot.requestNumber);
-      scheduleRetry();
+      scheduleRetry(WaitReason.ENGINE_UNUSABLE);
       return;
     }
     if (joined.software().exists(s -> !s.equals(entry.get().software()))) {
@@ -251,6 +262,7 @@
     Deadline until = Deadline.after(ports.clock(), RUN_LIMIT).earlier(job.giveUpAt());
     attempt = new Attempt(pendingSlot.requestNumber, entry.get());
     Attempt sent = attempt;
+    wait.onSent();
     sent.call =
         ports
             .calls()
@@ -285,14 +297,21 @@
     return headers;
   }
 
-  private synchronized void handleRefusal(PendingSlot pendingSlot, RefusalCode code) {
+  private synchronized void handleRefusal(
+      PendingSlot pendingSlot, RefusalCode code, Instant retryAt, String reason) {
     if (done || pendingSlot.requestNumber != slotNumber) {
       return;
     }
     if (job.giveUpAt().isPast(ports.clock().instant())) {
       finish(false, "");
+      return;
+    }
+    wait.onRefusal(
+        new ItemWait.LastRefusal(code, reason, ports.slots().coordinator(), Deadline.at(retryAt)));
+    if (code == RefusalCode.QUARANTINED) {
+      scheduleRetry(QUARANTINE_RETRY_DELAY, WaitReason.QUARANTINED);
     } else {
-      scheduleRetry(code == RefusalCode.QUARANTINED ? QUARANTINE_RETRY_DELAY : RETRY_DELAY);
+      scheduleRetry(WaitReason.SLOT_REFUSED);
     }
   }
 
@@ -320,11 +339,13 @@
     cancelledAttempt.call.cancel();
   }
 
-  private void scheduleRetry() {
-    scheduleRetry(RETRY_DELAY);
+  private void scheduleRetry(WaitReason reason) {
+    scheduleRetry(RETRY_DELAY, reason);
   }
 
-  private void scheduleRetry(Duration delay) {
+  private void scheduleRetry(Duration delay, WaitReason reason) {
+    Instant now = ports.clock().instant();
+    wait.onBlocked(reason, Option.some(Deadline.at(now.plus(delay))), now);
     slotNumber = 0;
     ports.timer().schedule(this::requestSlot, delay.toNanos(), TimeUnit.NANOSECONDS);
   }
@@ -333,6 +354,7 @@
     done = true;
     slotNumber = 0;
     Instant now = ports.clock().instant();
+    wait.onResult(now);
     if (job.due().isPast(now)) {
       LOG.write(
           Event.ITEM_LATE,
@@ -353,7 +375,7 @@
     if (failures >= job.maxAttempts()) {
       finish(false, "");
     } else {
-      scheduleRetry();
+      scheduleRetry(WaitReason.RUN_FAILED);
     }
   }
 
@@ -376,7 +398,7 @@
 
     @Override
     public void onRefusal(RefusalCode code, Instant retryAt, String reason) {
-      handleRefusal(this, code);
+      handleRefusal(this, code, retryAt, reason);
     }
 
     @Override
@@ -419,6 +441,7 @@
         return;
       }
       slotReleased = true;
+      wait.onAttemptEnded(outcomeKind, ports.clock().instant());
       silenceWatch.stop();
       LOG.write(
           Event.ITEM_RUN_ENDED,
@@ -475,9 +498,9 @@
       cancelAttempt(outcomeKind);
       if (mayRecur && breaks >= 2) {
         int doublings = Math.min(breaks - 2, MAX_DOUBLINGS);
-        scheduleRetry(CRASH_RETRY_DELAY.multipliedBy(1L << doublings));
+        scheduleRetry(CRASH_RETRY_DELAY.multipliedBy(1L << doublings), WaitReason.RUNS_BROKEN_OFF);
       } else if (losses >= 2) {
-        scheduleRetry();
+        scheduleRetry(WaitReason.RUNS_BROKEN_OFF);
       } else {
         requestSlot();
       }
@@ -495,11 +518,11 @@
         switch (answer.verdict()) {
           case FULL, REFUSED -> {
             cancelAttempt(RunEnd.How.ENGINE_FULL);
-            scheduleRetry();
+            scheduleRetry(WaitReason.ENGINE_REFUSED);
           }
           case OTHER_ENGINE -> {
             cancelAttempt(RunEnd.How.ENGINE_WRONG);
-            scheduleRetry();
+            scheduleRetry(WaitReason.ENGINE_REFUSED);
           }
           case MISMATCHED ->
               moveToAnotherEngine(RunEnd.How.ENGINE_LOST, "sent the answer to another request");
@@ -614,7 +637,7 @@
           failedOn.add(engine);
           recordFailure("engine " + engine + " answered with status " + head.status());
         } else {
-          scheduleRetry();
+          scheduleRetry(WaitReason.RUN_FAILED);
         }
       }
     }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobRunner.java
@@ -57,6 +57,7 @@
   private final Map<JobId, RunningJob> running = new ConcurrentHashMap<>();
   private final Map<JobId, TakeOver> takeOvers = new ConcurrentHashMap<>();
   private final Map<JobId, Deadline> closedUntil = new ConcurrentHashMap<>();
+  private final ItemWaits waits;
   private volatile boolean stopped;
 
   /**
@@ -99,6 +100,7 @@
 
   JobRunner(Ports ports) {
     this.ports = ports;
+    waits = new ItemWaits(ports.clock());
   }
 
   Option<RunningJob> findJob(JobId job) {
@@ -109,6 +111,16 @@
     return running.size();
   }
 
+  /** Returns the counts and reports of items that wait. */
+  ItemWaits waits() {
+    return waits;
+  }
+
+  /** Counts the items that have no run, and logs those that have waited for long. Returns these. */
+  List<ItemWaits.DueItem> checkWaits() {
+    return waits.check(running.values());
+  }
+
   /** Returns the present moment, for a call to the store that is sent now. */
   AskedAt now() {
     return new AskedAt(ports.clock().instant(), ports.registration().term());
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -314,6 +314,11 @@
     return runner.countRunning();
   }
 
+  /** Counts the items that have no run, and logs those that have waited for long. */
+  public void checkWaits() {
+    runner.checkWaits();
+  }
+
   /** Takes over a job whose runner is gone. */
   public void takeOver(JobId job) {
     runner.takeOver(job);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ResultLog.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ResultLog.java
@@ -143,6 +143,11 @@
     return committed.size();
   }
 
+  /** Returns the indexes of the items whose results wait for a commit. */
+  Set<Integer> pendingIndexes() {
+    return Set.copyOf(pending.keySet());
+  }
+
   int pendingCount() {
     return pending.size();
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
 import org.waxwingcourse.fleet.view.StoreKeys;
@@ -272,6 +273,23 @@
     waiting.forEach(r -> r.complete(null));
   }
 
+  /** Calls {@code action} with each item whose result is not known to be in the store. */
+  void forEachUnlisted(Consumer<ItemRun> action) {
+    Set<Integer> pending;
+    synchronized (this) {
+      if (ended || runs.isEmpty()) {
+        return;
+      }
+      pending = results.pendingIndexes();
+    }
+    for (ItemRun run : runs) {
+      if (!run.waitState().reason().contains(WaitReason.RESULT_NOT_STORED)
+          || pending.contains(run.index())) {
+        action.accept(run);
+      }
+    }
+  }
+
   /** Returns the number of items. */
   int itemCount() {
     return items.size();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/FleetFixtures.java
@@ -88,6 +88,11 @@
 
   /** Returns a route for jobs of service {@code s} that are due after 18 s. */
   public static Route jobRoute() {
+    return jobRoute(HomeRegions.ANY);
+  }
+
+  /** Returns such a route whose items run in some regions only. */
+  public static Route jobRoute(HomeRegions homes) {
     return new Route(
         "jobs",
         "h",
@@ -102,7 +107,7 @@
         false,
         true,
         Option.some(new JobTerms(Duration.ofSeconds(18), Duration.ofSeconds(60), 0)),
-        HomeRegions.ANY);
+        homes);
   }
 
   /** Returns a keyless route for requests of the given kind to service {@code s}. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -25,6 +25,7 @@
 import org.waxwingcourse.fleet.engine.EngineListener;
 import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.estimate.RequestSize;
+import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.slot.BatchRunTimes;
 import org.waxwingcourse.fleet.view.Clocks;
 import org.waxwingcourse.fleet.view.EngineDirectory;
@@ -92,6 +93,9 @@
 
   final JobRunner runner;
 
+  private final StoreView storeView;
+  private Plan plan;
+
   /** Runs just before a job starts, when it is known to other threads already. */
   Runnable onStarted = () -> {};
 
@@ -100,11 +104,14 @@
 
   /** Creates a host without jobs. */
   RunnerFixture() {
+    this(Option.some(FleetFixtures.jobPlan()));
+  }
+
+  /** Creates a host without jobs. */
+  RunnerFixture(Option<Plan> configuration) {
     Clocks clocks = new Clocks(clock, clock);
-    StoreView storeView = StoreView.of(document -> Either.right(FleetFixtures.jobPlan()), clocks);
-    storeView.applyIfNewer(
-        new StoreView.ConfigurationDocument(
-            Revision.of(1), "plan".getBytes(StandardCharsets.UTF_8)));
+    storeView = StoreView.of(document -> Either.right(plan), clocks);
+    configuration.forEach(p -> applyPlan(p, 1));
     EngineDirectory engines = new EngineDirectory(storeView.engineTable(), e -> Option.none());
     engines.learn(
         new EngineEntry(
@@ -156,6 +163,14 @@
                 h -> RequestSize.UNKNOWN));
   }
 
+  /** Applies a configuration. */
+  void applyPlan(Plan next, long revision) {
+    plan = next;
+    storeView.applyIfNewer(
+        new StoreView.ConfigurationDocument(
+            Revision.of(revision), "plan".getBytes(StandardCharsets.UTF_8)));
+  }
+
   private void onSent(FleetMessage message) {
     onSent.accept(message);
     if (message.hasAsk()) {
--- a/model/src/main/java/org/waxwingcourse/model/event/Event.java
+++ b/model/src/main/java/org/waxwingcourse/model/event/Event.java
@@ -219,6 +219,10 @@
       639,
       Level.ERROR,
       "the result of item {} of job \"{}\" is listed as failed: {} bytes, the store takes {}"),
+  ITEM_WAITS(
+      640,
+      Level.INFO,
+      "item {} of job \"{}\" has had no run for {} ms: {}, next step {}; last refusal {}"),
   // 700: platform store
   STORE_UNREACHABLE(700, Level.WARN, "platform store at {} does not answer: {}"),
   STORE_REACHED(701, Level.INFO, "platform store at {} answers"),
