The building of an item's requests has a class of its own

No change of behaviour; ItemStreamEndTest, ItemYieldTest, ItemUnderRandomDecisionsTest and ItemOfTwoRunsTest pass (x86_64).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -3,9 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.waxwingcourse.fleet.coordinate.SlotListener;
@@ -13,7 +11,6 @@
 import org.waxwingcourse.fleet.engine.EngineAnswer;
 import org.waxwingcourse.fleet.engine.EngineEntry;
 import org.waxwingcourse.fleet.engine.EngineListener;
-import org.waxwingcourse.fleet.engine.EngineRequest;
 import org.waxwingcourse.fleet.engine.ServerSentEventParser;
 import org.waxwingcourse.fleet.engine.SilenceWatch;
 import org.waxwingcourse.fleet.engine.SoftwareId;
@@ -21,22 +18,18 @@
 import org.waxwingcourse.fleet.plan.HomeRegions;
 import org.waxwingcourse.fleet.plan.Plan;
 import org.waxwingcourse.fleet.plan.Route;
-import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.fleet.stream.JoinedStream;
 import org.waxwingcourse.fleet.stream.OutOfPlace;
 import org.waxwingcourse.fleet.stream.StreamRun;
 import org.waxwingcourse.http.CallFailure;
 import org.waxwingcourse.http.ConnectionUse;
-import org.waxwingcourse.http.Header;
 import org.waxwingcourse.http.StreamCall;
 import org.waxwingcourse.model.event.Event;
 import org.waxwingcourse.model.event.EventLog;
-import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.ServiceName;
 import org.waxwingcourse.model.id.UpstreamId;
 import org.waxwingcourse.model.request.RefusalCode;
-import org.waxwingcourse.model.request.WorkClass;
 import org.waxwingcourse.model.time.Deadline;
 import org.waxwingcourse.wire.fleet.JobItem;
 
@@ -75,7 +68,6 @@
 
   private static final int MAX_DOUBLINGS = 4;
 
-  private static final String HOST = "Host";
   private static final int UNPROCESSABLE = 422;
   private static final int SERVER_ERROR = 500;
 
@@ -93,6 +85,7 @@
   private final Set<UpstreamId> failedOn = new HashSet<>();
   private final ItemOutput output = new ItemOutput();
   private final JoinedStream joined = JoinedStream.empty();
+  private final ItemRequests requests;
   private final ItemWait wait;
   private Attempt attempt;
   private long slotNumber;
@@ -121,6 +114,7 @@
     this.job = job;
     this.ports = ports;
     this.listener = listener;
+    this.requests = new ItemRequests(item, job, ports);
     this.wait = new ItemWait(ports.clock().instant());
   }
 
@@ -179,23 +173,8 @@
       return;
     }
     SlotRequirements slotRequirements =
-        new SlotRequirements(
-            RequestId.of(item.getId()),
-            service,
-            WorkClass.BATCH,
-            route.get().rank(),
-            Option.none(),
-            Option.none(),
-            Deadline.at(job.due().at().minus(ports.times().estimateRemaining(output.eventCount()))),
-            job.giveUpAt(),
-            ports.promptParts().apply(item.getHeadersList()),
-            failedOn,
-            Option.some(new BatchWork(job.due(), output.eventCount())),
-            Option.none(),
-            Option.none(),
-            homes,
-            joined.software(),
-            ports.sizes().apply(item.getHeadersList()));
+        requests.slotRequirements(
+            route.get(), service, homes, output.eventCount(), failedOn, joined.software());
     PendingSlot pendingSlot = new PendingSlot(service);
     pendingSlot.requestNumber = ports.slots().requestSlot(slotRequirements, pendingSlot);
     wait.onSlotRequested();
@@ -264,20 +243,7 @@
     Attempt sent = attempt;
     wait.onSent();
     sent.call =
-        ports
-            .calls()
-            .send(
-                new EngineRequest(
-                    RequestId.of(item.getId()),
-                    entry.get(),
-                    "POST",
-                    item.getPath(),
-                    headers(),
-                    item.getBody().toByteArray(),
-                    Option.some(job.organisation()),
-                    sent.run.askedAfter(),
-                    until),
-                sent);
+        ports.calls().send(requests.engineRequest(sent.entry, sent.run.askedAfter(), until), sent);
     sent.silenceWatch.start(SILENCE_LIMIT);
   }
 
@@ -288,15 +254,6 @@
     joined.clear();
   }
 
-  private List<Header> headers() {
-    List<Header> headers = new ArrayList<>();
-    headers.add(Header.of(HOST, job.hostHeader()));
-    item.getHeadersList().stream()
-        .filter(h -> !h.getName().equalsIgnoreCase(HOST))
-        .forEach(h -> headers.add(Header.of(h.getName(), h.getValue())));
-    return headers;
-  }
-
   private synchronized void handleRefusal(
       PendingSlot pendingSlot, RefusalCode code, Instant retryAt, String reason) {
     if (done || pendingSlot.requestNumber != slotNumber) {
