Gauges count the items of a host that have no run, by reason

W640 names single items and is bounded, so it can't tell how many wait. The check that writes it counts all items of the host: jobs.items_waiting.REASON, beside jobs.running, as of the last check, at most 1.5 s old while the check keeps its pace. JobService registers its own metrics, and CachedJob makes its cache, so that FleetNode and JobService don't grow.

JobReadCostTest, ClosedJobTest, AnswerToEarlierProcessTest pass.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -545,7 +545,7 @@
 
   private void registerMetrics(MetricRegistry metrics) {
     metrics.register("requests.underway", (Gauge<Integer>) online::activeRequests);
-    metrics.register("jobs.running", (Gauge<Integer>) jobs::countRunning);
+    jobs.registerMetrics(metrics);
     metrics.register(
         "configuration.revision", (Gauge<Long>) () -> storeView.planRevision().value());
     metrics.register(
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/CachedJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/CachedJob.java
@@ -1,8 +1,12 @@
 package org.waxwingcourse.fleet.job;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
 import org.waxwingcourse.wire.fleet.JobRecord;
 import org.waxwingcourse.wire.fleet.JobResult;
@@ -14,6 +18,9 @@
  * <p>Safe for use by several threads.
  */
 final class CachedJob {
+  /** Maximum number of cached jobs; a few megabytes of results. */
+  private static final int MAX_CACHED_JOBS = 200;
+
   private final OrganisationId organisation;
   private final int itemCount;
   private final List<JobResult> results = new ArrayList<>();
@@ -32,6 +39,19 @@
     this.runner = runner;
   }
 
+  /** Returns an empty cache, which drops the job that was not used for longest when it is full. */
+  static Map<JobId, CachedJob> newCache() {
+    return Collections.synchronizedMap(
+        new LinkedHashMap<>(16, 0.75f, true) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<JobId, CachedJob> eldest) {
+            return size() > MAX_CACHED_JOBS;
+          }
+        });
+  }
+
   /** Sets the host that runs the job. */
   synchronized void changeRunner(HostId host) {
     runner = host;
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemWaits.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemWaits.java
@@ -1,5 +1,7 @@
 package org.waxwingcourse.fleet.job;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -66,6 +68,13 @@
     this.clock = clock;
   }
 
+  /** Registers a gauge of the waiting items for each reason. */
+  void registerMetrics(MetricRegistry metrics) {
+    for (WaitReason reason : WaitReason.values()) {
+      metrics.register(reason.metricName(), (Gauge<Integer>) () -> count(reason));
+    }
+  }
+
   /** Returns how many items had no run for a reason at the last check. */
   int count(WaitReason reason) {
     return counts.getOrDefault(reason, 0);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobService.java
@@ -1,11 +1,11 @@
 package org.waxwingcourse.fleet.job;
 
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.Collections;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -58,9 +58,6 @@
    */
   private static final Duration PEER_ANSWER_MARGIN = Duration.ofMillis(350);
 
-  /** Maximum number of cached jobs; a few megabytes of results. */
-  private static final int MAX_CACHED_JOBS = 200;
-
   /**
    * Time after which a caller may retry when the store refused a call; outages last a second or
    * more.
@@ -79,16 +76,7 @@
   private final JobRunner runner;
   private final JobIntake intake;
   private final JobForwarder forwarder;
-  private final Map<JobId, CachedJob> cachedJobs =
-      Collections.synchronizedMap(
-          new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<JobId, CachedJob> eldest) {
-              return size() > MAX_CACHED_JOBS;
-            }
-          });
+  private final Map<JobId, CachedJob> cachedJobs = CachedJob.newCache();
   private final PendingAnswers<JobPage> pendingReads;
   private final CloseNotifier closeNotifier;
   private final JobCloser closer;
@@ -314,6 +302,12 @@
     return runner.countRunning();
   }
 
+  /** Registers the metrics of the jobs that run here. */
+  public void registerMetrics(MetricRegistry metrics) {
+    metrics.register("jobs.running", (Gauge<Integer>) this::countRunning);
+    runner.waits().registerMetrics(metrics);
+  }
+
   /** Counts the items that have no run, and logs those that have waited for long. */
   public void checkWaits() {
     runner.checkWaits();
--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/WaitReason.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/WaitReason.java
@@ -29,7 +29,7 @@
   /** It is done, and the store does not hold its result. */
   RESULT_NOT_STORED;
 
-  /** Returns the name of the metric that counts such items. */
+  /** Returns the name of the metric that counts the items that wait for this reason. */
   String metricName() {
     return "jobs.items_waiting." + name().toLowerCase(Locale.ROOT);
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/WaitingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/WaitingItemTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -159,6 +160,22 @@
         .containsOnly(WaitReason.RUNS_BROKEN_OFF);
   }
 
+  @Test
+  void itemThatFailedAtAnEngineIsCountedUntilItsNextRun() {
+    EngineAnswer failed = new EngineAnswer(500, List.of(), EngineAnswer.Verdict.RUN, false, false);
+    fixture.maxAttempts = 2;
+    fixture.runJob(1);
+    fixture.grantAll();
+    fixture.answers.get(0).onHead(failed);
+    fixture.answers.get(0).onEnd(Option.none());
+    fixture.runner.checkWaits();
+    assertThat(fixture.runner.waits().count(WaitReason.RUN_FAILED)).isOne();
+    fixture.timer.advance(CHECK_INTERVAL);
+    fixture.grantAll();
+    fixture.runner.checkWaits();
+    assertThat(fixture.runner.waits().count(WaitReason.RUN_FAILED)).isZero();
+  }
+
   @Test
   void itemWhoseRequestsForASlotFailIsReported() {
     fixture.promptParts =
@@ -199,6 +216,17 @@
     }
   }
 
+  @Test
+  void gaugesCountWaitingItemsByReason() {
+    MetricRegistry metrics = new MetricRegistry();
+    fixture.runner.waits().registerMetrics(metrics);
+    decide(ask -> refuse(ask, true));
+    fixture.runJob(3);
+    reportedIn(CHECK_INTERVAL);
+    assertThat(metrics.gauge("jobs.items_waiting.quarantined").getValue()).isEqualTo(3);
+    assertThat(metrics.getGauges()).hasSameSizeAs(WaitReason.values());
+  }
+
   @Test
   void linesAreBoundedHoweverManyItemsWaitAndEachItemHasItsTurn() {
     int items = 40;
