--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SimulatedFleet.java
@@ -163,6 +163,11 @@
               HomeRegions.ANY,
               Option.none(),
               RequestSize.UNKNOWN);
+      return requestSlot(requirements);
+    }
+
+    /** Requests a slot. */
+    long requestSlot(SlotRequirements requirements) {
       RecordingListener listener = new RecordingListener();
       listener.number = slots.requestSlot(requirements, listener);
       return listener.number;
