A quarantine's probe that is lost is followed by another

Cause: the quarantine of a prompt lets one request through and scheduled the next a minute later as it did so, then six minutes later, and so on. Only an end that arrived at the same coordinator from a run that it still knew brought that forward. The right to be let through was given to a request that still had to wait for a slot, and nobody owned its loss: by preemption, withdrawal, refusal for another verdict, the loss of its host, engine or coordinator, or a lost message.

Why this works: the right is taken together with the slot, so requests that wait cannot lose it. The entry, which all hosts get, then allows another request after 10 s, whoever is the coordinator, and a known loss after 1 s. Only a crash lengthens the delay and is counted, so a second verdict after a wrong one begins with 10 s again. Messages and stored entries keep their form.

requestsLetThroughGetRarerWhileEnginesCrash did not say how the requests ended; it now lets an engine crash on each and checks the same delays.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -133,7 +133,9 @@
       listed = listEngines(entries);
       names.addAll(services.keySet());
     }
-    before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
+    before.stream()
+        .filter(e -> !listed.containsKey(e))
+        .forEach(e -> screening.removeEngine(e, clock.instant()));
     for (ServiceName name : names) {
       scheduler(name).setEngineMemory(engineMemory(name));
       execute(scheduler(name).setEngines(enginesOf(name), defaultSlots(name), clock.instant()));
@@ -216,7 +218,7 @@
   /** Removes the requests and runs of a host that has attached elsewhere or is gone. */
   public void removeHost(HostId host) {
     pacedRequests.removeIf(id -> id.host().equals(host));
-    screening.removeHost(host);
+    screening.removeHost(host, clock.instant());
     granted.removeHost(host);
     outOfReach.remove(host);
     services.values().forEach(s -> execute(s.removeHost(host, clock.instant())));
@@ -345,6 +347,7 @@
     recordMessage(now);
     granted.recordEnd(id, runEnd.how() == RunEnd.How.NOT_SENT);
     boolean refusesMore = false;
+    boolean known = false;
     if (end.getEngineBoot() != 0) {
       Option<RequestFingerprint> request =
           toFingerprint(end.hasFingerprint(), end.getFingerprint());
@@ -352,12 +355,16 @@
     }
     for (SlotScheduler slots : services.values()) {
       for (GrantedRun run : slots.findRun(id)) {
+        known = true;
         refusesMore |= screening.recordEnd(id, run, runEnd, now);
         if (runEnd.how() == RunEnd.How.CONNECTION_REFUSED) {
           LOG.write(Event.CONNECTION_REFUSED, run.engine(), run.request(), from);
         }
       }
     }
+    if (!known) {
+      screening.recordLateEnd(id, runEnd, now);
+    }
     if (refusesMore) {
       refuseWaiting(now);
     }
@@ -437,7 +444,7 @@
         scheduler(ServiceName.of(run.getService())).recordAnswer(id, engine);
       }
     }
-    screening.retainListedRuns(from, listed, now.minus(SlotScheduler.GRANT_ROUND_TRIP));
+    screening.retainListedRuns(from, listed, now.minus(SlotScheduler.GRANT_ROUND_TRIP), now);
     services.values().forEach(s -> execute(s.retainListedRuns(from, listed, now)));
   }
 
@@ -513,10 +520,9 @@
   private void execute(List<SlotDecision> decisions) {
     for (SlotDecision decision : decisions) {
       if (decision instanceof SlotDecision.Grant grant) {
-        sendGrant(grant);
+        screenGrant(grant);
       } else if (decision instanceof SlotDecision.Refuse refuse) {
         refuse.request().chargedTo().forEach(o -> rates.returnToken(o, clock.instant()));
-        screening.recordRefused(refuse.request().id(), clock.instant());
         sendRefusal(refuse);
       } else if (decision instanceof SlotDecision.Yield yield) {
         sendYield(yield);
@@ -524,9 +530,28 @@
     }
   }
 
+  /** Sends a grant, unless engines crash on the request's prompt and another run tests it. */
+  private void screenGrant(SlotDecision.Grant grant) {
+    Instant now = clock.instant();
+    SlotRequest request = grant.request();
+    boolean wasProbe = screening.isProbe(request.id());
+    Option<SlotDecision.Refuse> refused = screening.grant(request, grant.engine(), now);
+    if (refused.isDefined()) {
+      RunEnd unsent = RunEnd.of(RunEnd.How.NOT_SENT);
+      List<SlotDecision> next = scheduler(request.service()).endRun(request.id(), unsent, now);
+      execute(List.of(refused.get()));
+      execute(next);
+      return;
+    }
+    sendGrant(grant);
+    if (!wasProbe && screening.isProbe(request.id())) {
+      refuseWaiting(now);
+    }
+  }
+
   private void sendYield(SlotDecision.Yield yield) {
     RunId run = yield.run();
-    screening.forgetRun(run);
+    screening.forgetRun(run, clock.instant());
     SlotRequest successor = yield.successor();
     SlotLoad load = load(successor.service());
     LOG.write(
@@ -555,7 +580,6 @@
 
   private void sendGrant(SlotDecision.Grant grant) {
     SlotRequest request = grant.request();
-    screening.recordGrant(request, grant.engine(), clock.instant());
     Duration waited = Duration.between(request.receivedAt(), clock.instant());
     SlotGrant.Builder message =
         SlotGrant.newBuilder()
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -62,11 +62,9 @@
   }
 
   private Option<SlotDecision.Refuse> screenPrompt(SlotRequest request, Instant now) {
-    Option<Instant> retryAt = prompts.admit(request.id(), request.promptParts(), now);
-    if (retryAt.isEmpty() && prompts.isProbe(request.id())) {
-      LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
-    }
-    return retryAt.map(at -> refusal(request, at, PROMPT_REASON));
+    return prompts
+        .refusedUntil(request.promptParts(), now)
+        .map(at -> refusal(request, at, PROMPT_REASON));
   }
 
   private static SlotDecision.Refuse refusal(SlotRequest request, Instant retryAt, String reason) {
@@ -79,14 +77,21 @@
         .fingerprint()
         .flatMap(f -> requests.refusedUntil(f, now))
         .map(at -> refusal(waiting, at, REQUEST_REASON))
-        .orElse(
-            () ->
-                prompts
-                    .probeAt(waiting.promptParts())
-                    .map(at -> refusal(waiting, at, PROMPT_REASON)));
+        .orElse(() -> screenPrompt(waiting, now));
   }
 
-  void recordGrant(SlotRequest request, UpstreamId engine, Instant now) {
+  /**
+   * Decides on a request for which there is a slot, and records its grant if it may run. Of the
+   * requests that wait for a slot with a prompt on which engines crash only one may run.
+   */
+  Option<SlotDecision.Refuse> grant(SlotRequest request, UpstreamId engine, Instant now) {
+    Option<Instant> retryAt = prompts.admit(request.id(), request.promptParts(), now);
+    if (retryAt.isDefined()) {
+      return retryAt.map(at -> refusal(request, at, PROMPT_REASON));
+    }
+    if (prompts.isProbe(request.id())) {
+      LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
+    }
     if (request.fingerprint().exists(f -> requests.recordGrant(f, now))) {
       LOG.write(
           Event.CRASHING_REQUEST_PROBED,
@@ -95,6 +100,12 @@
           request.fingerprint().get());
     }
     blame.recordStart(request.id(), engine, request.promptParts(), request.fingerprint(), now);
+    return Option.none();
+  }
+
+  /** Returns whether a run was let through to find out whether engines crash on its prompt. */
+  boolean isProbe(RunId id) {
+    return prompts.isProbe(id);
   }
 
   /** Records a run that another coordinator has granted. */
@@ -188,28 +199,33 @@
     return added;
   }
 
-  /** Records that a request that was let through was refused for another reason. */
-  void recordRefused(RunId id, Instant now) {
-    prompts.recordEndWithoutEvent(id, false, now);
+  /** Records the end of a run that no longer occupies a slot. */
+  void recordLateEnd(RunId id, RunEnd end, Instant now) {
+    boolean crashed = end.how() == RunEnd.How.ENGINE_BROKE_OFF && !end.hasEvent();
+    prompts.recordEndWithoutEvent(id, crashed, now);
   }
 
   /** Removes a run that has given its slot back. */
-  void forgetRun(RunId id) {
+  void forgetRun(RunId id, Instant now) {
     blame.forgetRun(id);
+    prompts.forgetRuns(id::equals, now);
   }
 
   /** Removes the runs of a host that is gone or has detached. */
-  void removeHost(HostId host) {
+  void removeHost(HostId host, Instant now) {
     blame.removeHost(host);
+    prompts.forgetRuns(id -> id.host().equals(host), now);
   }
 
   /** Removes the runs of an engine that is no longer listed. */
-  void removeEngine(UpstreamId engine) {
-    blame.removeEngine(engine);
+  void removeEngine(UpstreamId engine, Instant now) {
+    Set<RunId> removed = blame.removeEngine(engine);
+    prompts.forgetRuns(removed::contains, now);
   }
 
   /** Removes the runs of a host that its list lacks, but for those that started since then. */
-  void retainListedRuns(HostId host, Set<RunId> listed, Instant knownUntil) {
-    blame.retainListedRuns(host, listed, knownUntil);
+  void retainListedRuns(HostId host, Set<RunId> listed, Instant knownUntil, Instant now) {
+    Set<RunId> removed = blame.retainListedRuns(host, listed, knownUntil);
+    prompts.forgetRuns(removed::contains, now);
   }
 }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
@@ -12,13 +12,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.waxwingcourse.fleet.slot.RunId;
 import org.waxwingcourse.model.time.Deadline;
 
 /**
  * Refuses requests on whose prompts engines crash. A single request is let through after a delay;
- * if it gets an event, the prompts may run again, else the next one is let through after a delay
- * several times as long. So a wrong verdict ends by itself, and a right one costs few engines.
+ * if it gets an event, the prompts may run again, and if its engine crashes, the next one is let
+ * through after a delay several times as long. So a wrong verdict ends by itself, and a right one
+ * costs few engines.
+ *
+ * <p>Only a run holds the right to be let through, and only for a time: requests that wait for a
+ * slot do not hold it, and if nothing is heard of the run, also by a later coordinator, another
+ * request is let through.
  *
  * <p>Safe for use by several threads.
  */
@@ -29,7 +35,7 @@
   /** Delay between a verdict and the first request that is let through. */
   static final Duration FIRST_PROBE_DELAY = Duration.ofSeconds(10);
 
-  /** Factor by which the delay grows with each request that was let through. */
+  /** Factor by which the delay grows with each engine that crashes on a request let through. */
   static final int DELAY_FACTOR = 6;
 
   private static final Duration MAX_PROBE_DELAY = Duration.ofDays(1);
@@ -37,30 +43,45 @@
   /** Delay before another request is let through if the last one ended without a result. */
   private static final Duration REPEATED_PROBE_DELAY = Duration.ofSeconds(1);
 
+  /** Delay before another request is let through if nothing is heard of the last one. */
+  static final Duration UNKNOWN_PROBE_DELAY = Duration.ofSeconds(10);
+
   /** The least recently matched entry comes first. */
   private final Map<Set<Long>, QuarantinedPrompt> entries = new LinkedHashMap<>();
 
-  private final Map<RunId, List<QuarantinedPrompt>> probedBy = new HashMap<>();
+  /** The runs that were let through, with the parts of the entries that they are to test. */
+  private final Map<RunId, List<Set<Long>>> probedBy = new HashMap<>();
+
+  /** Returns when a request with this prompt may next run, none if it may run now. */
+  public synchronized Option<Instant> refusedUntil(Collection<Long> promptParts, Instant now) {
+    List<QuarantinedPrompt> matching = matching(promptParts);
+    matching.forEach(this::put);
+    return Option.ofOptional(
+        matching.stream()
+            .map(e -> e.probeAt().at())
+            .filter(at -> at.isAfter(now))
+            .max(Instant::compareTo));
+  }
 
   /**
-   * Decides on a request.
+   * Decides on a request for which there is a slot. If it is let through, no other one is until its
+   * run has ended, or nothing has been heard of it for some time.
    *
    * @return none if it may run, else when a request with its prompt may next run
    */
   public synchronized Option<Instant> admit(RunId id, Collection<Long> promptParts, Instant now) {
-    List<QuarantinedPrompt> matching = matching(promptParts);
-    if (matching.isEmpty() || probedBy.containsKey(id)) {
+    if (probedBy.containsKey(id)) {
       return Option.none();
     }
-    matching.forEach(this::put);
-    Instant probeAt = probeAt(promptParts).get();
-    if (probeAt.isAfter(now)) {
-      return Option.some(probeAt);
-    }
-    for (QuarantinedPrompt entry : matching) {
-      put(entry.withProbe(entry.probes() + 1, probeDeadline(entry.probes() + 1, now)));
+    Option<Instant> refused = refusedUntil(promptParts, now);
+    List<QuarantinedPrompt> matching = matching(promptParts);
+    if (refused.isDefined() || matching.isEmpty()) {
+      return refused;
     }
-    probedBy.put(id, matching);
+    Deadline next = Deadline.at(now.plus(UNKNOWN_PROBE_DELAY));
+    matching.forEach(e -> put(e.withProbe(e.probes(), next)));
+    probedBy.values().removeIf(p -> matching.stream().anyMatch(e -> p.contains(e.parts())));
+    probedBy.put(id, matching.stream().map(QuarantinedPrompt::parts).toList());
     return Option.none();
   }
 
@@ -69,12 +90,6 @@
     return !matching(promptParts).isEmpty();
   }
 
-  /** Returns when a request with this prompt may next run, none if such requests may run. */
-  public synchronized Option<Instant> probeAt(Collection<Long> promptParts) {
-    return Option.ofOptional(
-        matching(promptParts).stream().map(e -> e.probeAt().at()).max(Instant::compareTo));
-  }
-
   /** Returns whether a request was let through to find out whether engines still crash on it. */
   public synchronized boolean isProbe(RunId id) {
     return probedBy.containsKey(id);
@@ -130,18 +145,27 @@
    * @param crashed whether its engine closed the connection
    */
   public synchronized void recordEndWithoutEvent(RunId id, boolean crashed, Instant now) {
-    List<QuarantinedPrompt> probed = probedBy.remove(id);
-    if (probed == null || crashed) {
+    List<Set<Long>> probed = probedBy.remove(id);
+    if (probed == null) {
       return;
     }
-    for (QuarantinedPrompt entry : probed) {
-      QuarantinedPrompt present = entries.get(entry.parts());
+    for (Set<Long> parts : probed) {
+      QuarantinedPrompt present = entries.get(parts);
       if (present != null && !present.lifted()) {
-        put(present.withProbe(entry.probes(), Deadline.at(now.plus(REPEATED_PROBE_DELAY))));
+        int crashes = present.probes() + (crashed ? 1 : 0);
+        Deadline next =
+            crashed ? probeDeadline(crashes, now) : Deadline.at(now.plus(REPEATED_PROBE_DELAY));
+        put(present.withProbe(crashes, next));
       }
     }
   }
 
+  /** Records that nothing more will be heard of the runs that match. */
+  public synchronized void forgetRuns(Predicate<RunId> filter, Instant now) {
+    List<RunId> lost = probedBy.keySet().stream().filter(filter).toList();
+    lost.forEach(id -> recordEndWithoutEvent(id, false, now));
+  }
+
   /**
    * Takes over an entry of another host if it is newer.
    *
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantinedPrompt.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantinedPrompt.java
@@ -10,7 +10,8 @@
  *
  * @param parts the ids of the parts, not empty
  * @param version number of the changes of this entry; the higher version holds
- * @param probes number of requests that were let through to find out whether engines still crash
+ * @param probes number of requests that were let through and on which an engine crashed; hosts of
+ *     earlier versions count all that were let through
  * @param lifted whether the prompts may run again
  * @param probeAt when the next request may be let through
  */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -239,22 +239,27 @@
   /**
    * Removes the runs of a host that are missing from the list of runs that it reports, but for
    * those that started after {@code knownUntil}, which it may not have known of.
+   *
+   * @return the runs removed
    */
-  public synchronized void retainListedRuns(HostId host, Set<RunId> listed, Instant knownUntil) {
-    runs.values().stream()
-        .filter(r -> r.id.host().equals(host) && !listed.contains(r.id))
-        .filter(r -> r.startedAt.isBefore(knownUntil))
-        .map(Run::id)
-        .toList()
-        .forEach(this::removeRun);
-  }
-
-  /** Removes the runs of an engine that is no longer listed. */
-  public synchronized void removeEngine(UpstreamId engine) {
-    EngineRuns removed = engines.get(engine);
-    if (removed != null) {
-      List.copyOf(removed.present.keySet()).forEach(this::removeRun);
-    }
+  public synchronized Set<RunId> retainListedRuns(
+      HostId host, Set<RunId> listed, Instant knownUntil) {
+    Set<RunId> removed =
+        runs.values().stream()
+            .filter(r -> r.id.host().equals(host) && !listed.contains(r.id))
+            .filter(r -> r.startedAt.isBefore(knownUntil))
+            .map(Run::id)
+            .collect(Collectors.toSet());
+    removed.forEach(this::removeRun);
+    return removed;
+  }
+
+  /** Removes and returns the runs of an engine that is no longer listed. */
+  public synchronized Set<RunId> removeEngine(UpstreamId engine) {
+    EngineRuns known = engines.get(engine);
+    Set<RunId> removed = known == null ? Set.of() : Set.copyOf(known.present.keySet());
+    removed.forEach(this::removeRun);
+    return removed;
   }
 
   /** Records that engines crash under a request, whatever its prompt. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.estimate.RequestSize;
@@ -23,7 +22,6 @@
 import org.waxwingcourse.wire.fleet.FleetMessage;
 
 /** Accepted items waited for a minute or more after a quarantine's probe was lost. */
-@Tag("known-red")
 class LostPromptProbeTest extends SimulatedFleet {
   private static final long PART = 5;
   private static final long OTHER_PART = 6;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/PromptQuarantineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/PromptQuarantineTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.fleet.slot.RunId;
 import org.waxwingcourse.model.id.HostId;
+import org.waxwingcourse.model.time.Deadline;
 
 /** Tests which requests the quarantine refuses, and how it ends. */
 class PromptQuarantineTest {
@@ -69,10 +70,11 @@
     List<Duration> pauses = new ArrayList<>();
     for (int i = 0; i < 3; i++) {
       Instant before = now;
-      while (isRefused(PROMPT)) {
+      while (quarantine.refusedUntil(PROMPT, now).isDefined()) {
         now = now.plusSeconds(1);
       }
       pauses.add(Duration.between(before, now));
+      probe(true);
       assertThat(isRefused(PROMPT)).isTrue();
     }
     Duration first = PromptQuarantine.FIRST_PROBE_DELAY;
@@ -103,6 +105,19 @@
     assertThat(isRefused(PROMPT)).isTrue();
   }
 
+  @Test
+  void requestLetThroughOfWhichNothingIsHeardIsFollowedByAnother() {
+    quarantine.add(Set.of(CRASHING), now);
+    now = now.plus(PromptQuarantine.FIRST_PROBE_DELAY);
+    assertThat(isRefused(PROMPT)).isFalse();
+    PromptQuarantine next = new PromptQuarantine();
+    quarantine.entries().forEach(next::merge);
+    assertThat(next.refusedUntil(PROMPT, now)).isNotEmpty();
+    now = now.plus(PromptQuarantine.UNKNOWN_PROBE_DELAY);
+    assertThat(next.refusedUntil(PROMPT, now)).isEmpty();
+    assertThat(isRefused(PROMPT)).isFalse();
+  }
+
   @Test
   void repeatedMessageOfARequestLetThroughIsNotRefused() {
     quarantine.add(Set.of(CRASHING), now);
@@ -121,6 +136,19 @@
     assertThat(isRefused(PROMPT)).isFalse();
   }
 
+  /** Hosts of an earlier version count a request that is let through before its engine crashes. */
+  @Test
+  void entryOfAnEarlierVersionHoldsAndIsReplacedByANewerOne() {
+    Instant probeAt = now.plusSeconds(60);
+    quarantine.merge(new QuarantinedPrompt(Set.of(CRASHING), 2, 1, false, Deadline.at(probeAt)));
+    assertThat(quarantine.refusedUntil(PROMPT, now)).contains(probeAt);
+    now = probeAt;
+    assertThat(isRefused(PROMPT)).isFalse();
+    QuarantinedPrompt entry = quarantine.entries().get(0);
+    assertThat(entry.version()).isGreaterThan(2);
+    assertThat(entry.probes()).isEqualTo(1);
+  }
+
   @Test
   void hostsWithTheSameEntriesHaveTheSameDigest() {
     PromptQuarantine other = new PromptQuarantine();
