Crashes of one item are no evidence against its prompt

Cause: two crashes with runs of one request make no verdict on its prompt, since they may be the request's own; requests were told apart by the fingerprint, and an item has none. So one item that was tried again after its engine had ended, and lost the next one too, put its prompt into quarantine, and with it all items and requests with the same parts.

Why this works: an item is told apart by its id, which all its runs have. A second item with the prompt still makes the verdict.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -99,7 +99,12 @@
           request.id().host(),
           request.fingerprint().get());
     }
-    blame.recordStart(request.id(), engine, request.promptParts(), request.fingerprint(), now);
+    blame.recordStart(
+        request.id(),
+        engine,
+        request.promptParts(),
+        request.fingerprint().toEither(request.requestId()),
+        now);
     return Option.none();
   }
 
@@ -110,7 +115,8 @@
 
   /** Records a run that another coordinator has granted. */
   void recordExisting(RunId id, UpstreamId engine, ExistingRun run) {
-    blame.recordStart(id, engine, run.promptParts(), run.fingerprint(), run.startedAt());
+    blame.recordStart(
+        id, engine, run.promptParts(), run.fingerprint().toEither(run.request()), run.startedAt());
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -1,6 +1,6 @@
 package org.waxwingcourse.fleet.slot;
 
-import io.vavr.control.Option;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -19,6 +19,7 @@
 import java.util.stream.Collectors;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestFingerprint;
+import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.UpstreamId;
 
 /**
@@ -35,8 +36,8 @@
  *   <li>A verdict takes two independent crashes, more for a part that has been seen sound or if
  *       other engines crash at the time.
  *   <li>A crash on a prompt with a verdict incriminates no other part.
- *   <li>Crashes that one request was in, all of them, say nothing about its prompt: they may be the
- *       request's own. Against a part that has been seen sound, crashes under requests that are
+ *   <li>Crashes that one request or item was in, all of them, say nothing about its prompt: they
+ *       may be its own. Against a part that has been seen sound, crashes under requests that are
  *       known to crash engines count only if there are several such requests since.
  * </ul>
  *
@@ -102,7 +103,7 @@
       RunId id,
       UpstreamId engine,
       Set<Long> parts,
-      Option<RequestFingerprint> request,
+      Either<RequestId, RequestFingerprint> request,
       Instant startedAt) {}
 
   /** The present runs of an engine and its latest crash that may still change. */
@@ -132,10 +133,10 @@
     }
 
     /** Returns the requests of the suspects whose prompts have the part. */
-    private Set<RequestFingerprint> requestsWith(Long part) {
+    private Set<Either<RequestId, RequestFingerprint>> requestsWith(Long part) {
       return suspects.stream()
           .filter(r -> r.parts.contains(part))
-          .flatMap(r -> r.request.toJavaStream())
+          .map(Run::request)
           .collect(Collectors.toSet());
     }
 
@@ -153,12 +154,16 @@
     }
   }
 
-  /** Records that a run was granted an engine. A repeated grant changes nothing. */
+  /**
+   * Records that a run was granted an engine. A repeated grant changes nothing.
+   *
+   * @param request equal for the runs of one request or item, and for those of equal requests
+   */
   public synchronized void recordStart(
       RunId run,
       UpstreamId engine,
       List<Long> promptParts,
-      Option<RequestFingerprint> request,
+      Either<RequestId, RequestFingerprint> request,
       Instant now) {
     Run known = runs.get(run);
     if (known != null && known.engine.equals(engine)) {
@@ -415,9 +420,9 @@
 
   /** Returns whether all crashes may be those of one request with the part. */
   private static boolean isOfOneRequest(Set<Crash> crashes, Long part) {
-    Set<RequestFingerprint> common = null;
+    Set<Either<RequestId, RequestFingerprint>> common = null;
     for (Crash crash : crashes) {
-      Set<RequestFingerprint> requests = crash.requestsWith(part);
+      Set<Either<RequestId, RequestFingerprint>> requests = crash.requestsWith(part);
       if (common == null) {
         common = requests;
       } else {
@@ -431,6 +436,7 @@
   private long countBlamed(Set<Crash> crashes, Long part) {
     return crashes.stream()
         .flatMap(c -> c.requestsWith(part).stream())
+        .flatMap(Either::toJavaStream)
         .filter(blamedRequests::containsKey)
         .distinct()
         .count();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BlameMethod.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BlameMethod.java
@@ -1,6 +1,6 @@
 package org.waxwingcourse.fleet.slot;
 
-import io.vavr.control.Option;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -42,7 +42,7 @@
       public void recordStart(RunId run, UpstreamId engine, List<Long> parts, Instant now) {
         long own = parts.get(parts.size() - 1);
         RequestFingerprint request = new RequestFingerprint(own, own, 1);
-        blame.recordStart(run, engine, parts, Option.some(request), now);
+        blame.recordStart(run, engine, parts, Either.right(request), now);
       }
 
       @Override
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vavr.control.Option;
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestFingerprint;
+import org.waxwingcourse.model.id.RequestId;
 import org.waxwingcourse.model.id.UpstreamId;
 
 /** The parts of prompts under which engines crash are found, and sound ones are not blamed. */
@@ -31,6 +32,10 @@
     return new RequestFingerprint(n, n, 1);
   }
 
+  private static Either<RequestId, RequestFingerprint> item(long n) {
+    return Either.left(RequestId.of("item-" + n));
+  }
+
   private RunId start(HostId host, String engine, long... shared) {
     RunId id = new RunId(host, ++lastNumber);
     List<Long> parts = new ArrayList<>();
@@ -38,7 +43,7 @@
       parts.add(part);
     }
     parts.add(1_000_000 + lastNumber);
-    blame.recordStart(id, UpstreamId.of(engine), parts, Option.some(request(lastNumber)), now);
+    blame.recordStart(id, UpstreamId.of(engine), parts, Either.right(request(lastNumber)), now);
     return id;
   }
 
@@ -285,7 +290,7 @@
   void lastPartIsNeverBlamed() {
     for (int i = 0; i < 8; i++) {
       RunId run = new RunId(HOST, ++lastNumber);
-      blame.recordStart(run, UpstreamId.of("e-" + i), List.of(CRASHING), Option.none(), now);
+      blame.recordStart(run, UpstreamId.of("e-" + i), List.of(CRASHING), item(lastNumber), now);
       advance(60);
       breakOff(run);
       advance(400);
@@ -313,12 +318,38 @@
     for (long part : parts) {
       prompt.add(part);
     }
-    blame.recordStart(id, UpstreamId.of(engine), prompt, Option.some(request(request)), now);
+    blame.recordStart(id, UpstreamId.of(engine), prompt, Either.right(request(request)), now);
     advance(100);
     breakOff(id);
     advance(2000);
   }
 
+  private void crashItem(String engine, long item, long... shared) {
+    RunId run = new RunId(HOST, ++lastNumber);
+    List<Long> prompt = new ArrayList<>();
+    for (long part : shared) {
+      prompt.add(part);
+    }
+    prompt.add(1_000_000 + item);
+    blame.recordStart(run, UpstreamId.of(engine), prompt, item(item), now);
+    advance(60);
+    breakOff(run);
+    advance(400);
+  }
+
+  /**
+   * An item whose engines ended twice for another reason held up all items with its prompt part.
+   */
+  @Test
+  void crashesOfOneItemThatIsTriedAgainSayNothingAboutItsPrompt() {
+    for (int i = 0; i < 6; i++) {
+      crashItem("e-" + i, 1, SHARED);
+    }
+    assertThat(verdicts).isEmpty();
+    crashItem("e-6", 2, SHARED);
+    assertThat(verdicts).containsExactly(Set.of(SHARED));
+  }
+
   /** One request that crashes engines was taken for a fault of all requests with its parts. */
   @Test
   void crashesOfOneRequestThatComesAgainSayNothingAboutItsPrompt() {
