A probe that meets a crash of another cause holds items for less long

Callers of a prompt that was quarantined by mistake waited for a minute more if the engine of the one request that was let through ended for a reason of its own, then for six minutes more; items that are due within seconds expired meanwhile.

Cause: the delay grew by a factor of six with each crash under a request that was let through.

Why this works: the delay doubles, so two requests are let through in 30 s and three in 70 s.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
@@ -19,8 +19,8 @@
 /**
  * Refuses requests on whose prompts engines crash. A single request is let through after a delay;
  * if it gets an event, the prompts may run again, and if its engine crashes, the next one is let
- * through after a delay several times as long. So a wrong verdict ends by itself, and a right one
- * costs few engines.
+ * through after a delay twice as long. So a wrong verdict ends by itself, and a right one costs few
+ * engines.
  *
  * <p>Only a run holds the right to be let through, and only for a time: requests that wait for a
  * slot do not hold it, and if nothing is heard of the run, also by a later coordinator, another
@@ -35,8 +35,11 @@
   /** Delay between a verdict and the first request that is let through. */
   static final Duration FIRST_PROBE_DELAY = Duration.ofSeconds(10);
 
-  /** Factor by which the delay grows with each engine that crashes on a request let through. */
-  static final int DELAY_FACTOR = 6;
+  /**
+   * Factor by which the delay grows with each engine that crashes on a request let through. Engines
+   * also crash for other reasons while they run it, and accepted items wait meanwhile.
+   */
+  static final int DELAY_FACTOR = 2;
 
   private static final Duration MAX_PROBE_DELAY = Duration.ofDays(1);
 
--- a/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/PromptQuarantineTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/quarantine/PromptQuarantineTest.java
@@ -83,6 +83,16 @@
         .containsExactly(first, second, second.multipliedBy(PromptQuarantine.DELAY_FACTOR));
   }
 
+  /** An engine that ended for another reason under a probe made accepted items expire. */
+  @Test
+  void itemOutlivesACrashOfAnotherCauseUnderTheRequestLetThrough() {
+    Instant expiresAt = now.plusSeconds(60);
+    quarantine.add(Set.of(CRASHING), now);
+    now = now.plus(PromptQuarantine.FIRST_PROBE_DELAY);
+    probe(true);
+    assertThat(quarantine.refusedUntil(PROMPT, expiresAt)).isEmpty();
+  }
+
   @Test
   void wrongVerdictEndsWithTheFirstRequestLetThrough() {
     quarantine.add(Set.of(SHARED), now);
