An engine that is down and breaks off runs has not crashed twice

Callers saw requests and accepted items with sound prompts refused for ten seconds or more (W510), mostly half a second after several engines had gone down together.

Cause: runs that are sent to an engine after its end, until it is listed anew, break off too. They started after the first crash was noticed, so they counted as a second, independent crash, and two independent crashes under a part make a verdict.

By the test: the same two breaks make a verdict where the process is not known, as before (engineOfAnUnknownProcessMayCrashAgain).

Why this works: an engine's process ends once. The end of a run names the process (engine_boot, which hosts send already), and breaks of runs that were sent to a process known to have crashed are left out. A prompt that does crash engines ends another process each time.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -356,7 +356,7 @@
     for (SlotScheduler slots : services.values()) {
       for (GrantedRun run : slots.findRun(id)) {
         known = true;
-        refusesMore |= screening.recordEnd(id, run, runEnd, now);
+        refusesMore |= screening.recordEnd(id, run, runEnd, end.getEngineBoot(), now);
         if (runEnd.how() == RunEnd.How.CONNECTION_REFUSED) {
           LOG.write(Event.CONNECTION_REFUSED, run.engine(), run.request(), from);
         }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -122,9 +122,10 @@
   /**
    * Draws conclusions from the end of a run.
    *
+   * @param engine hash of the engine's process if it closed the connection, 0 if not known
    * @return whether requests are refused from now on that were not before
    */
-  boolean recordEnd(RunId id, GrantedRun run, RunEnd end, Instant now) {
+  boolean recordEnd(RunId id, GrantedRun run, RunEnd end, long engine, Instant now) {
     boolean brokeOff = end.how() == RunEnd.How.ENGINE_BROKE_OFF;
     if (brokeOff) {
       logBrokenOff(id, run, end);
@@ -144,7 +145,7 @@
     } else {
       prompts.recordEndWithoutEvent(id, brokeOff, now);
     }
-    return quarantine(blame.recordEnd(id, end, now), now);
+    return quarantine(blame.recordEnd(id, end, engine, now), now);
   }
 
   /**
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -33,6 +33,8 @@
  *   <li>An event acquits all parts of its run for good.
  *   <li>Crashes count as independent for a part if the run in the later one started after the
  *       earlier one was noticed, so engines that end together for another reason count once.
+ *   <li>A process that has crashed cannot crash again. Runs that are sent to it break off until the
+ *       engine has started anew and is listed so.
  *   <li>A verdict takes two independent crashes, more for a part that has been seen sound or if
  *       other engines crash at the time.
  *   <li>A crash on a prompt with a verdict incriminates no other part.
@@ -71,6 +73,8 @@
   /** Most crashes by which unexplained ones raise a threshold. */
   private static final int MAX_EXTRA_CRASHES = 2;
 
+  private static final long UNKNOWN_PROCESS = 0;
+
   private static final int MAX_RUNS = 65_536;
   private static final int MAX_CRASHES = 256;
   private static final int MAX_VERDICTS = 64;
@@ -120,6 +124,7 @@
   private static final class Crash {
     private final Instant noticedAt;
     private final List<Run> suspects = new ArrayList<>();
+    private final Set<Long> processes = new HashSet<>();
     private int brokenOff;
     private int notBrokenOff;
     private boolean confirmed;
@@ -178,13 +183,19 @@
     }
   }
 
+  /** As {@link #recordEnd(RunId, RunEnd, long, Instant)}, of a process that is not known. */
+  public synchronized List<Set<Long>> recordEnd(RunId run, RunEnd end, Instant now) {
+    return recordEnd(run, end, UNKNOWN_PROCESS, now);
+  }
+
   /**
    * Records the end of a run.
    *
+   * @param process hash of the engine's process if it closed the connection, 0 if not known
    * @return the verdicts reached or confirmed by a further crash: sets of parts such that prompts
    *     that contain all of one set crash engines
    */
-  public synchronized List<Set<Long>> recordEnd(RunId run, RunEnd end, Instant now) {
+  public synchronized List<Set<Long>> recordEnd(RunId run, RunEnd end, long process, Instant now) {
     Run ended = removeRun(run);
     if (ended == null) {
       return List.of();
@@ -198,7 +209,7 @@
       changed |= revoke(engine);
     }
     if (end.how() == RunEnd.How.ENGINE_BROKE_OFF) {
-      changedCrash = recordBreak(engine, ended, hasEvent, now);
+      changedCrash = recordBreak(engine, ended, hasEvent, process, now);
     } else if (engine.crash != null && ended.startedAt.isBefore(engine.crash.noticedAt)) {
       engine.crash.notBrokenOff += end.lostEngine() ? 0 : 1;
     }
@@ -325,13 +336,21 @@
   }
 
   /** Returns the confirmed crash that the run has joined, null if there is none. */
-  private Crash recordBreak(EngineRuns engine, Run run, boolean hasEvent, Instant now) {
-    if (engine.crash == null
-        || engine.crash.confirmed && !run.startedAt.isBefore(engine.crash.noticedAt)) {
+  private Crash recordBreak(
+      EngineRuns engine, Run run, boolean hasEvent, long process, Instant now) {
+    if (engine.crash == null) {
+      engine.crash = new Crash(now);
+    } else if (engine.crash.confirmed && !run.startedAt.isBefore(engine.crash.noticedAt)) {
+      if (engine.crash.processes.contains(process)) {
+        return null;
+      }
       engine.crash = new Crash(now);
     }
     Crash crash = engine.crash;
     crash.brokenOff++;
+    if (process != UNKNOWN_PROCESS) {
+      crash.processes.add(process);
+    }
     if (!hasEvent && !run.parts.isEmpty()) {
       crash.suspects.add(run);
       if (crash.confirmed) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
@@ -350,6 +350,40 @@
     assertThat(verdicts).containsExactly(Set.of(SHARED));
   }
 
+  private void breakOff(RunId run, long process) {
+    RunEnd end = RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF);
+    verdicts.addAll(blame.recordEnd(run, end, process, now));
+  }
+
+  private void crashTwice(long firstProcess, long secondProcess) {
+    for (long process : List.of(firstProcess, secondProcess)) {
+      RunId run = start("e-1", SHARED);
+      advance(60);
+      breakOff(run, process);
+      advance(300);
+    }
+  }
+
+  /** Runs sent to engines that were still down counted as a second crash of their prompts. */
+  @Test
+  void processThatHasCrashedDoesNotCrashAgain() {
+    crashTwice(1, 1);
+    assertThat(verdicts).isEmpty();
+  }
+
+  @Test
+  void engineThatHasStartedAnewMayCrashAgain() {
+    crashTwice(1, 2);
+    assertThat(verdicts).containsExactly(Set.of(SHARED));
+  }
+
+  /** Hosts of earlier versions do not name the process. */
+  @Test
+  void engineOfAnUnknownProcessMayCrashAgain() {
+    crashTwice(0, 0);
+    assertThat(verdicts).containsExactly(Set.of(SHARED));
+  }
+
   /** One request that crashes engines was taken for a fault of all requests with its parts. */
   @Test
   void crashesOfOneRequestThatComesAgainSayNothingAboutItsPrompt() {
