A host whose clock is ahead does not hold quarantined prompts for longer

Callers of a quarantined prompt could be refused for as much longer as the clock of the host that wrote the entry was ahead of that of the coordinator which read it.

Cause: entries state by wall clock when the next request is let through, and the reader took any time for granted.

Why this works: no entry is written with a later time than the delay that follows from its count, so the reader limits it to that. A clock that is behind is not covered: its entries let a request through earlier.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
@@ -207,7 +207,8 @@
     return entries.values().stream().filter(e -> e.matches(promptParts)).toList();
   }
 
-  private static Deadline probeDeadline(int probes, Instant now) {
+  /** Returns when the next request is let through after engines have crashed on {@code probes}. */
+  static Deadline probeDeadline(int probes, Instant now) {
     Duration delay = FIRST_PROBE_DELAY;
     for (int i = 0; i < probes && delay.compareTo(MAX_PROBE_DELAY) < 0; i++) {
       delay = delay.multipliedBy(DELAY_FACTOR);
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantineCodec.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/QuarantineCodec.java
@@ -36,11 +36,13 @@
 
   private static QuarantinedPrompt decode(QuarantineEntry message, ClockReading now) {
     long millis = message.getProbeAtMillis() - now.wall().toEpochMilli();
+    // The clock of the host that wrote it may be ahead.
+    Deadline latest = PromptQuarantine.probeDeadline(message.getProbes(), now.steady());
     return new QuarantinedPrompt(
         new HashSet<>(message.getPartsList()),
         message.getVersion(),
         message.getProbes(),
         message.getLifted(),
-        Deadline.at(now.steady().plusMillis(millis)));
+        Deadline.at(now.steady().plusMillis(millis)).earlier(latest));
   }
 }
