Items that wait with a quarantined prompt are refused together

A coordinator on which many items waited for slots as another host's verdict on their prompt arrived ran out of stack at the next free slot.

Cause: a verdict of its own refuses what waits, one that is learnt does not. Since requests are screened again at their grants, each refusal freed the slot for the next such item within the same call.

Why this works: the first refusal at a grant refuses all that wait for the same reason before the slot is given on.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -537,10 +537,11 @@
     boolean wasProbe = screening.isProbe(request.id());
     Option<SlotDecision.Refuse> refused = screening.grant(request, grant.engine(), now);
     if (refused.isDefined()) {
-      RunEnd unsent = RunEnd.of(RunEnd.How.NOT_SENT);
-      List<SlotDecision> next = scheduler(request.service()).endRun(request.id(), unsent, now);
       execute(List.of(refused.get()));
-      execute(next);
+      // Otherwise the next one would be granted and refused within this call, and so on.
+      refuseWaiting(now);
+      RunEnd unsent = RunEnd.of(RunEnd.How.NOT_SENT);
+      execute(scheduler(request.service()).endRun(request.id(), unsent, now));
       return;
     }
     sendGrant(grant);
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
@@ -12,6 +12,7 @@
 import org.waxwingcourse.fleet.FleetFixtures;
 import org.waxwingcourse.fleet.estimate.RequestSize;
 import org.waxwingcourse.fleet.plan.HomeRegions;
+import org.waxwingcourse.fleet.quarantine.QuarantinedPrompt;
 import org.waxwingcourse.fleet.slot.BatchWork;
 import org.waxwingcourse.fleet.slot.RunEnd;
 import org.waxwingcourse.model.id.RequestId;
@@ -33,6 +34,8 @@
   /** Time in which other hosts notice that one is lost, and choose a coordinator. */
   private static final Duration LOSS = Duration.ofSeconds(3);
 
+  private static final int MANY = 20_000;
+
   private List<Entry> listed =
       List.of(
           FleetFixtures.engineEntry("engine-1", 1, 8, false, 1, 1),
@@ -44,30 +47,33 @@
   }
 
   private long request(Member host, WorkClass workClass, Long... promptParts) {
-    Deadline due = Deadline.after(clock, Duration.ofSeconds(60));
-    long number =
-        host.requestSlot(
-            new SlotRequirements(
-                RequestId.of("r"),
-                SERVICE,
-                workClass,
-                0,
-                Option.none(),
-                Option.none(),
-                due,
-                due,
-                List.of(promptParts),
-                Set.of(),
-                Option.when(workClass == WorkClass.BATCH, () -> new BatchWork(due, 0)),
-                Option.none(),
-                Option.none(),
-                HomeRegions.ANY,
-                Option.none(),
-                RequestSize.UNKNOWN));
+    long number = send(host, workClass, promptParts);
     deliver();
     return number;
   }
 
+  private long send(Member host, WorkClass workClass, Long... promptParts) {
+    Deadline due = Deadline.after(clock, Duration.ofSeconds(60));
+    return host.requestSlot(
+        new SlotRequirements(
+            RequestId.of("r"),
+            SERVICE,
+            workClass,
+            0,
+            Option.none(),
+            Option.none(),
+            due,
+            due,
+            List.of(promptParts),
+            Set.of(),
+            Option.when(workClass == WorkClass.BATCH, () -> new BatchWork(due, 0)),
+            Option.none(),
+            Option.none(),
+            HomeRegions.ANY,
+            Option.none(),
+            RequestSize.UNKNOWN));
+  }
+
   private long requestItem(Member host) {
     return request(host, WorkClass.BATCH, PART, 100L);
   }
@@ -227,4 +233,22 @@
     end(members.get(4), online);
     assertThat(grants).containsKey(asked);
   }
+
+  /** Each refusal at a grant led to the next within it, until the stack was used up. */
+  @Test
+  void manyItemsThatWaitAreRefusedWhenAnotherHostReportsTheVerdict() {
+    List<Long> online = fillSlots(members.get(4), SLOTS);
+    for (int i = 0; i < MANY; i++) {
+      send(members.get(3), WorkClass.BATCH, PART, 100L);
+    }
+    deliver();
+    Deadline probeAt = Deadline.after(clock, PROBE_DELAY);
+    members
+        .get(0)
+        .coordinator
+        .quarantine()
+        .merge(new QuarantinedPrompt(Set.of(PART), 1, 0, false, probeAt));
+    end(members.get(4), online);
+    assertThat(refusals).hasSize(MANY);
+  }
 }
