A probe whose grant is lost is granted again

The one item that a quarantine had let through was refused when its host asked again for a grant that had been lost. It waited 3 s, and its slot stayed taken until the host's next list of runs.

Cause: a request for a slot is screened whenever it arrives, and since the right to be let through is taken with the slot, the probe itself met the delay that its grant had begun.

Evidence: probeIsGrantedAgainWhenItsGrantIsLost failed before, in one run.

Why this works: a run that was let through is not screened again; the scheduler repeats its grant. W511 is written once for it.

W511 once is by reading.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -62,6 +62,9 @@
   }
 
   private Option<SlotDecision.Refuse> screenPrompt(SlotRequest request, Instant now) {
+    if (prompts.isProbe(request.id())) {
+      return Option.none();
+    }
     return prompts
         .refusedUntil(request.promptParts(), now)
         .map(at -> refusal(request, at, PROMPT_REASON));
@@ -85,11 +88,12 @@
    * requests that wait for a slot with a prompt on which engines crash only one may run.
    */
   Option<SlotDecision.Refuse> grant(SlotRequest request, UpstreamId engine, Instant now) {
+    boolean wasProbe = prompts.isProbe(request.id());
     Option<Instant> retryAt = prompts.admit(request.id(), request.promptParts(), now);
     if (retryAt.isDefined()) {
       return retryAt.map(at -> refusal(request, at, PROMPT_REASON));
     }
-    if (prompts.isProbe(request.id())) {
+    if (!wasProbe && prompts.isProbe(request.id())) {
       LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
     }
     if (request.fingerprint().exists(f -> requests.recordGrant(f, now))) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
@@ -34,6 +34,9 @@
   /** Time in which other hosts notice that one is lost, and choose a coordinator. */
   private static final Duration LOSS = Duration.ofSeconds(3);
 
+  /** Time in which a host asks again for what it has had no answer to. */
+  private static final Duration LOST_MESSAGE = Duration.ofSeconds(1);
+
   private static final int MANY = 20_000;
 
   private List<Entry> listed =
@@ -234,6 +237,20 @@
     assertThat(grants).containsKey(asked);
   }
 
+  /** The coordinator refused the probe when its host asked again for the grant that was lost. */
+  @Test
+  void probeIsGrantedAgainWhenItsGrantIsLost() {
+    blame(PART);
+    run(PROBE_DELAY);
+    long probe = send(members.get(3), WorkClass.BATCH, PART, 100L);
+    Message ask = network.poll();
+    members.get(0).router.onMessage(ask.from(), ask.content().toByteArray());
+    assertThat(network).anyMatch(m -> m.content().hasGrant());
+    deliverWithout(FleetMessage::hasGrant);
+    run(LOST_MESSAGE);
+    assertThat(grants).containsKey(probe);
+  }
+
   /** Each refusal at a grant led to the next within it, until the stack was used up. */
   @Test
   void manyItemsThatWaitAreRefusedWhenAnotherHostReportsTheVerdict() {
