An item whose version is gone probes engines that refused connections

An engine that has refused a connection gets only probes until one has been answered. A batch request was the probe only where it can go on after the events that it has, that is on the version that sent them. After a change of version, or after a crash where engines state no version, no engine is of that version. If all engines that may run the item had refused connections and no other request came, nothing probed them, and the item waited for as long as nobody else asked.

Now such an item is the probe if no engine that has not refused connections can run it; it begins anew there, as it does on any other engine of that version. An item that another engine can run still waits for that one.

The new test fails on the code before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/BatchQueue.java
@@ -60,13 +60,13 @@
   }
 
   /**
-   * Returns the request to try an engine with that may be lost: one that can go on there, if
-   * possible one that has not failed there.
+   * Returns the request that passes the filter to try an engine with that may be lost, if possible
+   * one that has not failed there.
    */
-  Option<SlotRequest> findProbe(EngineEntry engine) {
+  Option<SlotRequest> findProbe(EngineEntry engine, Predicate<SlotRequest> filter) {
     Option<SlotRequest> fallback = Option.none();
     for (SlotRequest request : waiting.values()) {
-      if (request.accepts(engine) && request.continuesAt(engine)) {
+      if (request.accepts(engine) && filter.test(request)) {
         if (!request.avoidedEngines().contains(engine.id())) {
           return Option.some(request);
         }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -412,7 +412,7 @@
           && engines.isUsable(engine, now)
           && engine.hasFreeSlot()
           && engine.starts().allowsStart(now)) {
-        for (SlotRequest probe : batchQueue.findProbe(engine.entry())) {
+        for (SlotRequest probe : findBatchProbe(engine.entry(), now)) {
           batchQueue.remove(probe.id());
           grantSlot(probe, engine, now, decisions);
         }
@@ -420,6 +420,20 @@
     }
   }
 
+  /**
+   * Returns the batch request to try an engine with. One that has to begin anew there is taken only
+   * if no other engine can run it: it would wait for a probe that nothing else sends.
+   */
+  private Option<SlotRequest> findBatchProbe(EngineEntry engine, Instant now) {
+    return batchQueue
+        .findProbe(engine, r -> r.continuesAt(engine))
+        .orElse(() -> batchQueue.findProbe(engine, r -> !hasDependableEngine(r, now)));
+  }
+
+  private boolean hasDependableEngine(SlotRequest request, Instant now) {
+    return engines.dependable(now).anyMatch(e -> request.accepts(e.entry()));
+  }
+
   private void startBatchRequests(Instant now, List<SlotDecision> decisions) {
     Set<SlotRequest> overtaken = new HashSet<>();
     int withoutMemory = 0;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/SoftwarePlacementTest.java
@@ -145,4 +145,38 @@
     }
     assertThat(granted).startsWith(NEW.id(), NEW.id()).contains(OLD.id());
   }
+
+  private void refuseConnection(EngineEntry engine) {
+    RunId id = ((SlotDecision.Grant) submitStream(engine).get(0)).request().id();
+    now = now.plusMillis(10);
+    scheduler.endRun(id, RunEnd.of(RunEnd.How.CONNECTION_REFUSED), now);
+  }
+
+  private List<SlotDecision> submitBatchOf(EngineEntry begunBy) {
+    return scheduler.submit(
+        request(WorkClass.BATCH, Option.some(begunBy.software()), Set.of()), now);
+  }
+
+  /** Nothing probed engines of another version, and the item waited for as long as they refused. */
+  @Test
+  void itemProbesAnotherVersionIfAllEnginesHaveRefusedConnections() {
+    scheduler.setEngines(List.of(NEW), 2, now);
+    refuseConnection(NEW);
+    assertThat(submitBatchOf(OLD)).isEmpty();
+    now = now.plusSeconds(1);
+    assertThat(scheduler.processQueues(now))
+        .singleElement()
+        .isInstanceOfSatisfying(SlotDecision.Grant.class, g -> assertThat(g.probe()).isTrue());
+  }
+
+  /** As a probe the item would lose its events, which another engine can go on from. */
+  @Test
+  void itemThatAnotherEngineCanRunIsNoProbeOfAnotherVersion() {
+    refuseConnection(NEW);
+    assertThat(engines(submitBatchOf(OLD))).containsExactly(OLD.id());
+    assertThat(engines(submitBatchOf(OLD))).containsExactly(OLD.id());
+    assertThat(submitBatchOf(OLD)).isEmpty();
+    now = now.plusSeconds(1);
+    assertThat(scheduler.processQueues(now)).isEmpty();
+  }
 }
