An item that cannot be sent gives its slot back and is tried again

Found by going through what is given to one holder whose loss nobody notices; no record shows that it has happened, and no way was found by which the platform's client throws except while its event loops are shut down.

After the grant an item is sent by an action that may have waited for a read of the job's record. If the sender threw, the attempt stayed without a call: no answer, no watch for silence and no message would end it, and the host reported its slot as used every second. The actions behind it in the same read were dropped, so that all items granted meanwhile kept their slots unsent.

A failure is now handled as one of the request for a slot is: the slot is returned, and the item asks again after 3 s, or is given up at the end of its lifetime.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/ItemRun.java
@@ -54,7 +54,7 @@
   /** Delay before an item is tried again after a failed or refused attempt. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
-  /** Delay before an item is tried again for which no slot could be requested. */
+  /** Delay before an item is tried again for which no slot could be requested or used. */
   private static final Duration FAILURE_RETRY_DELAY = Duration.ofSeconds(3);
 
   /** Delay before an item is tried again on whose prompt engines crash. */
@@ -142,12 +142,16 @@
     try {
       requestSlotNow();
     } catch (RuntimeException e) {
-      LOG.write(Event.STEP_FAILED, "item " + item.getId() + " of job " + job.id() + ": " + e);
-      if (job.giveUpAt().isPast(ports.clock().instant())) {
-        finish(false, "");
-      } else {
-        scheduleRetry(FAILURE_RETRY_DELAY, WaitReason.REQUEST_FAILED);
-      }
+      retryFailedStep(e);
+    }
+  }
+
+  private void retryFailedStep(RuntimeException failure) {
+    LOG.write(Event.STEP_FAILED, "item " + item.getId() + " of job " + job.id() + ": " + failure);
+    if (job.giveUpAt().isPast(ports.clock().instant())) {
+      finish(false, "");
+    } else {
+      scheduleRetry(FAILURE_RETRY_DELAY, WaitReason.REQUEST_FAILED);
     }
   }
 
@@ -215,6 +219,10 @@
     return true;
   }
 
+  /**
+   * Sends the item to the engine of its slot. If that fails, the slot is returned: no answer and no
+   * silence would end the attempt.
+   */
   private synchronized void send(
       PendingSlot pendingSlot, UpstreamId engine, Option<SoftwareId> granted) {
     if (done || pendingSlot.requestNumber != slotNumber) {
@@ -222,6 +230,20 @@
       return;
     }
     slotUnused = false;
+    try {
+      sendNow(pendingSlot, engine, granted);
+    } catch (RuntimeException e) {
+      if (attempt != null && attempt.call != null) {
+        cancelAttempt(RunEnd.How.CANCELLED);
+      } else {
+        attempt = null;
+        returnSlot(pendingSlot.requestNumber);
+      }
+      retryFailedStep(e);
+    }
+  }
+
+  private void sendNow(PendingSlot pendingSlot, UpstreamId engine, Option<SoftwareId> granted) {
     Option<EngineEntry> entry =
         ports
             .engines()
