A call to the store that throws ends as a failed one for its job

Found by going through what is given to one holder whose loss nobody notices; no record shows that it has happened, and the platform's client throws only while its event loops are shut down.

The parts of a job handle a call to the store that fails later: they read again, or commit again. If the call itself threw, none of that ran, and the mark of the call in progress stayed: of a read of the record, for which all granted items of the job wait; of a commit, after which no result is listed; of a take-over, which also swallows the reminders of the coordinator.

JobStore now turns what a call throws into a failed future.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/JobStore.java
@@ -11,6 +11,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.waxwingcourse.fleet.view.StoreKeys;
 import org.waxwingcourse.model.id.JobId;
 import org.waxwingcourse.model.id.OrganisationId;
@@ -28,7 +29,10 @@
 import org.waxwingcourse.wire.fleet.JobResult;
 import org.waxwingcourse.wire.fleet.JobResults;
 
-/** Reads and writes the entries of jobs. */
+/**
+ * Reads and writes the entries of jobs. A call that throws ends as a failed future, which callers
+ * handle like one that fails later.
+ */
 final class JobStore {
   private final Store store;
 
@@ -55,8 +59,7 @@
 
   /** Reads a job's record, none if there is no such job. */
   CompletableFuture<Either<StoreFailure, Option<StoredRecord>>> readRecord(JobId job) {
-    return store
-        .read(KeyRange.ofKey(StoreKeys.jobKey(job)))
+    return read(KeyRange.ofKey(StoreKeys.jobKey(job)))
         .thenApply(answer -> answer.flatMap(s -> firstRecord(s)));
   }
 
@@ -79,11 +82,15 @@
   }
 
   CompletableFuture<WriteOutcome> write(Transaction transaction) {
-    return store.write(transaction);
+    return call(() -> store.write(transaction));
   }
 
   CompletableFuture<Either<StoreFailure, Snapshot>> read(KeyRange range) {
-    return store.read(range);
+    return call(() -> store.read(range));
+  }
+
+  private static <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> sent) {
+    return Try.ofSupplier(sent).getOrElseGet(CompletableFuture::failedFuture);
   }
 
   static Either<StoreFailure, StoredRecord> parseRecord(Entry entry) {
@@ -108,8 +115,7 @@
   private <M extends Message> CompletableFuture<Either<StoreFailure, List<M>>> readParts(
       String firstKey, Parser<M> parser) {
     String prefix = firstKey.substring(0, firstKey.lastIndexOf('/') + 1);
-    return store
-        .read(KeyRange.ofPrefix(prefix))
+    return read(KeyRange.ofPrefix(prefix))
         .thenApply(answer -> answer.flatMap(s -> parseInOrder(s, prefix, parser)));
   }
 
