A host that has attached reports its runs until its first report counts

Found by going through what is given to one holder whose loss nobody notices; no record shows that it has happened.

A host reports its runs as it attaches, and each second while it has any and 3 s more. The coordinator keeps a run that it granted within the last second though a report lacks it. If a process is killed, a slot is granted to it before it is missed, and the host's next process attaches within a second of that, the first report does not free the slot, and no second one came: the new process has had no run. The slot stayed taken until the host ran something or was detached. A host is missed after 1.1 s, in a fleet of 60 after 4.4 s, so a quick restart falls into that time. One such slot takes all of an engine that is being probed, and keeps items out for which it would have to be empty.

Attaching now counts like a run: reports go on for 3 s. That is two or three short messages for each change of the coordinator.

The new test fails on the code before; the messages of an idle host are within their bounds as before.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/SlotClient.java
@@ -233,9 +233,13 @@
     return coordinator;
   }
 
-  /** Attaches to another coordinator. */
+  /**
+   * Attaches to another coordinator, which may have granted a slot to the process before on this
+   * host and keeps it if that was just before the first report.
+   */
   public void attachTo(HostId next) {
     coordinator = Option.some(next);
+    lastRunAt = clock.instant();
     reportRuns();
     pending.forEach(this::resendRequest);
   }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/SlotClientTest.java
@@ -293,4 +293,15 @@
     client.resendLostMessages();
     assertThat(sent).hasSize(1).allMatch(s -> s.message.hasRunning());
   }
+
+  /** A slot granted to the process before, which restarted at once, stayed taken. */
+  @Test
+  void runsAreReportedAgainAfterAttaching() {
+    clock.advance(SlotScheduler.GRANT_ROUND_TRIP.plusMillis(150));
+    client.resendLostMessages();
+    assertThat(sent).hasSize(1).allMatch(s -> s.message.hasRunning());
+    clock.advance(Duration.ofSeconds(10));
+    client.resendLostMessages();
+    assertThat(sent).as("no reports of an idle host").hasSize(1);
+  }
 }
