--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/BlameMethod.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/BlameMethod.java
@@ -37,9 +37,11 @@
   static BlameMethod product() {
     return new BlameMethod() {
       private final CrashBlame blame = new CrashBlame();
+      private final Map<RunId, UpstreamId> engines = new HashMap<>();
 
       @Override
       public void recordStart(RunId run, UpstreamId engine, List<Long> parts, Instant now) {
+        engines.put(run, engine);
         long own = parts.get(parts.size() - 1);
         RequestFingerprint request = new RequestFingerprint(own, own, 1);
         blame.recordStart(run, engine, parts, Either.right(request), now);
@@ -47,7 +49,8 @@
 
       @Override
       public List<Set<Long>> recordEnd(RunId run, RunEnd end, Instant now) {
-        return blame.recordEnd(run, end, now);
+        // Each engine of the simulation is one process.
+        return blame.recordEnd(run, end, engines.remove(run).value().hashCode(), now);
       }
 
       @Override
