A host that attaches elsewhere leaves nothing in its own coordinator

Found by a simulation of five hosts under random cuts and pauses; no record shows that it has happened.

A coordinator removes the runs and requests of a host that no longer pings it. A host that coordinates itself sends itself no pings, so when it attached to another coordinator, its own runs and waiting requests stayed in the one it had been, for good or until it was chosen again; the queue was checked every 20 ms for them. If other hosts then reached only this host and attached to it, it had a share of the slots, and the runs that had ended long ago filled the share: nothing that was sent there ever started.

The host now removes itself when it attaches elsewhere, as it does others that have.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CoordinatorLink.java
@@ -502,6 +502,10 @@
     } else if (previous != null && !isAnswering(previous, now)) {
       reportLost(previous);
     }
+    if (self.id().equals(previous)) {
+      // It sends itself no pings, whose absence would show that it has left.
+      coordinator.removeHost(self.id());
+    }
     slots.attachTo(newCoordinator);
   }
 
