A broken read does not end the confirmation of a job

A host whose entry in the store had expired could refuse to answer for a job (503) for the rest of its registration term, or go on running one that another host had taken over or a caller had ended.

Cause: it reads the job's record to confirm that it still runs it, and repeats a read that failed, but not one that ended with an exception.

Why this works: such a read counts as one that failed, as it does for the check before an item is sent.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -133,7 +133,11 @@
    */
   void confirmOwnership() {
     long current = ports.registration().term();
-    ports.store().readRecord(id).thenAccept(answer -> onConfirmed(current, answer));
+    ports
+        .store()
+        .readRecord(id)
+        .exceptionally(e -> Either.left(unreadable(e)))
+        .thenAccept(answer -> onConfirmed(current, answer));
   }
 
   private void onConfirmed(
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FaultyStore.java
@@ -70,9 +70,15 @@
     readGate = new CompletableFuture<>();
   }
 
+  /** Lets reads end with an exception until {@link #answerReads}. */
+  void breakReads() {
+    readGate = CompletableFuture.failedFuture(new IllegalStateException("read"));
+  }
+
   /** Answers the reads that are held, and later ones at once. */
   void answerReads() {
     readGate.complete(null);
+    readGate = CompletableFuture.completedFuture(null);
   }
 
   /** Executes the writes that are late, if their conditions still hold. */
