--- a/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
+++ b/cli/src/main/java/org/waxwingcourse/cli/explain/Explanation.java
@@ -26,7 +26,8 @@
    */
   private static final List<Integer> OUTCOME_EVENTS =
       List.of(
-          801, 505, 800, 803, 802, 624, 611, 612, 623, 618, 616, 615, 620, 622, 617, 613, 626, 610);
+          801, 505, 800, 803, 802, 624, 611, 612, 623, 618, 616, 615, 640, 620, 622, 617, 613, 626,
+          610);
 
   /** The end of the closing line of a request that succeeded. */
   private static final Pattern SUCCESS_STATUS = Pattern.compile(": status 2\\d\\d$");
--- a/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
+++ b/cli/src/test/java/org/waxwingcourse/cli/explain/ExplanationTest.java
@@ -53,6 +53,24 @@
         .matches(l -> l.event() == 624);
   }
 
+  /** An item that nothing runs is explained by what it waits for, not by its last run. */
+  @Test
+  void itemThatWaitsIsExplainedByItsWait() {
+    String moved = "W622 item i1 of job \"j1\" is moved from engine \"e1\": silent; last event 3";
+    String waits =
+        "W640 item i1 of job \"j1\" has had no run for 9000 ms: RECORD_READ, next step none;"
+            + " last refusal none";
+    String other = waits.replace("i1", "i11");
+    Explanation explanation =
+        explainLines("i1", logLine(1, moved), logLine(2, waits), logLine(3, other));
+    assertThat(explanation.decidingLine().get().event()).isEqualTo(640);
+    assertThat(explanation.ownLines().map(LogLine::event)).containsExactly(622, 640);
+    String left =
+        "W615 job \"j1\" no longer runs on this host: the job was closed; 0 of 10 results";
+    assertThat(explainLines("j1", logLine(1, waits), logLine(2, left)).decidingLine().get())
+        .matches(l -> l.event() == 615);
+  }
+
   /** An engine's id of a run is that of an item: its line names the job and the connection. */
   @Test
   void runOfAnItemIsExplainedByItsJob() {
