--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/WaitingItemTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/WaitingItemTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -242,4 +243,22 @@
     assertThat(reported).extracting(ItemWaits.DueItem::item).doesNotHaveDuplicates();
     assertThat(reported).hasSizeGreaterThanOrEqualTo(items - 2 * ItemWaits.MAX_LINES_PER_JOB);
   }
+
+  @Test
+  void linesOfAHostAreBoundedHoweverManyJobsItRuns() {
+    decide(ask -> refuse(ask, true));
+    fixture.runJob(2 * ItemWaits.MAX_LINES);
+    fixture.timer.advance(ABOVE_LIMIT);
+    RunningJob job = fixture.runner.findJob(RunnerFixture.JOB).get();
+    assertThat(fixture.runner.waits().check(Collections.nCopies(5, job)))
+        .hasSize(ItemWaits.MAX_LINES);
+  }
+
+  @Test
+  void itemsThatWaitForASlotHaveFewLines() {
+    fixture.runJob(10);
+    fixture.timer.advance(ABOVE_SLOT_LIMIT);
+    assertThat(fixture.runner.checkWaits()).hasSize(ItemWaits.MAX_SLOT_LINES);
+    assertThat(fixture.runner.waits().count(WaitReason.SLOT_REQUESTED)).isEqualTo(10);
+  }
 }
