Known red: small items behind many that are too large for the memory left

Callers would see small items wait beside engines with free slots and memory. The queue lets a smaller item overtake at most eight that no engine has memory for, and the ninth ends the round.

Not fixed here: without the bound small items would start, and a steady flow of them would keep the large ones out for good. It takes a reservation for the large ones.

--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineMemoryTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/EngineMemoryTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -153,4 +154,22 @@
         .first()
         .isInstanceOf(SlotDecision.Yield.class);
   }
+
+  /** More large items than may be overtaken kept smaller ones from slots and memory left free. */
+  @Test
+  @Tag("known-red")
+  void itemStartsBesideAnyNumberOfLargerOnesThatHaveToWait() {
+    listEngines(1);
+    assertThat(submit(WorkClass.BATCH, new RequestSize(14_000, 0, 0))).hasSize(1);
+    for (int i = 0; i < 9; i++) {
+      assertThat(submit(WorkClass.BATCH, new RequestSize(60_000, 0, 0))).isEmpty();
+    }
+    assertThat(submit(WorkClass.BATCH, new RequestSize(3000, 0, 0))).isEmpty();
+    List<SlotDecision> started = new ArrayList<>();
+    for (Instant end = now.plusSeconds(10); now.isBefore(end); ) {
+      now = now.plusMillis(20);
+      started.addAll(scheduler.processQueues(now));
+    }
+    assertThat(started).as("starts within 10 s").isNotEmpty();
+  }
 }
