An engine that is unlisted as it crashes counts against the prompt

A prompt on which engines do crash could be sent to an engine each second.

Cause: as an engine left the list, the request that had been let through there was taken for lost, and another followed after a second. The end of its run, which told of the crash, was then of an unknown run.

Why this works: whether the engine crashed is told by the end of the run.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -133,9 +133,7 @@
       listed = listEngines(entries);
       names.addAll(services.keySet());
     }
-    before.stream()
-        .filter(e -> !listed.containsKey(e))
-        .forEach(e -> screening.removeEngine(e, clock.instant()));
+    before.stream().filter(e -> !listed.containsKey(e)).forEach(screening::removeEngine);
     for (ServiceName name : names) {
       scheduler(name).setEngineMemory(engineMemory(name));
       execute(scheduler(name).setEngines(enginesOf(name), defaultSlots(name), clock.instant()));
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -228,10 +228,12 @@
     prompts.forgetRuns(id -> id.host().equals(host), now);
   }
 
-  /** Removes the runs of an engine that is no longer listed. */
-  void removeEngine(UpstreamId engine, Instant now) {
-    Set<RunId> removed = blame.removeEngine(engine);
-    prompts.forgetRuns(removed::contains, now);
+  /**
+   * Removes the runs of an engine that is no longer listed. Whether it crashed under a request that
+   * was let through is told by the end of the run, which may yet come.
+   */
+  void removeEngine(UpstreamId engine) {
+    blame.removeEngine(engine);
   }
 
   /** Removes the runs of a host that its list lacks, but for those that started since then. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -270,12 +270,12 @@
     return removed;
   }
 
-  /** Removes and returns the runs of an engine that is no longer listed. */
-  public synchronized Set<RunId> removeEngine(UpstreamId engine) {
-    EngineRuns known = engines.get(engine);
-    Set<RunId> removed = known == null ? Set.of() : Set.copyOf(known.present.keySet());
-    removed.forEach(this::removeRun);
-    return removed;
+  /** Removes the runs of an engine that is no longer listed. */
+  public synchronized void removeEngine(UpstreamId engine) {
+    EngineRuns removed = engines.get(engine);
+    if (removed != null) {
+      List.copyOf(removed.present.keySet()).forEach(this::removeRun);
+    }
   }
 
   /** Records that engines crash under a request, whatever its prompt. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
@@ -4,6 +4,7 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -39,6 +40,15 @@
 
   private static final int MANY = 20_000;
 
+  private static final Duration MINUTE = Duration.ofMinutes(1);
+
+  /** Interval at which an item asks again. */
+  private static final Duration RETRY_INTERVAL = Duration.ofMillis(500);
+
+  private static final int MAX_SENT_WHEN_KNOWN = 3;
+
+  private long revision = 10;
+
   private List<Entry> listed =
       List.of(
           FleetFixtures.engineEntry("engine-1", 1, 8, false, 1, 1),
@@ -268,4 +278,34 @@
     end(members.get(4), online);
     assertThat(refusals).hasSize(MANY);
   }
+
+  /** A request was let through each second when engines were unlisted before their ends came. */
+  @Test
+  void enginesThatAreUnlistedAsTheyCrashCountAgainstThePrompt() {
+    Member host = members.get(3);
+    List<Entry> all = listed;
+    blame(PART);
+    int letThrough = 0;
+    Instant end = clock.instant().plus(MINUTE);
+    while (clock.instant().isBefore(end)) {
+      run(RETRY_INTERVAL);
+      long item = requestItem(host);
+      if (grants.containsKey(item)) {
+        letThrough++;
+        UpstreamId engine = grants.get(item);
+        listEngines(all.stream().filter(e -> !e.key().contains(engine.value())).toList());
+        host.slots.endRun(item, RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF));
+        deliver();
+        listEngines(all);
+      }
+    }
+    assertThat(letThrough).isBetween(1, MAX_SENT_WHEN_KNOWN);
+  }
+
+  private void listEngines(List<Entry> next) {
+    listed = next;
+    revision++;
+    members.forEach(m -> list(m, revision));
+    deliver();
+  }
 }
