An engine that failed gets its full share with the first data of its probe

After two failures in a row an engine gets one run at a time until one ends well. As the probe is mostly an item, its end may be half a minute off, and the engine's other slots stay empty meanwhile. That had been seen for engines that refuse connections, and data of a probe ends it for those; for engines whose runs were lost it did not.

Data of a run that started after the last failure now ends it for both. The failures still count: the next one ejects the engine for as long as before and has it probed again.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/EngineHealthTracker.java
@@ -7,9 +7,10 @@
 /**
  * Tracks the health of an engine from the outcome of its runs. An engine that fails is ejected for
  * a time that doubles with each failure; afterwards it gets a single probe run at a time until one
- * succeeds. A run that broke off after its first event counts as one failure and does not eject the
- * engine by itself, since healthy engines lose single answers. An engine that refuses connections
- * is ejected by the first report, and gets probe runs until one has been answered.
+ * has received data. The failures count until one has succeeded. A run that broke off after its
+ * first event counts as one failure and does not eject the engine by itself, since healthy engines
+ * lose single answers. An engine that refuses connections is ejected by the first report, and gets
+ * probe runs until one has been answered.
  *
  * <p>Not safe for use by several threads; guarded by the lock of the scheduler that owns it.
  */
@@ -36,6 +37,9 @@
   private Deadline ejectedUntil = Deadline.at(Instant.MIN);
   private Instant lastFailureAt = Instant.MIN;
 
+  /** Whether a run that started after the last failure has received data. */
+  private boolean answeredSinceFailure;
+
   /** Refused connections of probe runs in a row, the one that ejected the engine included. */
   private int refusals;
 
@@ -68,6 +72,7 @@
     if (startedAt.isAfter(lastRefusalAt)) {
       refusals = 0;
     }
+    answeredSinceFailure |= startedAt.isAfter(lastFailureAt);
   }
 
   /** Forgets failures that were reported by a host whose reports do not count. */
@@ -105,6 +110,7 @@
       return;
     }
     lastFailureAt = now;
+    answeredSinceFailure = false;
     failures++;
     if (beforeFirstEvent || failures >= FAILURES_BEFORE_EJECTION) {
       int doublings = Math.min(Math.max(0, failures - 1), MAX_EJECTION_DOUBLINGS);
@@ -120,9 +126,12 @@
     return !ejectedUntil.isPast(now);
   }
 
-  /** Returns whether the engine gets only probe runs because its last runs failed. */
+  /**
+   * Returns whether the engine gets only probe runs because its last runs failed. Data of a probe
+   * ends that, since the end of an item may be far off.
+   */
   boolean isProbing() {
-    return isRefusing() || failures >= FAILURES_BEFORE_EJECTION;
+    return isRefusing() || failures >= FAILURES_BEFORE_EJECTION && !answeredSinceFailure;
   }
 
   /** Returns whether the engine has refused connections and not answered since. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/SlotScheduler.java
@@ -537,7 +537,7 @@
   }
 
   private static SlotDecision grantOn(EngineSlots engine, SlotRequest request) {
-    return new SlotDecision.Grant(request, engine.entry().id(), engine.health().isRefusing());
+    return new SlotDecision.Grant(request, engine.entry().id(), engine.health().isProbing());
   }
 
   private boolean isWithinShare(Instant now) {
