--- a/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/FleetNode.java
@@ -87,6 +87,9 @@
    */
   private static final Duration JOB_CHECK_INTERVAL = Duration.ofMillis(1500);
 
+  /** Interval between checks for items that wait; a host may run a job of 280,000 items. */
+  private static final Duration WAIT_CHECK_INTERVAL = Duration.ofSeconds(6);
+
   /** Number of ping intervals between checks whether the quarantine must be stored. */
   private static final int QUARANTINE_CHECK_TICKS = 2;
 
@@ -389,7 +392,8 @@
             guarded(coordinatorLink::attachEarly),
             () -> !coordinatorLink.hasChosen());
     earlyTimer.wake();
-    repeat(JOB_CHECK_INTERVAL, jobs::checkWaits, () -> runIfCoordinator(supervisor::checkRunners));
+    repeat(WAIT_CHECK_INTERVAL, jobs::checkWaits);
+    repeat(JOB_CHECK_INTERVAL, () -> runIfCoordinator(supervisor::checkRunners));
     repeat(JOB_REMOVAL_INTERVAL, () -> runIfCoordinator(expiredJobRemover::removeExpired));
     LOG.write(
         Event.NODE_STARTED,
