The digest of the quarantine is kept as its entries change

No change of behaviour: the number is the same. Each ping of each host asks for the digest, and it was summed over all entries each time. Since lifted entries are kept that may be 512 instead of 32, sixteen times the work. It is now adjusted as an entry is put or removed. By reading; the cost was not measured.

--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
@@ -62,6 +62,9 @@
   /** The least recently matched entry comes first. */
   private final Map<Set<Long>, QuarantinedPrompt> entries = new LinkedHashMap<>();
 
+  /** Sum over the entries; each ping of each host asks for it. */
+  private long digest;
+
   /** The runs that were let through, with the parts of the entries that they are to test. */
   private final Map<RunId, List<Set<Long>>> probedBy = new HashMap<>();
 
@@ -201,9 +204,11 @@
 
   /** Returns a number that differs if the entries differ; 0 without entries. */
   public synchronized long digest() {
-    return entries.values().stream()
-        .mapToLong(e -> mix(31L * e.parts().hashCode() + e.version()))
-        .sum();
+    return digest;
+  }
+
+  private static long digestOf(QuarantinedPrompt entry) {
+    return mix(31L * entry.parts().hashCode() + entry.version());
   }
 
   private static long mix(long value) {
@@ -228,15 +233,19 @@
   }
 
   private void put(QuarantinedPrompt entry) {
-    entries.remove(entry.parts());
+    remove(entry.parts());
     entries.put(entry.parts(), entry);
+    digest += digestOf(entry);
     if (entries.size() > MAX_ENTRIES) {
-      entries.values().stream()
-          .min(REMOVED_FIRST)
-          .ifPresent(removed -> entries.remove(removed.parts()));
+      entries.values().stream().min(REMOVED_FIRST).ifPresent(e -> remove(e.parts()));
     }
   }
 
+  private void remove(Set<Long> parts) {
+    QuarantinedPrompt removed = entries.remove(parts);
+    digest -= removed == null ? 0 : digestOf(removed);
+  }
+
   /** Lifts the least recently matched verdict if there are too many. */
   private void limitVerdicts() {
     List<QuarantinedPrompt> holding = entries.values().stream().filter(e -> !e.lifted()).toList();
