A grant is screened once for what follows from it

No change of behaviour. Coordinator and CrashScreening each found out whether a grant made its run the one that tests a quarantined prompt; CrashScreening.grant now says so, as its other methods do. The entries that match a prompt are looked up once for a grant instead of twice, and a preempted run is forgotten by its id.

LostPromptProbeTest, PromptQuarantineTest, ReleasedPromptTest, CoordinatorLossTest and CrashingPromptPartTest pass (x86_64).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/Coordinator.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.coordinate;
 
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
@@ -532,10 +533,9 @@
   private void screenGrant(SlotDecision.Grant grant) {
     Instant now = clock.instant();
     SlotRequest request = grant.request();
-    boolean wasProbe = screening.isProbe(request.id());
-    Option<SlotDecision.Refuse> refused = screening.grant(request, grant.engine(), now);
-    if (refused.isDefined()) {
-      execute(List.of(refused.get()));
+    Either<SlotDecision.Refuse, Boolean> screened = screening.grant(request, grant.engine(), now);
+    if (screened.isLeft()) {
+      execute(List.of(screened.getLeft()));
       // Otherwise the next one would be granted and refused within this call, and so on.
       refuseWaiting(now);
       RunEnd unsent = RunEnd.of(RunEnd.How.NOT_SENT);
@@ -543,7 +543,7 @@
       return;
     }
     sendGrant(grant);
-    if (!wasProbe && screening.isProbe(request.id())) {
+    if (screened.get()) {
       refuseWaiting(now);
     }
   }
--- a/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/coordinate/CrashScreening.java
@@ -1,5 +1,6 @@
 package org.waxwingcourse.fleet.coordinate;
 
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.Instant;
@@ -86,14 +87,17 @@
   /**
    * Decides on a request for which there is a slot, and records its grant if it may run. Of the
    * requests that wait for a slot with a prompt on which engines crash only one may run.
+   *
+   * @return the refusal, or whether requests are refused from now on that were not before
    */
-  Option<SlotDecision.Refuse> grant(SlotRequest request, UpstreamId engine, Instant now) {
+  Either<SlotDecision.Refuse, Boolean> grant(SlotRequest request, UpstreamId engine, Instant now) {
     boolean wasProbe = prompts.isProbe(request.id());
     Option<Instant> retryAt = prompts.admit(request.id(), request.promptParts(), now);
     if (retryAt.isDefined()) {
-      return retryAt.map(at -> refusal(request, at, PROMPT_REASON));
+      return Either.left(refusal(request, retryAt.get(), PROMPT_REASON));
     }
-    if (!wasProbe && prompts.isProbe(request.id())) {
+    boolean isNewProbe = !wasProbe && prompts.isProbe(request.id());
+    if (isNewProbe) {
       LOG.write(Event.PROMPT_PROBED, request.requestId(), request.id().host());
     }
     if (request.fingerprint().exists(f -> requests.recordGrant(f, now))) {
@@ -109,12 +113,7 @@
         request.promptParts(),
         request.fingerprint().toEither(request.requestId()),
         now);
-    return Option.none();
-  }
-
-  /** Returns whether a run was let through to find out whether engines crash on its prompt. */
-  boolean isProbe(RunId id) {
-    return prompts.isProbe(id);
+    return Either.right(isNewProbe);
   }
 
   /** Records a run that another coordinator has granted. */
@@ -219,7 +218,7 @@
   /** Removes a run that has given its slot back. */
   void forgetRun(RunId id, Instant now) {
     blame.forgetRun(id);
-    prompts.forgetRuns(id::equals, now);
+    prompts.recordEndWithoutEvent(id, false, now);
   }
 
   /** Removes the runs of a host that is gone or has detached. */
--- a/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/quarantine/PromptQuarantine.java
@@ -28,7 +28,7 @@
  * <p>Safe for use by several threads.
  */
 public final class PromptQuarantine {
-  /** Maximum number of verdicts that hold on a host that adds them; older ones are lifted. */
+  /** Verdicts that may hold; a host that adds more lifts the least recently matched. */
   static final int MAX_VERDICTS = 32;
 
   /**
@@ -70,7 +70,10 @@
 
   /** Returns when a request with this prompt may next run, none if it may run now. */
   public synchronized Option<Instant> refusedUntil(Collection<Long> promptParts, Instant now) {
-    List<QuarantinedPrompt> matching = matching(promptParts);
+    return refusedUntil(matching(promptParts), now);
+  }
+
+  private Option<Instant> refusedUntil(List<QuarantinedPrompt> matching, Instant now) {
     matching.forEach(this::put);
     return Option.ofOptional(
         matching.stream()
@@ -89,8 +92,8 @@
     if (probedBy.containsKey(id)) {
       return Option.none();
     }
-    Option<Instant> refused = refusedUntil(promptParts, now);
     List<QuarantinedPrompt> matching = matching(promptParts);
+    Option<Instant> refused = refusedUntil(matching, now);
     if (refused.isDefined() || matching.isEmpty()) {
       return refused;
     }
