The two reads of a job's record that count an exception as a failure are one

No change of behaviour. The confirmation of a job repeated the words of the check before an item is sent. The tests of fleet.job pass (x86_64).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/job/RunningJob.java
@@ -133,11 +133,12 @@
    */
   void confirmOwnership() {
     long current = ports.registration().term();
-    ports
-        .store()
-        .readRecord(id)
-        .exceptionally(e -> Either.left(unreadable(e)))
-        .thenAccept(answer -> onConfirmed(current, answer));
+    readRecord().thenAccept(answer -> onConfirmed(current, answer));
+  }
+
+  /** Reads the job's record; a read that ends with an exception counts as one that failed. */
+  private CompletableFuture<Either<StoreFailure, Option<JobStore.StoredRecord>>> readRecord() {
+    return ports.store().readRecord(id).exceptionally(e -> Either.left(unreadable(e)));
   }
 
   private void onConfirmed(
@@ -163,12 +164,7 @@
     Instant now = ports.clock().instant();
     switch (openCheck.onAction(action, now)) {
       case RUN -> action.run();
-      case READ ->
-          ports
-              .store()
-              .readRecord(id)
-              .exceptionally(e -> Either.left(unreadable(e)))
-              .thenAccept(answer -> onOpenRead(now, answer));
+      case READ -> readRecord().thenAccept(answer -> onOpenRead(now, answer));
       case WAIT -> {
         // The read in progress runs the action.
       }
