CrashBlame: no call that only its test used

No change of behaviour. The product always states the process of an engine, 0 if it is not known; the test does so now too. The three places of the test that started a run share one. Assertions are unchanged. CrashBlameTest and BlameComparisonTest pass (x86_64).

--- a/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
+++ b/fleet/src/main/java/org/waxwingcourse/fleet/slot/CrashBlame.java
@@ -183,11 +183,6 @@
     }
   }
 
-  /** As {@link #recordEnd(RunId, RunEnd, long, Instant)}, of a process that is not known. */
-  public synchronized List<Set<Long>> recordEnd(RunId run, RunEnd end, Instant now) {
-    return recordEnd(run, end, UNKNOWN_PROCESS, now);
-  }
-
   /**
    * Records the end of a run.
    *
--- a/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/slot/CrashBlameTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.waxwingcourse.model.id.HostId;
 import org.waxwingcourse.model.id.RequestFingerprint;
@@ -22,6 +23,7 @@
   private static final long CRASHING = 2;
   private static final long SOUND = 3;
   private static final Duration FIRST_EVENT = Duration.ofMillis(40);
+  private static final long UNKNOWN_PROCESS = 0;
 
   private final CrashBlame blame = new CrashBlame();
   private final List<Set<Long>> verdicts = new ArrayList<>();
@@ -37,22 +39,31 @@
   }
 
   private RunId start(HostId host, String engine, long... shared) {
+    long own = lastNumber + 1;
+    return start(host, engine, Either.right(request(own)), prompt(own, shared));
+  }
+
+  private RunId start(
+      HostId host, String engine, Either<RequestId, RequestFingerprint> request, List<Long> parts) {
     RunId id = new RunId(host, ++lastNumber);
-    List<Long> parts = new ArrayList<>();
-    for (long part : shared) {
-      parts.add(part);
-    }
-    parts.add(1_000_000 + lastNumber);
-    blame.recordStart(id, UpstreamId.of(engine), parts, Either.right(request(lastNumber)), now);
+    blame.recordStart(id, UpstreamId.of(engine), parts, request, now);
     return id;
   }
 
+  /** Returns the shared parts and one that belongs to the request itself. */
+  private static List<Long> prompt(long own, long... shared) {
+    return LongStream.concat(LongStream.of(shared), LongStream.of(1_000_000 + own))
+        .boxed()
+        .toList();
+  }
+
   private RunId start(String engine, long... shared) {
     return start(HOST, engine, shared);
   }
 
   private void end(RunId run, RunEnd.How how, Duration firstEvent) {
-    verdicts.addAll(blame.recordEnd(run, new RunEnd(how, firstEvent, Duration.ZERO, 0), now));
+    RunEnd end = new RunEnd(how, firstEvent, Duration.ZERO, 0);
+    verdicts.addAll(blame.recordEnd(run, end, UNKNOWN_PROCESS, now));
   }
 
   private void breakOff(RunId run) {
@@ -289,8 +300,7 @@
   @Test
   void lastPartIsNeverBlamed() {
     for (int i = 0; i < 8; i++) {
-      RunId run = new RunId(HOST, ++lastNumber);
-      blame.recordStart(run, UpstreamId.of("e-" + i), List.of(CRASHING), item(lastNumber), now);
+      RunId run = start(HOST, "e-" + i, item(i), List.of(CRASHING));
       advance(60);
       breakOff(run);
       advance(400);
@@ -313,25 +323,15 @@
   }
 
   private void startAndBreakOff(String engine, long request, long... parts) {
-    RunId id = new RunId(HOST, ++lastNumber);
-    List<Long> prompt = new ArrayList<>();
-    for (long part : parts) {
-      prompt.add(part);
-    }
-    blame.recordStart(id, UpstreamId.of(engine), prompt, Either.right(request(request)), now);
+    List<Long> prompt = LongStream.of(parts).boxed().toList();
+    RunId id = start(HOST, engine, Either.right(request(request)), prompt);
     advance(100);
     breakOff(id);
     advance(2000);
   }
 
   private void crashItem(String engine, long item, long... shared) {
-    RunId run = new RunId(HOST, ++lastNumber);
-    List<Long> prompt = new ArrayList<>();
-    for (long part : shared) {
-      prompt.add(part);
-    }
-    prompt.add(1_000_000 + item);
-    blame.recordStart(run, UpstreamId.of(engine), prompt, item(item), now);
+    RunId run = start(HOST, engine, item(item), prompt(item, shared));
     advance(60);
     breakOff(run);
     advance(400);
@@ -380,7 +380,7 @@
   /** Hosts of earlier versions do not name the process. */
   @Test
   void engineOfAnUnknownProcessMayCrashAgain() {
-    crashTwice(0, 0);
+    crashTwice(UNKNOWN_PROCESS, UNKNOWN_PROCESS);
     assertThat(verdicts).containsExactly(Set.of(SHARED));
   }
 
