--- a/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/coordinate/LostPromptProbeTest.java
@@ -47,7 +47,7 @@
 
   private static final int MAX_SENT_WHEN_KNOWN = 3;
 
-  private long revision = 10;
+  private long revision = 9;
 
   private List<Entry> listed =
       List.of(
@@ -210,11 +210,8 @@
   @Test
   void itemsAreHeldNoLongerWhenTheEngineOfTheProbeIsUnlisted() {
     long probe = startProbe(members.get(3));
-    UpstreamId engine = grants.get(probe);
-    listed = listed.stream().filter(e -> !e.key().contains(engine.value())).toList();
+    unlist(grants.get(probe));
     assertThat(listed).hasSize(1);
-    members.forEach(m -> list(m, 10));
-    deliver();
     members.get(3).slots.endRun(probe, RunEnd.of(RunEnd.How.ENGINE_LOST));
     deliver();
     assertAnotherIsLetThrough();
@@ -292,8 +289,7 @@
       long item = requestItem(host);
       if (grants.containsKey(item)) {
         letThrough++;
-        UpstreamId engine = grants.get(item);
-        listEngines(all.stream().filter(e -> !e.key().contains(engine.value())).toList());
+        unlist(grants.get(item));
         host.slots.endRun(item, RunEnd.of(RunEnd.How.ENGINE_BROKE_OFF));
         deliver();
         listEngines(all);
@@ -302,6 +298,10 @@
     assertThat(letThrough).isBetween(1, MAX_SENT_WHEN_KNOWN);
   }
 
+  private void unlist(UpstreamId engine) {
+    listEngines(listed.stream().filter(e -> !e.key().contains(engine.value())).toList());
+  }
+
   private void listEngines(List<Entry> next) {
     listed = next;
     revision++;
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FailingItemRequestTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FailingItemRequestTest.java
@@ -34,27 +34,23 @@
     fixture.runJob(3);
   }
 
-  private List<JobResult> stored() {
-    return new JobStore(fixture.memory).readResults(RunnerFixture.JOB).join().get();
-  }
-
   @Test
   void itemsAfterItAreRunAtOnceAndItselfLater() {
     runJobWhoseFirstRequestsFail(1);
     fixture.finish(1, "text");
     fixture.finish(2, "text");
     fixture.timer.advance(SHORTLY);
-    assertThat(stored()).extracting(JobResult::getItem).containsExactly("item-1", "item-2");
+    assertThat(fixture.stored()).extracting(JobResult::getItem).containsExactly("item-1", "item-2");
     fixture.timer.advance(LONG_AFTER);
     fixture.finish(0, "text");
     fixture.timer.advance(LONG_AFTER);
-    assertThat(stored()).hasSize(3).allMatch(JobResult::getCompleted);
+    assertThat(fixture.stored()).hasSize(3).allMatch(JobResult::getCompleted);
   }
 
   @Test
   void itemWhoseRequestsAlwaysFailIsGivenUpAtTheEndOfItsLifetime() {
     runJobWhoseFirstRequestsFail(Integer.MAX_VALUE);
     fixture.timer.advance(LIFETIME);
-    assertThat(stored()).hasSize(3).noneMatch(JobResult::getCompleted);
+    assertThat(fixture.stored()).hasSize(3).noneMatch(JobResult::getCompleted);
   }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/FailingItemSendTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/FailingItemSendTest.java
@@ -37,10 +37,6 @@
         };
   }
 
-  private List<JobResult> stored() {
-    return new JobStore(fixture.memory).readResults(RunnerFixture.JOB).join().get();
-  }
-
   @Test
   void itemsThatWaitWithItAreSentAtOnceAndItselfLater() {
     failFirstSends(1);
@@ -53,11 +49,11 @@
     fixture.finish(1, "text");
     fixture.finish(2, "text");
     fixture.timer.advance(SHORTLY);
-    assertThat(stored()).extracting(JobResult::getItem).containsExactly("item-1", "item-2");
+    assertThat(fixture.stored()).extracting(JobResult::getItem).containsExactly("item-1", "item-2");
     fixture.timer.advance(LONG_AFTER);
     fixture.finish(0, "text");
     fixture.timer.advance(LONG_AFTER);
-    assertThat(stored()).hasSize(3).allMatch(JobResult::getCompleted);
+    assertThat(fixture.stored()).hasSize(3).allMatch(JobResult::getCompleted);
   }
 
   @Test
@@ -70,6 +66,6 @@
       fixture.grantAll();
       fixture.timer.advance(SHORTLY);
     }
-    assertThat(stored()).hasSize(1).noneMatch(JobResult::getCompleted);
+    assertThat(fixture.stored()).hasSize(1).noneMatch(JobResult::getCompleted);
   }
 }
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemOfTwoRunsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemOfTwoRunsTest.java
@@ -58,8 +58,7 @@
 
   private List<String> results() {
     fixture.timer.advance(Duration.ofSeconds(1));
-    return new JobStore(fixture.memory)
-        .readResults(RunnerFixture.JOB).join().get().stream().map(JobResult::getText).toList();
+    return fixture.stored().stream().map(JobResult::getText).toList();
   }
 
   /** Two coordinators grant the same request. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemUnderRandomDecisionsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ItemUnderRandomDecisionsTest.java
@@ -58,8 +58,7 @@
   }
 
   private static List<String> results(RunnerFixture fixture) {
-    return new JobStore(fixture.memory)
-        .readResults(RunnerFixture.JOB).join().get().stream().map(JobResult::getText).toList();
+    return fixture.stored().stream().map(JobResult::getText).toList();
   }
 
   /** Two runs of one item fed one text, or a slot was held after its item had gone on. */
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LargeResultsTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LargeResultsTest.java
@@ -51,10 +51,6 @@
     return Collections.nCopies(count, event).toArray(String[]::new);
   }
 
-  private List<JobResult> stored() {
-    return new JobStore(fixture.memory).readResults(RunnerFixture.JOB).join().get();
-  }
-
   private static String[] allItems() {
     return IntStream.range(0, ITEMS).mapToObj(i -> "item-" + i).toArray(String[]::new);
   }
@@ -71,8 +67,10 @@
       fixture.finish(i, events);
     }
     fixture.timer.advance(RECOVERY);
-    assertThat(stored()).extracting(JobResult::getItem).containsExactlyInAnyOrder(allItems());
-    assertThat(stored()).allMatch(r -> r.getText().equals(String.join("\n", events)));
+    assertThat(fixture.stored())
+        .extracting(JobResult::getItem)
+        .containsExactlyInAnyOrder(allItems());
+    assertThat(fixture.stored()).allMatch(r -> r.getText().equals(String.join("\n", events)));
   }
 
   @Test
@@ -83,8 +81,10 @@
       fixture.finish(i, "text");
     }
     fixture.timer.advance(RECOVERY);
-    assertThat(stored()).extracting(JobResult::getItem).containsExactlyInAnyOrder(allItems());
-    assertThat(stored()).filteredOn(r -> !r.getCompleted()).hasSize(1);
+    assertThat(fixture.stored())
+        .extracting(JobResult::getItem)
+        .containsExactlyInAnyOrder(allItems());
+    assertThat(fixture.stored()).filteredOn(r -> !r.getCompleted()).hasSize(1);
   }
 
   /** An engine that sent events without end filled the memory of its host. */
@@ -101,8 +101,8 @@
     }
     assertThat(cancelled).hasValue(1);
     fixture.timer.advance(RECOVERY);
-    assertThat(stored()).extracting(JobResult::getItem).containsExactly("item-0");
-    assertThat(stored().get(0).getCompleted()).isFalse();
+    assertThat(fixture.stored()).extracting(JobResult::getItem).containsExactly("item-0");
+    assertThat(fixture.stored().get(0).getCompleted()).isFalse();
   }
 
   /** The store need not tell why it rejects a write, nor is it known for which of its results. */
@@ -114,10 +114,12 @@
       fixture.finish(i, i == 5 ? "rejected" : "text");
     }
     fixture.timer.advance(RECOVERY);
-    assertThat(stored()).hasSize(ITEMS - 1);
+    assertThat(fixture.stored()).hasSize(ITEMS - 1);
     fixture.store.rejectWrites(t -> false);
     fixture.timer.advance(RECOVERY);
-    assertThat(stored()).extracting(JobResult::getItem).containsExactlyInAnyOrder(allItems());
+    assertThat(fixture.stored())
+        .extracting(JobResult::getItem)
+        .containsExactlyInAnyOrder(allItems());
   }
 
   private static boolean holdsRejectedText(Transaction transaction) {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/LateCommitTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/LateCommitTest.java
@@ -43,8 +43,7 @@
   }
 
   private List<String> storedItems() {
-    return new JobStore(fixture.memory)
-        .readResults(RunnerFixture.JOB).join().get().stream().map(JobResult::getItem).toList();
+    return fixture.stored().stream().map(JobResult::getItem).toList();
   }
 
   private List<String> shownItems() {
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/RunnerFixture.java
@@ -46,6 +46,7 @@
 import org.waxwingcourse.wire.fleet.JobItem;
 import org.waxwingcourse.wire.fleet.JobItems;
 import org.waxwingcourse.wire.fleet.JobRecord;
+import org.waxwingcourse.wire.fleet.JobResult;
 import org.waxwingcourse.wire.fleet.SlotGrant;
 import org.waxwingcourse.wire.fleet.SlotYield;
 
@@ -267,6 +268,11 @@
     run.onEnd(Option.none());
   }
 
+  /** Returns the results that the store holds. */
+  List<JobResult> stored() {
+    return new JobStore(memory).readResults(JOB).join().get();
+  }
+
   /** Ends the timer. */
   void stop() {
     timer.shutdownNow();
--- a/fleet/src/test/java/org/waxwingcourse/fleet/job/ThrowingStoreTest.java
+++ b/fleet/src/test/java/org/waxwingcourse/fleet/job/ThrowingStoreTest.java
@@ -3,11 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.waxwingcourse.wire.fleet.JobResult;
 
 /**
  * A call to the store that threw left its job with a read, a commit or a take-over in progress that
@@ -45,9 +43,7 @@
   private void assertItemGetsItsResult() {
     fixture.finish(0, "text");
     fixture.timer.advance(SHORTLY);
-    List<JobResult> stored =
-        new JobStore(fixture.memory).readResults(RunnerFixture.JOB).join().get();
-    assertThat(stored).hasSize(1);
+    assertThat(fixture.stored()).hasSize(1);
   }
 
   @Test
